--- /dev/null
+++ b/src/config/internal/checkedjson.cpp
@@ -0,0 +1,78 @@
+#include "config/internal/checkedjson.h"
+
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+namespace citronpick::config::internal
+{
+
+namespace
+{
+
+using Adapter = valijson::adapters::NlohmannJsonAdapter;
+
+// The validator names a place as "<root>", "[pools]", "[0]"; the pointer escapes as RFC 6901 asks.
+std::string pointerOf(const std::vector<std::string> &context)
+{
+    std::string pointer;
+    for (const std::string &part : context) {
+        if (part == "<root>") {
+            continue;
+        }
+        const bool isBracketed = part.size() >= 2 && part.front() == '[' && part.back() == ']';
+        const std::string plain = isBracketed ? part.substr(1, part.size() - 2) : part;
+        pointer += '/';
+        for (const char character : plain) {
+            if (character == '~') {
+                pointer += "~0";
+            } else if (character == '/') {
+                pointer += "~1";
+            } else {
+                pointer += character;
+            }
+        }
+    }
+    return pointer;
+}
+
+bool isWrapper(const std::string &description)
+{
+    return description.starts_with("Failed to validate against schema associated with property")
+           || description.starts_with("Failed to validate item #");
+}
+
+} // namespace
+
+nlohmann::json readChecked(std::string_view text, const char *schemaText,
+                           std::vector<Finding> &findings)
+{
+    nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
+    if (document.is_discarded()) {
+        findings.push_back({.error = ConfigError::NotJson, .pointer = "", .expected = "JSON text"});
+        return {};
+    }
+    const nlohmann::json schemaDocument = nlohmann::json::parse(schemaText);
+    valijson::Schema schema;
+    valijson::SchemaParser parser;
+    parser.populateSchema(Adapter(schemaDocument), schema);
+    valijson::Validator validator;
+    valijson::ValidationResults results;
+    if (validator.validate(schema, Adapter(document), &results)) {
+        return document;
+    }
+    valijson::ValidationResults::Error error;
+    while (results.popError(error)) {
+        if (isWrapper(error.description)) {
+            continue;
+        }
+        findings.push_back({.error = ConfigError::SchemaViolation,
+                            .pointer = pointerOf(error.context),
+                            .expected = error.description});
+    }
+    return document;
+}
+
+} // namespace citronpick::config::internal
--- /dev/null
+++ b/src/config/internal/revisionstore.cpp
@@ -0,0 +1,41 @@
+#include "config/revisionstore.h"
+
+#include <algorithm>
+
+#include "model/hash.h"
+#include "model/invariant.h"
+
+namespace citronpick::config
+{
+
+OfferResult RevisionStore::offer(const OfferedFile &file, absl::Status &status)
+{
+    status = absl::OkStatus();
+    if (file.revision < m_revision) {
+        return OfferResult::Older;
+    }
+    const uint64_t digest = model::hash64(file.text);
+    const bool isSameRevision = file.revision == m_revision && m_configuration;
+    if (isSameRevision && digest == m_digest) {
+        return OfferResult::AlreadyInForce;
+    }
+    // Two texts under one revision: every daemon must settle on the same one without asking, so
+    // the higher digest stays.
+    if (isSameRevision && digest < m_digest) {
+        return OfferResult::ConflictKept;
+    }
+    auto parsed = parseConfiguration(file.text);
+    if (!parsed.ok()) {
+        status = parsed.status();
+        m_highestRejected = std::max(m_highestRejected, file.revision);
+        return OfferResult::Rejected;
+    }
+    model::checkInvariant("a revision never goes back", file.revision >= m_revision);
+    m_configuration = *std::move(parsed);
+    m_text = std::make_shared<const std::string>(file.text);
+    m_revision = file.revision;
+    m_digest = digest;
+    return isSameRevision ? OfferResult::ConflictReplaced : OfferResult::Accepted;
+}
+
+} // namespace citronpick::config
--- /dev/null
+++ b/src/config/internal/settings.cpp
@@ -0,0 +1,87 @@
+#include "config/settings.h"
+
+#include "config/internal/checkedjson.h"
+#include "config/internal/schemas.h"
+
+namespace citronpick::config
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+Endpoint endpointOf(const Json &object)
+{
+    return {.host = object.at("host"), .port = object.at("port")};
+}
+
+model::Duration millisecondsAt(const Json &object, const char *key, model::Duration fallback)
+{
+    return model::milliseconds(object.value(key, model::toMilliseconds(fallback)));
+}
+
+CallerLimits limitsOf(const Json &caller)
+{
+    const CallerLimits fallback;
+    return {
+        .maxBodyBytes = caller.value("maxBodyBytes", fallback.maxBodyBytes),
+        .maxConnections = caller.value("maxConnections", fallback.maxConnections),
+        .maxRequests = caller.value("maxRequests", fallback.maxRequests),
+        .requestTimeout = millisecondsAt(caller, "requestTimeoutMs", fallback.requestTimeout),
+        .maxDeadline = millisecondsAt(caller, "maxDeadlineMs", fallback.maxDeadline),
+        .maxStreamBufferBytes = caller.value("maxStreamBufferBytes", fallback.maxStreamBufferBytes),
+    };
+}
+
+std::vector<Endpoint> seedsOf(const Json &fleet)
+{
+    std::vector<Endpoint> seeds;
+    for (const Json &seed : fleet.value("seeds", Json::array())) {
+        seeds.push_back(endpointOf(seed));
+    }
+    return seeds;
+}
+
+} // namespace
+
+absl::StatusOr<Settings> parseSettings(std::string_view text)
+{
+    std::vector<Finding> findings;
+    const Json document = internal::readChecked(text, internal::settingsSchema, findings);
+    if (!findings.empty()) {
+        return toStatus(findings);
+    }
+    const Settings fallback;
+    const Json &caller = document.at("caller");
+    const Json &admin = document.at("admin");
+    const Json &fleet = document.at("fleet");
+    const Json drain = document.value("drain", Json::object());
+    Settings settings {
+        .daemon = model::DaemonId(document.at("daemon")),
+        .zone = model::ZoneId(document.at("zone")),
+        .caller = endpointOf(caller),
+        .admin = endpointOf(admin),
+        .fleet = endpointOf(fleet),
+        .adminToken = admin.at("token"),
+        .fleetKey = fleet.at("key"),
+        .fleetSeeds = seedsOf(fleet),
+        .platform = endpointOf(document.at("platform")),
+        .entryLifetime = millisecondsAt(caller, "entryLifetimeMs", fallback.entryLifetime),
+        .limits = limitsOf(caller),
+        .drain = {.accept = millisecondsAt(drain, "acceptMs", fallback.drain.accept),
+                  .limit = millisecondsAt(drain, "limitMs", fallback.drain.limit)},
+        .logLevel = document.value("log", Json::object()).value("level", fallback.logLevel),
+    };
+    // A stopping daemon must outlast the answers that still name it, and word of its leaving.
+    constexpr model::Duration spreadTime = model::seconds(1);
+    if (settings.drain.accept < settings.entryLifetime + spreadTime) {
+        findings.push_back({.error = ConfigError::Contradiction,
+                            .pointer = "/drain/acceptMs",
+                            .expected = "at least /caller/entryLifetimeMs plus 1000"});
+        return toStatus(findings);
+    }
+    return settings;
+}
+
+} // namespace citronpick::config
--- /dev/null
+++ b/src/config/tests/configtest.cpp
@@ -0,0 +1,117 @@
+#include "config/configerror.h"
+#include "config/configuration.h"
+#include "config/settings.h"
+
+#include <string>
+
+#include <catch2/catch.hpp>
+
+using namespace citronpick;
+using namespace citronpick::config;
+
+namespace
+{
+
+const char *const settingsText = R"json({
+  "daemon": "d1", "zone": "a",
+  "caller": { "host": "127.0.0.1", "port": 8080 },
+  "admin": { "host": "127.0.0.1", "port": 8081, "token": "secret-token" },
+  "fleet": { "host": "127.0.0.1", "port": 8082, "key": "0123456789abcdef",
+             "seeds": [ { "host": "127.0.0.1", "port": 9082 } ] },
+  "platform": { "host": "127.0.0.1", "port": 7000 },
+  "drain": { "acceptMs": 4500 }
+})json";
+
+const char *const pipelineText = R"json({
+  "pools": [
+    { "name": "encoders", "expectedMs": 10, "concurrency": 4, "path": "/encode",
+      "upstreams": [ { "name": "e1", "host": "127.0.0.1", "port": 1, "zone": "a" } ] },
+    { "name": "desk", "idempotent": false,
+      "upstreams": [ { "name": "o1", "host": "127.0.0.1", "port": 2, "zone": "b" } ] }
+  ],
+  "pipelines": [ { "name": "quote", "deadlineMs": 6000,
+    "stages": [ { "name": "encode", "pool": "encoders" } ] } ],
+  "services": [ { "name": "confirm", "pool": "desk", "path": "/confirm" },
+                { "name": "stock", "pool": "desk", "path": "/stock", "idempotent": true } ],
+  "priorities": [ { "name": "high", "rank": 0 }, { "name": "low", "rank": 2 } ],
+  "accounts": [ { "name": "bangkok", "weight": 2, "requestsPerSecond": 50 } ]
+})json";
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    const size_t at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+} // namespace
+
+TEST_CASE("Settings are read with their defaults")
+{
+    const auto settings = parseSettings(settingsText);
+    REQUIRE(settings.ok());
+    CHECK(settings->daemon == model::DaemonId("d1"));
+    CHECK(settings->caller == Endpoint {.host = "127.0.0.1", .port = 8080});
+    CHECK(settings->fleetSeeds.size() == 1);
+    CHECK(settings->drain.accept == model::milliseconds(4500));
+    CHECK(settings->drain.limit == DrainSettings().limit);
+}
+
+TEST_CASE("Faulty settings name the place and what was expected")
+{
+    const auto check = [](const std::string &text, const std::string &pointer, ConfigError error) {
+        const auto settings = parseSettings(text);
+        REQUIRE_FALSE(settings.ok());
+        INFO(settings.status());
+        CHECK(configErrorOf(settings.status()) == error);
+        CHECK(std::string(settings.status().message()).find(pointer + ":") != std::string::npos);
+    };
+    check("{", "/", ConfigError::NotJson);
+    check(replaced(settingsText, "8080", "\"x\""), "/caller/port", ConfigError::SchemaViolation);
+    check(replaced(settingsText, "8080", "70000"), "/caller/port", ConfigError::SchemaViolation);
+    check(replaced(settingsText, "\"acceptMs\"", "\"acceptSeconds\""), "/drain",
+          ConfigError::SchemaViolation);
+    check(replaced(settingsText, "\"host\": \"127.0.0.1\", \"port\": 9082", "\"port\": 9082"),
+          "/fleet/seeds/0", ConfigError::SchemaViolation);
+    check(replaced(settingsText, "4500", "3500"), "/drain/acceptMs", ConfigError::Contradiction);
+    check(replaced(settingsText, "secret-token", "short"), "/admin/token",
+          ConfigError::SchemaViolation);
+}
+
+TEST_CASE("An unknown key is named in the message")
+{
+    const auto settings = parseSettings(replaced(settingsText, "\"zone\"", "\"zome\""));
+    REQUIRE_FALSE(settings.ok());
+    CHECK(std::string(settings.status().message()).find("zome") != std::string::npos);
+}
+
+TEST_CASE("A pipeline file becomes pools, routes, priorities and accounts")
+{
+    const auto parsed = parseConfiguration(pipelineText);
+    REQUIRE(parsed.ok());
+    const Configuration &configuration = **parsed;
+    CHECK(configuration.pools().size() == 2);
+    REQUIRE(configuration.route(model::RouteId("quote")) != nullptr);
+    CHECK(configuration.route(model::RouteId("quote"))->isIdempotent);
+    CHECK(configuration.route(model::RouteId("quote"))->stages[0].path == "/encode");
+    CHECK_FALSE(configuration.route(model::RouteId("confirm"))->isIdempotent);
+    CHECK(configuration.route(model::RouteId("stock"))->isIdempotent);
+    CHECK(configuration.hasIdempotentStage(model::PoolId("desk")));
+    CHECK(configuration.priorityRank("high") == 0);
+    CHECK(configuration.priorityRank("unheard-of") == 2);
+    CHECK(configuration.account(model::AccountId("bangkok"))->weight == 2.0);
+    CHECK(configuration.route(model::RouteId("none")) == nullptr);
+}
+
+TEST_CASE("Faults that a schema cannot express are found as well, all together")
+{
+    std::string text = replaced(pipelineText, "\"pool\": \"desk\", \"path\": \"/confirm\"",
+                                "\"pool\": \"disk\", \"path\": \"/confirm\"");
+    text = replaced(text, "\"name\": \"o1\"", "\"name\": \"e1\"");
+    const auto parsed = parseConfiguration(text);
+    REQUIRE_FALSE(parsed.ok());
+    const std::string message(parsed.status().message());
+    INFO(message);
+    CHECK(message.find("/pools/1/upstreams/0/name: duplicate-name") != std::string::npos);
+    CHECK(message.find("/services/0/pool: unknown-reference") != std::string::npos);
+}
--- /dev/null
+++ b/src/daemon/internal/attemptrunner.cpp
@@ -0,0 +1,298 @@
+#include "daemon/internal/attemptrunner.h"
+
+#include <charconv>
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+namespace citronpick::daemon
+{
+
+namespace
+{
+
+constexpr size_t maxRecordBytes = 64U << 10U;
+//! Beyond its budget an attempt is ended by the core; this only catches what the core forgot.
+constexpr model::Duration graceTime = model::seconds(5);
+constexpr uint64_t maxProbeBytes = 64U << 10U;
+
+pipeline::AttemptError attemptErrorOf(net::HttpError error)
+{
+    switch (error) {
+    case net::HttpError::ConnectFailed:
+        return pipeline::AttemptError::ConnectFailed;
+    case net::HttpError::ConnectionLost:
+        return pipeline::AttemptError::ConnectionLost;
+    case net::HttpError::TimedOut:
+        return pipeline::AttemptError::IoTimeout;
+    case net::HttpError::TooLarge:
+        return pipeline::AttemptError::TooLarge;
+    case net::HttpError::Garbage:
+        return pipeline::AttemptError::Garbage;
+    }
+    return pipeline::AttemptError::ConnectionLost;
+}
+
+std::optional<pipeline::ReportedLoad> loadOf(const net::Headers &headers)
+{
+    const std::string inFlight = net::headerValue(headers, "x-citronpick-in-flight");
+    const bool isLeaving = net::headerValue(headers, "x-citronpick-leaving") == "1";
+    if (inFlight.empty() && !isLeaving) {
+        return std::nullopt;
+    }
+    uint32_t count = 0;
+    std::from_chars(inFlight.data(), inFlight.data() + inFlight.size(), count);
+    return pipeline::ReportedLoad {.inFlight = count, .isLeaving = isLeaving};
+}
+
+} // namespace
+
+AttemptRunner::AttemptRunner(net::HttpClient &client, IEventSink &sink,
+                             model::Incarnation incarnation)
+    : m_client(client)
+    , m_sink(sink)
+    , m_incarnation(absl::StrCat(absl::Hex(incarnation.value())))
+{
+}
+
+void AttemptRunner::start(const pipeline::StartAttempt &command)
+{
+    Open &open = m_attempts[command.attempt];
+    open.request = command.request;
+    open.checksEcho = command.checksEcho;
+    // Attempt numbers are a daemon's own; with the incarnation they are everybody's.
+    open.echo = absl::StrCat(m_incarnation, "-", command.attempt.value());
+    if (command.isStreaming) {
+        m_streams[command.request] = command.attempt;
+    }
+    const uint64_t call = m_client.start(callFor(command, open.echo),
+                                         callbacksFor(command.attempt, command.isStreaming));
+    m_attempts[command.attempt].call = call;
+}
+
+net::HttpCall AttemptRunner::callFor(const pipeline::StartAttempt &command,
+                                     const std::string &echo) const
+{
+    net::HttpCall call;
+    call.method = "POST";
+    call.to = {.host = command.host, .port = command.port};
+    call.path = command.path;
+    call.body = command.body;
+    call.needsFreshConnection = command.needsFreshConnection;
+    call.isStreamed = command.isStreaming;
+    call.timeout = command.budget + graceTime;
+    call.maxBodyBytes = command.maxAnswerBytes;
+    call.headers = {
+        {.name = "x-citronpick-request", .value = command.callerId.text()},
+        {.name = "x-citronpick-attempt", .value = echo},
+        {.name = "x-citronpick-budget-ms",
+         .value = absl::StrCat(model::toMilliseconds(command.budget))},
+        {.name = "x-citronpick-priority", .value = absl::StrCat(command.priorityRank)},
+    };
+    if (command.expectedTokens > 0) {
+        call.headers.push_back({.name = "x-citronpick-expected-tokens",
+                                .value = absl::StrCat(command.expectedTokens)});
+    }
+    if (command.resumeFrom > 0) {
+        call.headers.push_back(
+            {.name = "x-citronpick-resume-from", .value = absl::StrCat(command.resumeFrom)});
+    }
+    if (command.prefix != 0) {
+        call.headers.push_back(
+            {.name = "x-citronpick-prefix", .value = absl::StrCat(absl::Hex(command.prefix))});
+    }
+    return call;
+}
+
+net::HttpCallbacks AttemptRunner::callbacksFor(model::AttemptId attempt, bool isStreaming)
+{
+    net::HttpCallbacks callbacks;
+    callbacks.onAnswer = [this, attempt, isStreaming](net::HttpAnswer answer) {
+        onAnswer(attempt, std::move(answer), isStreaming);
+    };
+    callbacks.onError = [this, attempt](net::HttpError error) {
+        onError(attempt, error);
+    };
+    if (isStreaming) {
+        callbacks.onHead = [this, attempt](const net::HttpAnswer &answer) {
+            onHead(attempt, answer);
+        };
+        callbacks.onData = [this, attempt](std::string_view bytes) {
+            onData(attempt, bytes);
+        };
+    }
+    return callbacks;
+}
+
+void AttemptRunner::cancel(model::AttemptId attempt)
+{
+    const auto it = m_attempts.find(attempt);
+    if (it == m_attempts.end()) {
+        return;
+    }
+    const uint64_t call = it->second.call;
+    const auto stream = m_streams.find(it->second.request);
+    if (stream != m_streams.end() && stream->second == attempt) {
+        m_streams.erase(stream);
+    }
+    m_attempts.erase(it);
+    m_client.cancel(call);
+}
+
+void AttemptRunner::setPaused(model::RequestId request, bool isPaused)
+{
+    const auto stream = m_streams.find(request);
+    if (stream == m_streams.end()) {
+        return;
+    }
+    const auto it = m_attempts.find(stream->second);
+    if (it != m_attempts.end()) {
+        m_client.setPaused(it->second.call, isPaused);
+    }
+}
+
+bool AttemptRunner::isEchoGood(const Open &open, const net::Headers &headers) const
+{
+    return !open.checksEcho || net::headerValue(headers, "x-citronpick-attempt") == open.echo;
+}
+
+void AttemptRunner::onHead(model::AttemptId attempt, const net::HttpAnswer &answer)
+{
+    const auto it = m_attempts.find(attempt);
+    if (it == m_attempts.end()) {
+        return;
+    }
+    it->second.status = answer.status;
+    it->second.load = loadOf(answer.headers);
+    if (!isEchoGood(it->second, answer.headers)) {
+        fail(attempt, pipeline::AttemptError::Garbage);
+    }
+}
+
+void AttemptRunner::onData(model::AttemptId attempt, std::string_view bytes)
+{
+    const auto it = m_attempts.find(attempt);
+    if (it == m_attempts.end()) {
+        return;
+    }
+    Open &open = it->second;
+    constexpr uint16_t success = 200;
+    if (open.status != success) {
+        open.collected.append(bytes);
+        return;
+    }
+    std::vector<pipeline::StreamToken> tokens;
+    open.partialLine.append(bytes);
+    size_t start = 0;
+    for (size_t end = open.partialLine.find('\n'); end != std::string::npos;
+         end = open.partialLine.find('\n', start)) {
+        const std::string_view line = std::string_view(open.partialLine).substr(start, end - start);
+        start = end + 1;
+        if (!takeRecord(open, line, tokens)) {
+            fail(attempt, pipeline::AttemptError::Garbage);
+            return;
+        }
+    }
+    open.partialLine.erase(0, start);
+    if (open.partialLine.size() > maxRecordBytes) {
+        fail(attempt, pipeline::AttemptError::Garbage);
+        return;
+    }
+    if (!tokens.empty()) {
+        m_sink.post(pipeline::AttemptStreamed {.attempt = attempt, .tokens = std::move(tokens)});
+    }
+}
+
+bool AttemptRunner::takeRecord(Open &open, std::string_view line,
+                               std::vector<pipeline::StreamToken> &tokens)
+{
+    if (line.empty()) {
+        return true;
+    }
+    const auto record = nlohmann::json::parse(line, nullptr, false);
+    if (!record.is_object() || open.isDone) {
+        return false;
+    }
+    if (record.value("done", false)) {
+        open.isDone = true;
+        return true;
+    }
+    const auto sequence = record.find("seq");
+    const auto text = record.find("text");
+    const bool isToken = sequence != record.end() && sequence->is_number_unsigned()
+                         && text != record.end() && text->is_string();
+    if (isToken) {
+        tokens.push_back({.sequence = sequence->get<uint32_t>(), .text = text->get<std::string>()});
+    }
+    return isToken;
+}
+
+void AttemptRunner::onAnswer(model::AttemptId attempt, net::HttpAnswer answer, bool isStreaming)
+{
+    const auto it = m_attempts.find(attempt);
+    if (it == m_attempts.end()) {
+        return;
+    }
+    Open &open = it->second;
+    constexpr uint16_t success = 200;
+    if (!isEchoGood(open, answer.headers)) {
+        fail(attempt, pipeline::AttemptError::Garbage);
+        return;
+    }
+    if (isStreaming && answer.status == success && !open.isDone) {
+        // The connection ended well, the stream did not: what is missing can be had elsewhere.
+        fail(attempt, pipeline::AttemptError::ConnectionLost);
+        return;
+    }
+    pipeline::AttemptAnswered event {
+        .attempt = attempt,
+        .status = answer.status,
+        .body = isStreaming ? model::makeBody(std::move(open.collected)) : std::move(answer.body),
+        .load = loadOf(answer.headers)};
+    m_streams.erase(open.request);
+    m_attempts.erase(it);
+    m_sink.post(std::move(event));
+}
+
+void AttemptRunner::onError(model::AttemptId attempt, net::HttpError error)
+{
+    const auto it = m_attempts.find(attempt);
+    if (it == m_attempts.end()) {
+        return;
+    }
+    m_streams.erase(it->second.request);
+    m_attempts.erase(it);
+    m_sink.post(pipeline::AttemptFailed {.attempt = attempt, .error = attemptErrorOf(error)});
+}
+
+void AttemptRunner::fail(model::AttemptId attempt, pipeline::AttemptError error)
+{
+    cancel(attempt);
+    m_sink.post(pipeline::AttemptFailed {.attempt = attempt, .error = error});
+}
+
+void AttemptRunner::probe(const core::SendProbe &command)
+{
+    net::HttpCall call;
+    call.to = {.host = command.host, .port = command.port};
+    call.path = command.path;
+    call.connectTimeout = command.timeout;
+    call.timeout = command.timeout;
+    call.maxBodyBytes = maxProbeBytes;
+    net::HttpCallbacks callbacks;
+    callbacks.onAnswer = [this, command](const net::HttpAnswer &answer) {
+        const bool isGood = answer.status >= 200 && answer.status < 300;
+        const bool isLeaving = net::headerValue(answer.headers, "x-citronpick-leaving") == "1";
+        m_sink.post(core::ProbeEnded {.upstream = command.upstream,
+                                      .number = command.number,
+                                      .isGood = isGood,
+                                      .isLeaving = isLeaving});
+    };
+    callbacks.onError = [this, command](net::HttpError) {
+        m_sink.post(core::ProbeEnded {
+            .upstream = command.upstream, .number = command.number, .isGood = false});
+    };
+    m_client.start(call, std::move(callbacks));
+}
+
+} // namespace citronpick::daemon
--- /dev/null
+++ b/src/daemon/internal/callerapi.h
@@ -0,0 +1,80 @@
+#ifndef CITRONPICK_DAEMON_INTERNAL_CALLERAPI_H
+#define CITRONPICK_DAEMON_INTERNAL_CALLERAPI_H
+
+#include <optional>
+#include <string>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "config/settings.h"
+#include "core/commands.h"
+#include "core/core.h"
+#include "daemon/ieventsink.h"
+#include "daemon/internal/attemptrunner.h"
+#include "net/httpserver.h"
+
+namespace citronpick::daemon
+{
+
+//! The listener for callers: requests, operation keys, entry choice, metrics, readiness.
+class CallerApi : public net::IHttpHandler
+{
+public:
+    CallerApi(net::EventLoop &loop, const config::Settings &settings, const core::Core &core,
+              AttemptRunner &attempts, IEventSink &sink);
+
+    void listen(net::ListenSocket socket)
+    {
+        m_server.listen(std::move(socket));
+    }
+    void stopListening()
+    {
+        m_server.stopListening();
+    }
+
+    void respond(const pipeline::Respond &command);
+    void stream(const pipeline::StreamToCaller &command);
+    void open(const core::OperationOpened &command);
+
+    //! Requests whose answer has not been handed to the connection whole.
+    size_t openRequests() const
+    {
+        return m_open.size();
+    }
+
+    void onRequest(const net::HttpServerRequest &request) override;
+    void onClosed(uint64_t number, bool wasAnswered) override;
+    void onDrained(uint64_t number) override;
+
+private:
+    struct Open {
+        std::string callerId;
+        bool wantsStream = false;
+        bool hasStreamBegun = false;
+        bool isPaused = false;
+        bool isAnswered = false;
+    };
+
+    void onRun(const net::HttpServerRequest &request);
+    void onEntry(const net::HttpServerRequest &request);
+    void onMetrics(const net::HttpServerRequest &request);
+    std::optional<pipeline::RequestArrived> read(const net::HttpServerRequest &request,
+                                                 std::string &fault) const;
+    void refuseBad(uint64_t number, const std::string &callerId, const std::string &fault);
+    void sendText(uint64_t number, uint16_t status, const std::string &type, std::string text);
+    void beginStream(uint64_t number, Open &open);
+    static net::Headers outcomeHeaders(const std::string &callerId,
+                                       const pipeline::Respond &command);
+
+    const config::Settings &m_settings;
+    const core::Core &m_core;
+    AttemptRunner &m_attempts;
+    IEventSink &m_sink;
+    net::HttpServer m_server;
+    absl::flat_hash_map<uint64_t, Open> m_open; //!< By exchange, which is the request's number.
+    uint64_t m_badRequests = 0;
+};
+
+} // namespace citronpick::daemon
+
+#endif // CITRONPICK_DAEMON_INTERNAL_CALLERAPI_H
--- /dev/null
+++ b/src/daemon/internal/daemon.cpp
@@ -0,0 +1,209 @@
+#include "daemon/daemon.h"
+
+#include <chrono>
+#include <random>
+
+#include <absl/strings/str_cat.h>
+
+#include "daemon/internal/adminapi.h"
+#include "daemon/internal/attemptrunner.h"
+#include "daemon/internal/callerapi.h"
+#include "daemon/internal/fleetapi.h"
+#include "daemon/internal/platformreader.h"
+#include "model/overloaded.h"
+#include "observability/log.h"
+
+namespace citronpick::daemon
+{
+
+using observability::EventCode;
+
+namespace
+{
+
+constexpr model::Duration tickInterval = model::milliseconds(5);
+constexpr size_t timelineCapacity = 4096;
+//! Time for the last answers to leave the process after everything has ended.
+constexpr model::Duration flushTime = model::milliseconds(300);
+
+int64_t wallMicroseconds()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count();
+}
+
+// A later start of the same daemon has to draw a higher number, without any state that lasts:
+// the time of day gives the order, the random part tells two starts in one moment apart.
+model::Incarnation drawIncarnation()
+{
+    std::random_device device;
+    constexpr uint64_t randomRange = 1000;
+    const auto milliseconds = static_cast<uint64_t>(wallMicroseconds()) / 1000;
+    return model::Incarnation(milliseconds * randomRange + device() % randomRange);
+}
+
+} // namespace
+
+Daemon::Daemon(net::EventLoop &loop, config::Settings settings)
+    : m_loop(loop)
+    , m_settings(std::move(settings))
+    , m_timeline(timelineCapacity)
+    , m_client(loop)
+{
+}
+
+Daemon::~Daemon() = default;
+
+core::CoreOptions Daemon::coreOptions(model::Incarnation incarnation) const
+{
+    core::CoreOptions options;
+    options.daemon = m_settings.daemon;
+    options.incarnation = incarnation;
+    options.zone = m_settings.zone;
+    options.callerEndpoint = m_settings.caller;
+    options.fleetEndpoint = m_settings.fleet;
+    options.secret = m_settings.fleetKey;
+    options.seed = incarnation.value();
+    options.drain = m_settings.drain;
+    options.pipeline.maxRequests = m_settings.limits.maxRequests;
+    options.fleet.seeds = m_settings.fleetSeeds;
+    return options;
+}
+
+absl::Status Daemon::start()
+{
+    auto caller = net::ListenSocket::bind(m_settings.caller);
+    auto admin = net::ListenSocket::bind(m_settings.admin);
+    auto fleet = net::ListenSocket::bind(m_settings.fleet);
+    for (const absl::Status &status : {caller.status(), admin.status(), fleet.status()}) {
+        if (!status.ok()) {
+            return status;
+        }
+    }
+    // Other daemons and callers are told these, so they must be the ports in use.
+    m_settings.caller.port = caller->port();
+    m_settings.admin.port = admin->port();
+    m_settings.fleet.port = fleet->port();
+    const model::Incarnation incarnation = drawIncarnation();
+    const model::TimePoint now = net::EventLoop::now();
+    m_core = std::make_unique<core::Core>(coreOptions(incarnation), now);
+    m_attempts = std::make_unique<AttemptRunner>(m_client, *this, incarnation);
+    m_callers = std::make_unique<CallerApi>(m_loop, m_settings, *m_core, *m_attempts, *this);
+    m_admin = std::make_unique<AdminApi>(m_loop, m_settings, *m_core, m_timeline);
+    m_fleet = std::make_unique<FleetApi>(m_loop, m_client, m_settings, *m_core, *this, incarnation);
+    m_platform = std::make_unique<PlatformReader>(m_client, m_settings, *this, incarnation.value());
+    m_callers->listen(*std::move(caller));
+    m_admin->listen(*std::move(admin));
+    m_fleet->listen(*std::move(fleet));
+    record({.code = EventCode::DaemonStarted,
+            .request = {},
+            .subject = m_settings.daemon.text(),
+            .detail = absl::StrCat(
+                "incarnation=", incarnation.value(), " caller_port=", m_settings.caller.port,
+                " admin_port=", m_settings.admin.port, " fleet_port=", m_settings.fleet.port)});
+    m_nextTick = now;
+    return absl::OkStatus();
+}
+
+bool Daemon::runOnce()
+{
+    model::TimePoint now = net::EventLoop::now();
+    const model::Duration wait = std::max(model::Duration::zero(), m_nextTick - now);
+    m_loop.runOnce(m_events.empty() ? std::min(wait, tickInterval) : model::Duration::zero());
+    handleEvents();
+    now = net::EventLoop::now();
+    if (now >= m_nextTick) {
+        m_nextTick = now + tickInterval;
+        m_client.expire(now);
+        m_platform->run(now, m_core->revisions().revision());
+        handle(core::Tick {});
+        handleEvents();
+        checkReady(now);
+        checkDrainLimit(now);
+    }
+    if (m_isFinished && m_exitAt == model::TimePoint::max()) {
+        m_callers->stopListening();
+        m_exitAt = now + flushTime;
+    }
+    const bool isFlushed = m_isFinished && m_callers->openRequests() == 0;
+    return !isFlushed && now < m_exitAt;
+}
+
+void Daemon::requestStop()
+{
+    if (!m_core->isDraining()) {
+        m_drainLimit = net::EventLoop::now() + m_settings.drain.limit;
+        post(core::DrainRequested {});
+        return;
+    }
+    post(core::StopRequested {});
+}
+
+void Daemon::post(core::Event event)
+{
+    m_events.push_back(std::move(event));
+}
+
+void Daemon::record(const observability::Event &event)
+{
+    m_timeline.add(event, wallMicroseconds(), net::EventLoop::now());
+    observability::writeLog(m_settings.daemon.text(), event);
+}
+
+void Daemon::handleEvents()
+{
+    while (!m_events.empty()) {
+        const core::Event event = std::move(m_events.front());
+        m_events.pop_front();
+        handle(event);
+    }
+}
+
+void Daemon::handle(const core::Event &event)
+{
+    m_commands.clear();
+    m_core->handle(event, net::EventLoop::now(), m_commands);
+    for (core::Command &command : m_commands) {
+        execute(command);
+    }
+}
+
+void Daemon::execute(core::Command &command)
+{
+    std::visit(
+        model::Overloaded {
+            [&](const pipeline::StartAttempt &start) { m_attempts->start(start); },
+            [&](const pipeline::CancelAttempt &cancel) { m_attempts->cancel(cancel.attempt); },
+            [&](const pipeline::StreamToCaller &stream) { m_callers->stream(stream); },
+            [&](const pipeline::Respond &respond) { m_callers->respond(respond); },
+            [&](const observability::Event &event) { record(event); },
+            [&](const core::SendProbe &probe) { m_attempts->probe(probe); },
+            [&](const fleet::SendExchange &exchange) { m_fleet->send(exchange); },
+            [&](const fleet::SendReply &reply) { m_fleet->reply(reply); },
+            [&](const core::FetchConfiguration &fetch) { m_fleet->fetch(fetch); },
+            [&](const core::OperationOpened &opened) { m_callers->open(opened); },
+            [&](const core::DrainFinished &) { m_isFinished = true; },
+        },
+        command);
+}
+
+void Daemon::checkReady(model::TimePoint now)
+{
+    if (!m_wasReady && m_core->isReady(now)) {
+        m_wasReady = true;
+        record({.code = EventCode::DaemonReady,
+                .request = {},
+                .subject = m_settings.daemon.text(),
+                .detail = absl::StrCat("revision=", m_core->revisions().revision().value())});
+    }
+}
+
+void Daemon::checkDrainLimit(model::TimePoint now)
+{
+    if (now >= m_drainLimit) {
+        m_drainLimit = model::TimePoint::max();
+        post(core::StopRequested {});
+    }
+}
+
+} // namespace citronpick::daemon
--- /dev/null
+++ b/src/daemon/internal/fleetapi.cpp
@@ -0,0 +1,198 @@
+#include "daemon/internal/fleetapi.h"
+
+#include <absl/strings/str_cat.h>
+
+#include "model/abslview.h"
+#include "net/fleetcodec.h"
+#include "platform/platformdocuments.h"
+
+namespace citronpick::daemon
+{
+
+namespace
+{
+
+constexpr const char *exchangePath = "/fleet/exchange";
+constexpr const char *filePath = "/fleet/configuration";
+constexpr const char *stampHeader = "x-citronpick-stamp";
+constexpr const char *codeHeader = "x-citronpick-code";
+constexpr uint64_t maxMessageBytes = 2U << 20U;
+constexpr model::Duration fileTimeout = model::seconds(3);
+
+//! Whom a message is for, as both sides write it.
+std::string addressOf(const config::Endpoint &endpoint, std::string_view path)
+{
+    return absl::StrCat(endpoint.host, ":", endpoint.port, model::toAbsl(path));
+}
+
+} // namespace
+
+FleetApi::FleetApi(net::EventLoop &loop, net::HttpClient &client, const config::Settings &settings,
+                   const core::Core &core, IEventSink &sink, model::Incarnation incarnation)
+    : m_settings(settings)
+    , m_core(core)
+    , m_sink(sink)
+    , m_client(client)
+    , m_server(loop, *this, {.maxBodyBytes = maxMessageBytes, .maxConnections = 2048})
+    , m_auth(settings.fleetKey, settings.daemon, incarnation)
+{
+}
+
+net::HttpCall FleetApi::signedCall(const config::Endpoint &to, const std::string &path,
+                                   std::string body, std::string &stamp)
+{
+    const net::Signature signature = m_auth.sign(addressOf(to, path), body);
+    stamp = signature.stamp;
+    net::HttpCall call;
+    call.method = "POST";
+    call.to = to;
+    call.path = path;
+    call.headers = {{.name = stampHeader, .value = signature.stamp},
+                    {.name = codeHeader, .value = signature.code}};
+    call.body = model::makeBody(std::move(body));
+    call.maxBodyBytes = maxMessageBytes;
+    return call;
+}
+
+void FleetApi::send(const fleet::SendExchange &command)
+{
+    std::string stamp;
+    net::HttpCall call
+        = signedCall(command.to, exchangePath, net::encodeFleetCall(command.message), stamp);
+    call.connectTimeout = command.timeout;
+    call.timeout = command.timeout;
+    const uint64_t exchange = command.exchange;
+    net::HttpCallbacks callbacks;
+    callbacks.onAnswer = [this, exchange, stamp](const net::HttpAnswer &answer) {
+        onExchangeAnswer(exchange, stamp, answer);
+    };
+    callbacks.onError = [this, exchange](net::HttpError) {
+        m_sink.post(core::FleetExchangeFailed {.exchange = exchange});
+    };
+    m_client.start(call, std::move(callbacks));
+}
+
+void FleetApi::onExchangeAnswer(uint64_t exchange, const std::string &stamp,
+                                const net::HttpAnswer &answer)
+{
+    const std::string code = net::headerValue(answer.headers, codeHeader);
+    const bool isGenuine = answer.status == 200 && m_auth.isAnswerGood(stamp, *answer.body, code);
+    if (isGenuine) {
+        auto message = net::decodeFleetResult(*answer.body);
+        if (message.ok()) {
+            m_sink.post(
+                core::FleetReplyReceived {.exchange = exchange, .message = *std::move(message)});
+            return;
+        }
+    }
+    ++m_rejected;
+    m_sink.post(core::FleetExchangeFailed {.exchange = exchange});
+}
+
+void FleetApi::reply(const fleet::SendReply &command)
+{
+    const auto it = m_stamps.find(command.exchange);
+    if (it == m_stamps.end()) {
+        return;
+    }
+    const std::string stamp = it->second;
+    m_stamps.erase(it);
+    answerSigned(command.exchange, stamp, net::encodeFleetResult(command.message));
+}
+
+void FleetApi::answerSigned(uint64_t number, const std::string &stamp, std::string body)
+{
+    const std::string code = m_auth.signAnswer(stamp, body);
+    m_server.respond(
+        number, 200,
+        {{.name = "content-type", .value = net::jsonType}, {.name = codeHeader, .value = code}},
+        model::makeBody(std::move(body)));
+}
+
+void FleetApi::fetch(const core::FetchConfiguration &command)
+{
+    std::string stamp;
+    net::HttpCall call
+        = signedCall(command.from, filePath, absl::StrCat(command.revision.value()), stamp);
+    call.timeout = fileTimeout;
+    net::HttpCallbacks callbacks;
+    callbacks.onAnswer = [this, stamp](const net::HttpAnswer &answer) {
+        onFile(stamp, answer);
+    };
+    // The next message of a peer that has the file asks for it anew.
+    callbacks.onError = [](net::HttpError) {
+    };
+    m_client.start(call, std::move(callbacks));
+}
+
+void FleetApi::onFile(const std::string &stamp, const net::HttpAnswer &answer)
+{
+    const std::string code = net::headerValue(answer.headers, codeHeader);
+    if (answer.status != 200 || !m_auth.isAnswerGood(stamp, *answer.body, code)) {
+        ++m_rejected;
+        return;
+    }
+    auto file = platform::parseConfigurationAnswer(*answer.body);
+    if (file.ok()) {
+        m_sink.post(core::ConfigurationOffered {.file = *std::move(file), .isFromPeer = true});
+    }
+}
+
+void FleetApi::onRequest(const net::HttpServerRequest &request)
+{
+    const net::Signature signature {.stamp = std::string(request.header(stampHeader)),
+                                    .code = std::string(request.header(codeHeader))};
+    const std::string address = addressOf(m_settings.fleet, request.path());
+    const absl::Status status = m_auth.check(signature, address, request.body());
+    if (!status.ok()) {
+        reject(request.number(), model::fromAbsl(status.message()));
+        return;
+    }
+    m_stamps.emplace(request.number(), signature.stamp);
+    if (request.path() == filePath) {
+        sendFile(request);
+        return;
+    }
+    auto message = net::decodeFleetCall(std::string(request.body()));
+    if (request.path() != exchangePath || !message.ok()) {
+        m_stamps.erase(request.number());
+        reject(request.number(), "not a message of a daemon");
+        return;
+    }
+    m_sink.post(
+        core::FleetRequestReceived {.exchange = request.number(), .message = *std::move(message)});
+}
+
+void FleetApi::sendFile(const net::HttpServerRequest &request)
+{
+    const auto text = m_core.revisions().text();
+    const std::string stamp = m_stamps[request.number()];
+    m_stamps.erase(request.number());
+    if (!text) {
+        reject(request.number(), "no configuration here");
+        return;
+    }
+    answerSigned(request.number(), stamp,
+                 platform::formatConfigurationAnswer(
+                     {.revision = m_core.revisions().revision(), .text = *text}));
+}
+
+void FleetApi::reject(uint64_t number, std::string_view why)
+{
+    ++m_rejected;
+    // Strangers may send as much as they like: the log gets a line for each power of two.
+    if ((m_rejected & (m_rejected - 1)) == 0) {
+        m_sink.record({.code = observability::EventCode::FleetMessageRejected,
+                       .request = {},
+                       .subject = m_settings.daemon.text(),
+                       .detail = absl::StrCat("why=", model::toAbsl(why), " total=", m_rejected)});
+    }
+    m_server.respond(number, 403, {}, nullptr);
+}
+
+void FleetApi::onClosed(uint64_t number, bool)
+{
+    m_stamps.erase(number);
+}
+
+} // namespace citronpick::daemon
--- /dev/null
+++ b/src/fleet/internal/fact.cpp
@@ -0,0 +1,56 @@
+#include "fleet/fact.h"
+
+#include "model/overloaded.h"
+
+namespace citronpick::fleet
+{
+
+namespace
+{
+
+constexpr model::Duration strikeLifetime = model::seconds(60);
+constexpr model::Duration returnLifetime = model::seconds(30);
+constexpr model::Duration shortLifetime = model::seconds(15);
+
+std::string subjectOf(const FactBody &body)
+{
+    return std::visit(model::Overloaded {
+                          [](const StrikeFact &strike) {
+                              return std::to_string(strike.fingerprint.value()) + "/"
+                                     + strike.upstream.text();
+                          },
+                          [](const ReturnFact &upstream) { return upstream.upstream.text(); },
+                          [](const DemandFact &demand) { return demand.account.text(); },
+                          [](const LoadFact &) { return std::string(); },
+                      },
+                      body);
+}
+
+} // namespace
+
+FactKey keyOf(const Fact &fact)
+{
+    return {.origin = fact.origin, .kind = fact.body.index(), .subject = subjectOf(fact.body)};
+}
+
+model::Duration lifetimeOf(const Fact &fact)
+{
+    return std::visit(model::Overloaded {
+                          [](const StrikeFact &) { return strikeLifetime; },
+                          [](const ReturnFact &) { return returnLifetime; },
+                          [](const DemandFact &) { return shortLifetime; },
+                          [](const LoadFact &) { return shortLifetime; },
+                      },
+                      fact.body);
+}
+
+bool isUrgent(const Fact &fact)
+{
+    if (std::holds_alternative<StrikeFact>(fact.body)) {
+        return true;
+    }
+    const auto *returning = std::get_if<ReturnFact>(&fact.body);
+    return returning && returning->relapses > 0 && returning->state == health::HealthState::Ejected;
+}
+
+} // namespace citronpick::fleet
--- /dev/null
+++ b/src/fleet/internal/fleetexchange.cpp
@@ -0,0 +1,333 @@
+#include "fleet/fleetsystem.h"
+
+#include <algorithm>
+
+namespace citronpick::fleet
+{
+
+namespace
+{
+
+//! Estimated length of one member or fact in a message.
+constexpr double memberBytes = 150.0;
+constexpr double factBytes = 110.0;
+constexpr double messageBytes = 400.0;
+//! Facts in one full exchange; the rest follows with later ones.
+constexpr size_t maxFactsAtOnce = 500;
+
+} // namespace
+
+void FleetSystem::run(model::TimePoint now)
+{
+    if (m_lastRun != model::TimePoint::min()) {
+        const double elapsed = model::toSeconds(now - m_lastRun);
+        m_byteTokens
+            = std::min(m_options.burstBytes, m_byteTokens + elapsed * m_options.bytesPerSecond);
+        m_urgentTokens = std::min(m_options.urgentPerSecond,
+                                  m_urgentTokens + elapsed * m_options.urgentPerSecond);
+    }
+    m_lastRun = now;
+    expireExchanges(now);
+    expireSuspects(now);
+    if (now >= m_nextPeriod) {
+        // The random part keeps daemons that started together from exchanging in step.
+        m_nextPeriod = now + model::scaled(m_options.period, 0.9 + 0.2 * m_random.unit());
+        ++m_periods;
+        refreshOwnFacts(now);
+        const Member *peer = nextPeer();
+        if (peer) {
+            startExchange(*peer, 0, now);
+        }
+        constexpr uint32_t seedPeriods = 10;
+        if (!peer || m_periods % seedPeriods == 0) {
+            contactSeeds(now);
+        }
+    }
+    if (m_hasUrgent) {
+        spreadUrgently(now);
+    }
+}
+
+void FleetSystem::startExchange(const Member &peer, uint64_t onBehalfOf, model::TimePoint now)
+{
+    FleetMessage outgoing = message(MessageKind::Exchange);
+    addDeltas(outgoing);
+    const uint64_t number = ++m_lastExchange;
+    m_open.emplace(number,
+                   OpenExchange {.peer = peer.id, .startedAt = now, .onBehalfOf = onBehalfOf});
+    m_commands.emplace_back(SendExchange {.exchange = number,
+                                          .to = peer.fleet,
+                                          .timeout = m_options.exchangeTimeout,
+                                          .message = std::move(outgoing)});
+}
+
+// Seeds are asked again now and then: after a partition the parts find each other through them.
+void FleetSystem::contactSeeds(model::TimePoint now)
+{
+    std::vector<config::Endpoint> unknown;
+    const auto addUnknown = [&](const config::Endpoint &endpoint) {
+        const bool isKnown
+            = std::any_of(m_members.rows().begin(), m_members.rows().end(), [&](const auto &entry) {
+                  return entry.second.member.fleet == endpoint && entry.second.member.isReachable();
+              });
+        if (!isKnown && endpoint != m_self.fleet) {
+            unknown.push_back(endpoint);
+        }
+    };
+    for (const config::Endpoint &seed : m_options.seeds) {
+        addUnknown(seed);
+    }
+    for (const auto &[id, daemon] : m_listed) {
+        addUnknown(daemon.fleet);
+    }
+    constexpr size_t seedsAtOnce = 2;
+    for (size_t i = 0; i < seedsAtOnce && !unknown.empty(); ++i) {
+        const size_t pick = m_random.below(static_cast<uint32_t>(unknown.size()));
+        FleetMessage outgoing = message(MessageKind::Exchange);
+        outgoing.wantsAll = true;
+        const uint64_t number = ++m_lastExchange;
+        m_open.emplace(number, OpenExchange {.peer = {}, .startedAt = now});
+        m_commands.emplace_back(SendExchange {.exchange = number,
+                                              .to = unknown[pick],
+                                              .timeout = m_options.exchangeTimeout,
+                                              .message = std::move(outgoing)});
+        unknown.erase(unknown.begin() + static_cast<ptrdiff_t>(pick));
+    }
+}
+
+void FleetSystem::startIndirect(const model::DaemonId &suspected, model::TimePoint now)
+{
+    const MemberTable::Row *row = m_members.find(suspected);
+    if (!row || !row->member.isReachable()) {
+        return;
+    }
+    const std::vector<Member> helpers = randomPeers(m_options.indirectHelpers, suspected);
+    if (helpers.empty()) {
+        suspect(suspected, now);
+        return;
+    }
+    for (const Member &helper : helpers) {
+        FleetMessage outgoing = message(MessageKind::IndirectProbe);
+        outgoing.target = suspected;
+        outgoing.targetEndpoint = row->member.fleet;
+        const uint64_t number = ++m_lastExchange;
+        m_open.emplace(number,
+                       OpenExchange {.peer = suspected, .startedAt = now, .isIndirect = true});
+        m_commands.emplace_back(SendExchange {.exchange = number,
+                                              .to = helper.fleet,
+                                              .timeout = m_options.indirectTimeout,
+                                              .message = std::move(outgoing)});
+    }
+}
+
+void FleetSystem::spreadUrgently(model::TimePoint now)
+{
+    if (m_urgentTokens < 1.0) {
+        return;
+    }
+    m_hasUrgent = false;
+    for (const Member &peer : randomPeers(m_options.urgentFanout, m_self.id)) {
+        if (m_urgentTokens < 1.0) {
+            return;
+        }
+        m_urgentTokens -= 1.0;
+        startExchange(peer, 0, now);
+    }
+}
+
+const Member *FleetSystem::nextPeer()
+{
+    const bool isFar = m_periods % m_options.farEvery == 0;
+    for (const bool ownZone : {!isFar, isFar}) {
+        std::vector<model::DaemonId> &ring = ownZone ? m_nearRing : m_farRing;
+        if (ring.empty()) {
+            for (const Member &member : peersInZone(ownZone)) {
+                ring.push_back(member.id);
+            }
+            for (size_t i = ring.size(); i > 1; --i) {
+                std::swap(ring[i - 1], ring[m_random.below(static_cast<uint32_t>(i))]);
+            }
+        }
+        // A shuffled round visits every member within a bounded time.
+        while (!ring.empty()) {
+            const model::DaemonId id = ring.back();
+            ring.pop_back();
+            const MemberTable::Row *row = m_members.find(id);
+            if (row && row->member.isReachable()) {
+                return &row->member;
+            }
+        }
+    }
+    return nullptr;
+}
+
+std::vector<Member> FleetSystem::peersInZone(bool isOwnZone) const
+{
+    std::vector<Member> peers;
+    for (const auto &[id, row] : m_members.rows()) {
+        const bool isMatch = (row.member.zone == m_self.zone) == isOwnZone;
+        if (id != m_self.id && row.member.isReachable() && isMatch) {
+            peers.push_back(row.member);
+        }
+    }
+    return peers;
+}
+
+std::vector<Member> FleetSystem::randomPeers(size_t count, const model::DaemonId &except)
+{
+    std::vector<const Member *> candidates;
+    for (const auto &[id, row] : m_members.rows()) {
+        if (id != m_self.id && id != except && row.member.isUsable()) {
+            candidates.push_back(&row.member);
+        }
+    }
+    std::vector<Member> picked;
+    while (picked.size() < count && !candidates.empty()) {
+        const size_t pick = m_random.below(static_cast<uint32_t>(candidates.size()));
+        picked.push_back(*candidates[pick]);
+        candidates.erase(candidates.begin() + static_cast<ptrdiff_t>(pick));
+    }
+    return picked;
+}
+
+FleetMessage FleetSystem::message(MessageKind kind)
+{
+    m_sentBytes += static_cast<uint64_t>(messageBytes);
+    m_byteTokens -= messageBytes;
+    FleetMessage result;
+    result.kind = kind;
+    result.from = m_self;
+    result.revision = m_revision;
+    result.digest = m_digest;
+    result.tableDigest = m_members.digest();
+    return result;
+}
+
+// What was told least often goes first; the byte budget cuts the rest, which waits.
+void FleetSystem::addDeltas(FleetMessage &message)
+{
+    for (auto it = m_pendingMembers.begin(); it != m_pendingMembers.end();) {
+        if (m_byteTokens < memberBytes) {
+            return;
+        }
+        const MemberTable::Row *row = m_members.find(it->first);
+        if (row) {
+            message.members.push_back(row->member);
+            m_byteTokens -= memberBytes;
+            m_sentBytes += static_cast<uint64_t>(memberBytes);
+        }
+        const bool isDone = !row || --it->second.sends == 0;
+        it = isDone ? m_pendingMembers.erase(it) : std::next(it);
+    }
+    std::vector<std::pair<uint32_t, const FactKey *>> order;
+    for (const auto &[key, pending] : m_pendingFacts) {
+        order.emplace_back(pending.sends, &key);
+    }
+    std::stable_sort(order.begin(), order.end(),
+                     [](const auto &left, const auto &right) { return left.first > right.first; });
+    std::vector<FactKey> done;
+    for (const auto &[sends, key] : order) {
+        if (m_byteTokens < factBytes) {
+            break;
+        }
+        const auto row = m_facts.rows().find(*key);
+        const bool isKnown = row != m_facts.rows().end();
+        if (isKnown) {
+            message.facts.push_back(row->second.fact);
+            m_byteTokens -= factBytes;
+            m_sentBytes += static_cast<uint64_t>(factBytes);
+        }
+        if (!isKnown || --m_pendingFacts[*key].sends == 0) {
+            done.push_back(*key);
+        }
+    }
+    for (const FactKey &key : done) {
+        m_pendingFacts.erase(key);
+    }
+}
+
+void FleetSystem::addEverything(FleetMessage &message) const
+{
+    for (const auto &[id, row] : m_members.rows()) {
+        message.members.push_back(row.member);
+    }
+    for (const auto &[key, row] : m_facts.rows()) {
+        if (message.facts.size() >= maxFactsAtOnce) {
+            break;
+        }
+        message.facts.push_back(row.fact);
+    }
+}
+
+void FleetSystem::suspect(const model::DaemonId &daemon, model::TimePoint now)
+{
+    const MemberTable::Row *row = m_members.find(daemon);
+    if (!row || row->member.state != MemberState::Alive) {
+        // A leaving member that no longer answers has left.
+        if (row && row->member.state == MemberState::Leaving) {
+            Member gone = row->member;
+            gone.state = MemberState::Dead;
+            applyMember(gone, now);
+        }
+        return;
+    }
+    Member suspected = row->member;
+    suspected.state = MemberState::Suspect;
+    applyMember(suspected, now);
+}
+
+// The shell reports failures itself; this catches whatever it never reports.
+void FleetSystem::expireExchanges(model::TimePoint now)
+{
+    std::vector<uint64_t> overdue;
+    for (const auto &[number, open] : m_open) {
+        const model::Duration timeout
+            = open.isIndirect ? m_options.indirectTimeout : m_options.exchangeTimeout;
+        if (now - open.startedAt > timeout * 2) {
+            overdue.push_back(number);
+        }
+    }
+    for (const uint64_t number : overdue) {
+        onExchangeFailed(number, now);
+    }
+}
+
+void FleetSystem::expireSuspects(model::TimePoint now)
+{
+    std::vector<Member> dead;
+    for (const auto &[id, row] : m_members.rows()) {
+        const bool isOver = now - row.since > m_options.suspicionTime;
+        if (row.member.state == MemberState::Suspect && isOver) {
+            dead.push_back(row.member);
+        }
+    }
+    for (Member &member : dead) {
+        member.state = MemberState::Dead;
+        applyMember(member, now);
+    }
+    m_members.forgetDead(now - m_options.deadMemory);
+    m_facts.forgetExpired(now, [this](const Fact &fact) {
+        // Demand of a daemon that the platform still lists is kept: it may be cut off from here
+        // and go on admitting requests against the same limit.
+        const bool isDemand = std::holds_alternative<DemandFact>(fact.body);
+        const bool isOwn = fact.origin == m_self.id;
+        const bool isCutOff = !isUsable(fact.origin) && isListedLive(fact.origin);
+        return (isOwn && m_ownFacts.contains(keyOf(fact))) || (isDemand && isCutOff);
+    });
+}
+
+void FleetSystem::refreshOwnFacts(model::TimePoint now)
+{
+    std::vector<FactBody> due;
+    for (const auto &[key, toldAt] : m_ownFacts) {
+        const auto row = m_facts.rows().find(key);
+        if (row != m_facts.rows().end() && now - toldAt >= m_options.factRefresh) {
+            due.push_back(row->second.fact.body);
+        }
+    }
+    for (const FactBody &body : due) {
+        publish(body, now);
+    }
+}
+
+} // namespace citronpick::fleet
--- /dev/null
+++ b/src/fleet/internal/fleetshares.cpp
@@ -0,0 +1,154 @@
+#include "fleet/fleetshares.h"
+
+#include <algorithm>
+
+#include "model/hash.h"
+
+namespace citronpick::fleet
+{
+
+namespace
+{
+
+//! Part of an account's limit that a daemon may always use, so that it can show its demand.
+constexpr double minShare = 0.05;
+
+//! Daemons that take part in one upstream's return; the others follow them.
+constexpr uint32_t maxParticipants = 32;
+
+uint64_t rankHash(const model::DaemonId &daemon, const model::UpstreamId &upstream)
+{
+    return model::hash64(daemon.text(), model::hash64(upstream.text()));
+}
+
+} // namespace
+
+FleetShares::FleetShares(const FleetSystem &fleet)
+    : m_fleet(fleet)
+{
+}
+
+void FleetShares::refresh()
+{
+    m_peerDemand.clear();
+    m_returns.clear();
+    for (const auto &[key, row] : m_fleet.facts().rows()) {
+        if (key.origin == m_fleet.self().id) {
+            continue;
+        }
+        const bool isUsable = m_fleet.isUsable(key.origin);
+        if (const auto *demand = std::get_if<DemandFact>(&row.fact.body)) {
+            const bool counts = isUsable || m_fleet.isListedLive(key.origin);
+            if (counts) {
+                m_peerDemand[demand->account] += demand->requestsPerSecond;
+            }
+        }
+        const auto *returning = std::get_if<ReturnFact>(&row.fact.body);
+        if (returning && isUsable) {
+            m_returns[returning->upstream].push_back({.daemon = key.origin,
+                                                      .state = {.state = returning->state,
+                                                                .rampStep = returning->rampStep,
+                                                                .relapses = returning->relapses}});
+        }
+    }
+}
+
+double FleetShares::share(const model::AccountId &account) const
+{
+    const auto peers = m_peerDemand.find(account);
+    if (peers == m_peerDemand.end() || peers->second <= 0.0) {
+        return 1.0;
+    }
+    const auto own = m_ownDemand.find(account);
+    const double ownDemand = own == m_ownDemand.end() ? 0.0 : own->second;
+    return std::max(minShare, ownDemand / (ownDemand + peers->second));
+}
+
+void FleetShares::setOwnDemand(const model::AccountId &account, double requestsPerSecond)
+{
+    m_ownDemand[account] = requestsPerSecond;
+}
+
+void FleetShares::clearOwnDemands()
+{
+    m_ownDemand.clear();
+}
+
+FleetShares::Place FleetShares::placeOf(const model::UpstreamId &upstream) const
+{
+    Place place;
+    const auto it = m_returns.find(upstream);
+    if (it == m_returns.end()) {
+        return place;
+    }
+    const uint64_t own = rankHash(m_fleet.self().id, upstream);
+    for (const PeerReturnRow &peer : it->second) {
+        if (health::isOutOfService(peer.state.state)) {
+            ++place.participants;
+            place.rank += rankHash(peer.daemon, upstream) < own ? 1 : 0;
+        }
+    }
+    return place;
+}
+
+bool FleetShares::isAmongFirst(const model::UpstreamId &upstream) const
+{
+    return placeOf(upstream).rank < maxParticipants;
+}
+
+// The slots of one upstream are dealt out over the daemons that wait for its return, in an order
+// that every daemon computes alike; so the return is one ramp whatever the number of daemons.
+uint32_t FleetShares::slots(const model::UpstreamId &upstream, uint32_t total) const
+{
+    const Place place = placeOf(upstream);
+    const auto daemons
+        = std::max<uint32_t>(1, static_cast<uint32_t>(m_fleet.members().usableCount()));
+    // Daemons that never took the upstream out of service use their part of it all along.
+    const bool isForSome = place.participants < std::min(daemons, maxParticipants);
+    const uint32_t dealt = isForSome ? std::max(1U, total * place.participants / daemons) : total;
+    return dealt / place.participants + (place.rank < dealt % place.participants ? 1 : 0);
+}
+
+std::optional<health::PeerReturn> FleetShares::furthestPeer(const model::UpstreamId &upstream) const
+{
+    const auto it = m_returns.find(upstream);
+    if (it == m_returns.end()) {
+        return std::nullopt;
+    }
+    const auto progress = [](const health::PeerReturn &state) -> uint32_t {
+        constexpr uint32_t returned = 1000;
+        switch (state.state) {
+        case health::HealthState::Active:
+        case health::HealthState::Suspect:
+            return returned;
+        case health::HealthState::Ramping:
+            return 1 + state.rampStep;
+        default:
+            return 0;
+        }
+    };
+    std::optional<health::PeerReturn> furthest;
+    for (const PeerReturnRow &peer : it->second) {
+        if (!furthest || progress(peer.state) > progress(*furthest)) {
+            furthest = peer.state;
+        }
+    }
+    return furthest;
+}
+
+uint32_t FleetShares::peerRelapses(const model::UpstreamId &upstream) const
+{
+    const auto it = m_returns.find(upstream);
+    uint32_t most = 0;
+    if (it == m_returns.end()) {
+        return most;
+    }
+    for (const PeerReturnRow &peer : it->second) {
+        if (health::isOutOfService(peer.state.state)) {
+            most = std::max(most, peer.state.relapses);
+        }
+    }
+    return most;
+}
+
+} // namespace citronpick::fleet
--- /dev/null
+++ b/src/fleet/internal/member.cpp
@@ -0,0 +1,37 @@
+#include "fleet/member.h"
+
+#include <tuple>
+
+namespace citronpick::fleet
+{
+
+std::string_view toString(MemberState state)
+{
+    switch (state) {
+    case MemberState::Alive:
+        return "alive";
+    case MemberState::Suspect:
+        return "suspect";
+    case MemberState::Leaving:
+        return "leaving";
+    case MemberState::Dead:
+        return "dead";
+    }
+    return "dead";
+}
+
+bool supersedes(const Member &candidate, const Member &present)
+{
+    if (candidate.incarnation != present.incarnation) {
+        return candidate.incarnation > present.incarnation;
+    }
+    // A daemon that has begun to leave cannot be made to look alive by a message that was late.
+    const bool revives
+        = candidate.state == MemberState::Alive || candidate.state == MemberState::Suspect;
+    if (present.state == MemberState::Leaving && revives) {
+        return false;
+    }
+    return std::tie(candidate.version, candidate.state) > std::tie(present.version, present.state);
+}
+
+} // namespace citronpick::fleet
--- /dev/null
+++ b/src/model/invariant.h
@@ -0,0 +1,38 @@
+#ifndef CITRONPICK_MODEL_INVARIANT_H
+#define CITRONPICK_MODEL_INVARIANT_H
+
+#include <stdexcept>
+#include <string>
+
+namespace citronpick::model
+{
+
+//! A promise of the product was about to be broken; the program must not go on.
+class InvariantBroken : public std::logic_error
+{
+public:
+    explicit InvariantBroken(const std::string &name)
+        : std::logic_error("invariant broken: " + name)
+    {
+    }
+};
+
+#ifdef CITRONPICK_INVARIANTS
+inline constexpr bool areInvariantsChecked = true;
+#else
+inline constexpr bool areInvariantsChecked = false;
+#endif
+
+//! Throws InvariantBroken when \a holds is false and checks are compiled in.
+inline void checkInvariant(const char *name, bool holds)
+{
+    if constexpr (areInvariantsChecked) {
+        if (!holds) {
+            throw InvariantBroken(name);
+        }
+    }
+}
+
+} // namespace citronpick::model
+
+#endif // CITRONPICK_MODEL_INVARIANT_H
--- /dev/null
+++ b/src/net/internal/eventloop.cpp
@@ -0,0 +1,36 @@
+#include "net/eventloop.h"
+
+#include <csignal>
+#include <ctime>
+
+#include "net/internal/h2o.h"
+
+namespace citronpick::net
+{
+
+EventLoop::EventLoop()
+    : m_loop(h2o_evloop_create())
+{
+    // A peer that closes while it is written to must not end the process.
+    static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
+}
+
+// The library offers no way to destroy a loop; a process has one, until it ends.
+EventLoop::~EventLoop() = default;
+
+void EventLoop::runOnce(model::Duration wait)
+{
+    h2o_evloop_run(m_loop, static_cast<int32_t>(model::toMilliseconds(wait)));
+}
+
+model::TimePoint EventLoop::now()
+{
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    constexpr int64_t nanosecondsPerMicrosecond = 1000;
+    constexpr int64_t microsecondsPerSecond = 1000000;
+    return model::TimePoint(model::Duration(time.tv_sec * microsecondsPerSecond
+                                            + time.tv_nsec / nanosecondsPerMicrosecond));
+}
+
+} // namespace citronpick::net
--- /dev/null
+++ b/src/net/internal/fleetcodec.cpp
@@ -0,0 +1,305 @@
+#include "net/fleetcodec.h"
+
+#include <optional>
+
+#include "model/overloaded.h"
+#include "net/internal/jsonrpc.h"
+
+namespace citronpick::net
+{
+
+namespace
+{
+
+constexpr const char *methodName = "exchange";
+constexpr Json::ArrayIndex maxMembers = 5000;
+constexpr Json::ArrayIndex maxFacts = 5000;
+constexpr size_t maxNameLength = 128;
+
+//! Reads typed values and remembers whether all of them were there.
+class Reader
+{
+public:
+    std::string text(const Json::Value &value)
+    {
+        if (!value.isString() || value.asString().size() > maxNameLength) {
+            m_isGood = false;
+            return {};
+        }
+        return value.asString();
+    }
+
+    uint64_t number(const Json::Value &value)
+    {
+        if (!value.isUInt64()) {
+            m_isGood = false;
+            return 0;
+        }
+        return value.asUInt64();
+    }
+
+    uint32_t smallNumber(const Json::Value &value, uint32_t limit)
+    {
+        const uint64_t wide = number(value);
+        if (wide > limit) {
+            m_isGood = false;
+            return 0;
+        }
+        return static_cast<uint32_t>(wide);
+    }
+
+    double real(const Json::Value &value)
+    {
+        if (!value.isNumeric()) {
+            m_isGood = false;
+            return 0.0;
+        }
+        return value.asDouble();
+    }
+
+    bool flag(const Json::Value &value)
+    {
+        m_isGood = m_isGood && value.isBool();
+        return value.isBool() && value.asBool();
+    }
+
+    const Json::Value &list(const Json::Value &value, Json::ArrayIndex limit)
+    {
+        static const Json::Value empty(Json::arrayValue);
+        if (!value.isArray() || value.size() > limit) {
+            m_isGood = false;
+            return empty;
+        }
+        return value;
+    }
+
+    //! An array of exactly this many fields, so that indexing it is safe.
+    const Json::Value &fields(const Json::Value &value, Json::ArrayIndex count)
+    {
+        static const Json::Value empty(Json::arrayValue);
+        if (!value.isArray() || value.size() != count) {
+            m_isGood = false;
+            return empty;
+        }
+        return value;
+    }
+
+    bool isGood() const
+    {
+        return m_isGood;
+    }
+
+    void fail()
+    {
+        m_isGood = false;
+    }
+
+private:
+    bool m_isGood = true;
+};
+
+constexpr uint32_t maxPort = 65535;
+constexpr auto lastMemberState = static_cast<uint32_t>(fleet::MemberState::Dead);
+constexpr auto lastHealthState = static_cast<uint32_t>(health::HealthState::Ramping);
+constexpr auto lastKind = static_cast<uint32_t>(fleet::MessageKind::Reply);
+
+Json::Value encode(const fleet::Member &member)
+{
+    Json::Value value(Json::arrayValue);
+    value.append(member.id.text());
+    value.append(Json::UInt64(member.incarnation.value()));
+    value.append(member.version);
+    value.append(static_cast<uint32_t>(member.state));
+    value.append(member.zone.text());
+    value.append(member.fleet.host);
+    value.append(member.fleet.port);
+    value.append(member.caller.host);
+    value.append(member.caller.port);
+    return value;
+}
+
+fleet::Member decodeMember(const Json::Value &given, Reader &reader)
+{
+    const Json::Value &value = reader.fields(given, 9);
+    if (value.empty()) {
+        return {};
+    }
+    return {
+        .id = model::DaemonId(reader.text(value[0])),
+        .incarnation = model::Incarnation(reader.number(value[1])),
+        .version = reader.smallNumber(value[2], UINT32_MAX),
+        .state = static_cast<fleet::MemberState>(reader.smallNumber(value[3], lastMemberState)),
+        .zone = model::ZoneId(reader.text(value[4])),
+        .fleet = {.host = reader.text(value[5]),
+                  .port = static_cast<uint16_t>(reader.smallNumber(value[6], maxPort))},
+        .caller = {.host = reader.text(value[7]),
+                   .port = static_cast<uint16_t>(reader.smallNumber(value[8], maxPort))},
+    };
+}
+
+Json::Value encodeBody(const fleet::FactBody &body)
+{
+    Json::Value value(Json::arrayValue);
+    std::visit(model::Overloaded {
+                   [&](const fleet::StrikeFact &strike) {
+                       value.append(Json::UInt64(strike.fingerprint.value()));
+                       value.append(strike.upstream.text());
+                   },
+                   [&](const fleet::ReturnFact &upstream) {
+                       value.append(upstream.upstream.text());
+                       value.append(static_cast<uint32_t>(upstream.state));
+                       value.append(upstream.rampStep);
+                       value.append(upstream.relapses);
+                   },
+                   [&](const fleet::DemandFact &demand) {
+                       value.append(demand.account.text());
+                       value.append(demand.requestsPerSecond);
+                   },
+                   [&](const fleet::LoadFact &load) { value.append(load.percent); },
+               },
+               body);
+    return value;
+}
+
+fleet::FactBody decodeBody(uint32_t kind, const Json::Value &given, Reader &reader)
+{
+    constexpr std::array<Json::ArrayIndex, 4> fieldCounts = {2, 4, 2, 1};
+    const Json::Value &value = reader.fields(given, fieldCounts[kind]);
+    if (value.empty()) {
+        return fleet::LoadFact {};
+    }
+    switch (kind) {
+    case 0:
+        return fleet::StrikeFact {.fingerprint = model::Fingerprint(reader.number(value[0])),
+                                  .upstream = model::UpstreamId(reader.text(value[1]))};
+    case 1:
+        return fleet::ReturnFact {.upstream = model::UpstreamId(reader.text(value[0])),
+                                  .state = static_cast<health::HealthState>(
+                                      reader.smallNumber(value[1], lastHealthState)),
+                                  .rampStep = reader.smallNumber(value[2], 64),
+                                  .relapses = reader.smallNumber(value[3], 1000000)};
+    case 2:
+        return fleet::DemandFact {.account = model::AccountId(reader.text(value[0])),
+                                  .requestsPerSecond = reader.real(value[1])};
+    default:
+        return fleet::LoadFact {.percent = reader.smallNumber(value[0], 100)};
+    }
+}
+
+Json::Value encode(const fleet::Fact &fact)
+{
+    Json::Value value(Json::arrayValue);
+    value.append(fact.origin.text());
+    value.append(Json::UInt64(fact.incarnation.value()));
+    value.append(Json::UInt64(fact.version));
+    value.append(static_cast<uint32_t>(fact.body.index()));
+    value.append(encodeBody(fact.body));
+    return value;
+}
+
+fleet::Fact decodeFact(const Json::Value &given, Reader &reader)
+{
+    const Json::Value &value = reader.fields(given, 5);
+    if (value.empty()) {
+        return {};
+    }
+    constexpr uint32_t lastFactKind = std::variant_size_v<fleet::FactBody> - 1;
+    const uint32_t kind = reader.smallNumber(value[3], lastFactKind);
+    return {.origin = model::DaemonId(reader.text(value[0])),
+            .incarnation = model::Incarnation(reader.number(value[1])),
+            .version = reader.number(value[2]),
+            .body = decodeBody(kind, value[4], reader)};
+}
+
+Json::Value encode(const fleet::FleetMessage &message)
+{
+    Json::Value value;
+    value["v"] = message.version;
+    value["kind"] = static_cast<uint32_t>(message.kind);
+    value["from"] = encode(message.from);
+    value["rev"] = Json::UInt64(message.revision.value());
+    value["dig"] = Json::UInt64(message.digest);
+    value["tab"] = Json::UInt64(message.tableDigest);
+    value["all"] = message.wantsAll;
+    if (message.kind == fleet::MessageKind::IndirectProbe) {
+        value["target"] = message.target.text();
+        value["host"] = message.targetEndpoint.host;
+        value["port"] = message.targetEndpoint.port;
+    }
+    value["reached"] = message.wasReached;
+    value["members"] = Json::Value(Json::arrayValue);
+    for (const fleet::Member &member : message.members) {
+        value["members"].append(encode(member));
+    }
+    value["facts"] = Json::Value(Json::arrayValue);
+    for (const fleet::Fact &fact : message.facts) {
+        value["facts"].append(encode(fact));
+    }
+    return value;
+}
+
+absl::StatusOr<fleet::FleetMessage> decodeMessage(const Json::Value &value)
+{
+    Reader reader;
+    fleet::FleetMessage message;
+    message.version = reader.smallNumber(value["v"], UINT32_MAX);
+    if (message.version != fleet::FleetMessage::currentVersion) {
+        return absl::InvalidArgumentError("fleet message of an unknown version");
+    }
+    message.kind = static_cast<fleet::MessageKind>(reader.smallNumber(value["kind"], lastKind));
+    message.from = decodeMember(value["from"], reader);
+    message.revision = model::Revision(reader.number(value["rev"]));
+    message.digest = reader.number(value["dig"]);
+    message.tableDigest = reader.number(value["tab"]);
+    message.wantsAll = reader.flag(value["all"]);
+    if (message.kind == fleet::MessageKind::IndirectProbe) {
+        message.target = model::DaemonId(reader.text(value["target"]));
+        message.targetEndpoint
+            = {.host = reader.text(value["host"]),
+               .port = static_cast<uint16_t>(reader.smallNumber(value["port"], maxPort))};
+    }
+    message.wasReached = reader.flag(value["reached"]);
+    for (const Json::Value &member : reader.list(value["members"], maxMembers)) {
+        message.members.push_back(decodeMember(member, reader));
+    }
+    for (const Json::Value &fact : reader.list(value["facts"], maxFacts)) {
+        message.facts.push_back(decodeFact(fact, reader));
+    }
+    if (!reader.isGood()) {
+        return absl::InvalidArgumentError("fleet message with a missing or absurd field");
+    }
+    return message;
+}
+
+} // namespace
+
+std::string encodeFleetCall(const fleet::FleetMessage &message)
+{
+    return internal::encodeJsonRpcCall(methodName, encode(message));
+}
+
+absl::StatusOr<fleet::FleetMessage> decodeFleetCall(const std::string &text)
+{
+    std::string method;
+    Json::Value params;
+    if (!internal::decodeJsonRpcCall(text, method, params) || method != methodName) {
+        return absl::InvalidArgumentError("not a JSON-RPC call of a daemon");
+    }
+    return decodeMessage(params);
+}
+
+std::string encodeFleetResult(const fleet::FleetMessage &message)
+{
+    return internal::encodeJsonRpcResult(encode(message));
+}
+
+absl::StatusOr<fleet::FleetMessage> decodeFleetResult(const std::string &text)
+{
+    Json::Value result;
+    if (!internal::decodeJsonRpcResult(text, result)) {
+        return absl::InvalidArgumentError("not a JSON-RPC answer of a daemon");
+    }
+    return decodeMessage(result);
+}
+
+} // namespace citronpick::net
--- /dev/null
+++ b/src/net/internal/http.cpp
@@ -0,0 +1,33 @@
+#include "net/http.h"
+
+namespace citronpick::net
+{
+
+std::string headerValue(const Headers &headers, std::string_view name)
+{
+    for (const Header &header : headers) {
+        if (header.name == name) {
+            return header.value;
+        }
+    }
+    return {};
+}
+
+std::string_view toString(HttpError error)
+{
+    switch (error) {
+    case HttpError::ConnectFailed:
+        return "connect-failed";
+    case HttpError::ConnectionLost:
+        return "connection-lost";
+    case HttpError::TimedOut:
+        return "timed-out";
+    case HttpError::TooLarge:
+        return "too-large";
+    case HttpError::Garbage:
+        return "garbage";
+    }
+    return "connection-lost";
+}
+
+} // namespace citronpick::net
--- /dev/null
+++ b/src/net/internal/httpserver.cpp
@@ -0,0 +1,458 @@
+#include "net/httpserver.h"
+
+#include <algorithm>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "net/internal/h2o.h"
+
+namespace citronpick::net
+{
+
+namespace
+{
+
+std::string_view viewOf(const h2o_iovec_t &bytes)
+{
+    return {bytes.base, bytes.len};
+}
+
+void addHeader(h2o_req_t *request, const Header &header)
+{
+    const h2o_iovec_t name = h2o_strdup(&request->pool, header.name.data(), header.name.size());
+    const h2o_iovec_t value = h2o_strdup(&request->pool, header.value.data(), header.value.size());
+    h2o_add_header_by_str(&request->pool, &request->res.headers, name.base, name.len, 1, nullptr,
+                          value.base, value.len);
+}
+
+int hexDigit(char character)
+{
+    if (character >= '0' && character <= '9') {
+        return character - '0';
+    }
+    if (character >= 'a' && character <= 'f') {
+        return character - 'a' + 10;
+    }
+    if (character >= 'A' && character <= 'F') {
+        return character - 'A' + 10;
+    }
+    return -1;
+}
+
+std::string percentDecoded(std::string_view text)
+{
+    std::string decoded;
+    for (size_t i = 0; i < text.size(); ++i) {
+        const bool isEscape = text[i] == '%' && i + 2 < text.size() && hexDigit(text[i + 1]) >= 0
+                              && hexDigit(text[i + 2]) >= 0;
+        if (isEscape) {
+            decoded += static_cast<char>(hexDigit(text[i + 1]) * 16 + hexDigit(text[i + 2]));
+            i += 2;
+        } else {
+            decoded += text[i];
+        }
+    }
+    return decoded;
+}
+
+} // namespace
+
+HttpServerRequest::HttpServerRequest(st_h2o_req_t *request, uint64_t number)
+    : m_request(request)
+    , m_number(number)
+{
+}
+
+std::string_view HttpServerRequest::method() const
+{
+    return viewOf(m_request->method);
+}
+
+std::string_view HttpServerRequest::path() const
+{
+    const std::string_view whole = viewOf(m_request->path);
+    return whole.substr(0, whole.find('?'));
+}
+
+std::string HttpServerRequest::query(std::string_view name) const
+{
+    const std::string_view whole = viewOf(m_request->path);
+    const size_t start = whole.find('?');
+    if (start == std::string_view::npos) {
+        return {};
+    }
+    std::string_view rest = whole.substr(start + 1);
+    while (!rest.empty()) {
+        const size_t end = std::min(rest.find('&'), rest.size());
+        const std::string_view pair = rest.substr(0, end);
+        const size_t equals = std::min(pair.find('='), pair.size());
+        if (pair.substr(0, equals) == name) {
+            return percentDecoded(pair.substr(std::min(equals + 1, pair.size())));
+        }
+        rest = rest.substr(std::min(end + 1, rest.size()));
+    }
+    return {};
+}
+
+std::string_view HttpServerRequest::header(std::string_view name) const
+{
+    for (size_t i = 0; i < m_request->headers.size; ++i) {
+        const h2o_header_t &header = m_request->headers.entries[i];
+        if (viewOf(*header.name) == name) {
+            return viewOf(header.value);
+        }
+    }
+    return {};
+}
+
+std::string_view HttpServerRequest::body() const
+{
+    return viewOf(m_request->entity);
+}
+
+class HttpServer::Impl
+{
+public:
+    Impl(EventLoop &loop, IHttpHandler &handler, HttpServerLimits limits);
+    ~Impl();
+
+    void listen(ListenSocket socket);
+    uint16_t port() const;
+    void stopListening();
+    void respond(uint64_t number, uint16_t status, const Headers &headers, model::BodyPtr body);
+    void beginStream(uint64_t number, uint16_t status, const Headers &headers);
+    void write(uint64_t number, std::string_view bytes);
+    void endStream(uint64_t number);
+    size_t buffered(uint64_t number) const;
+
+    size_t openExchanges() const
+    {
+        return m_exchanges.size();
+    }
+    size_t openConnections() const
+    {
+        return m_connections;
+    }
+
+private:
+    struct Handler {
+        h2o_handler_t base;
+        Impl *owner;
+    };
+
+    //! Lives in the request's memory pool, which ends it.
+    struct Exchange {
+        h2o_generator_t generator; //!< First, so that the library's pointer is this one's.
+        Impl *owner;
+        h2o_req_t *request;
+        uint64_t number;
+        model::BodyPtr *body; //!< Kept until sent.
+        std::string *waiting; //!< Written, not handed to the library.
+        std::string *inFlight; //!< Handed to the library.
+        bool isAnswered;
+        bool isSending;
+        bool isEnding;
+        bool isWhole; //!< All that there is to send was handed over.
+    };
+
+    static int onRequest(h2o_handler_t *handler, h2o_req_t *request);
+    static void onAccept(h2o_socket_t *listener, const char *error);
+    static void onConnectionClosed(void *data);
+    static void onProceed(h2o_generator_t *generator, h2o_req_t *request);
+    static void onStop(h2o_generator_t *generator, h2o_req_t *request);
+    static void onDispose(void *data);
+
+    Exchange *find(uint64_t number) const;
+    static void begin(Exchange &exchange, uint16_t status, const Headers &headers);
+    static void flush(Exchange &exchange);
+
+    EventLoop &m_loop;
+    IHttpHandler &m_handler;
+    HttpServerLimits m_limits;
+    h2o_globalconf_t m_config {};
+    h2o_context_t m_context {};
+    h2o_accept_ctx_t m_accept {};
+    h2o_socket_t *m_listener = nullptr;
+    uint16_t m_port = 0;
+    size_t m_connections = 0;
+    absl::flat_hash_map<uint64_t, Exchange *> m_exchanges;
+    uint64_t m_lastNumber = 0;
+};
+
+HttpServer::Impl::Impl(EventLoop &loop, IHttpHandler &handler, HttpServerLimits limits)
+    : m_loop(loop)
+    , m_handler(handler)
+    , m_limits(limits)
+{
+    h2o_config_init(&m_config);
+    m_config.max_request_entity_size = limits.maxBodyBytes;
+    m_config.http1.req_timeout
+        = static_cast<uint64_t>(model::toMilliseconds(limits.requestTimeout));
+    m_config.http2.idle_timeout = m_config.http1.req_timeout;
+    m_config.server_name = h2o_iovec_init(H2O_STRLIT("citronpick"));
+    h2o_hostconf_t *host
+        = h2o_config_register_host(&m_config, h2o_iovec_init(H2O_STRLIT("default")), UINT16_MAX);
+    h2o_pathconf_t *path = h2o_config_register_path(host, "/", 0);
+    auto *base = reinterpret_cast<Handler *>(h2o_create_handler(path, sizeof(Handler)));
+    base->base.on_req = &Impl::onRequest;
+    base->owner = this;
+    h2o_context_init(&m_context, loop.handle(), &m_config);
+    m_accept.ctx = &m_context;
+    m_accept.hosts = m_config.hosts;
+}
+
+// The library keeps open connections until they end; a process that stops a server is about to end.
+HttpServer::Impl::~Impl()
+{
+    stopListening();
+}
+
+void HttpServer::Impl::listen(ListenSocket socket)
+{
+    m_port = socket.port();
+    m_listener
+        = h2o_evloop_socket_create(m_loop.handle(), socket.release(), H2O_SOCKET_FLAG_DONT_READ);
+    m_listener->data = this;
+    h2o_socket_read_start(m_listener, &Impl::onAccept);
+}
+
+uint16_t HttpServer::Impl::port() const
+{
+    return m_port;
+}
+
+void HttpServer::Impl::stopListening()
+{
+    if (m_listener) {
+        h2o_socket_read_stop(m_listener);
+        h2o_socket_close(m_listener);
+        m_listener = nullptr;
+    }
+}
+
+void HttpServer::Impl::onAccept(h2o_socket_t *listener, const char *error)
+{
+    if (error) {
+        return;
+    }
+    Impl &owner = *static_cast<Impl *>(listener->data);
+    h2o_socket_t *socket = h2o_evloop_socket_accept(listener);
+    if (!socket) {
+        return;
+    }
+    if (owner.m_connections >= owner.m_limits.maxConnections) {
+        h2o_socket_close(socket);
+        return;
+    }
+    ++owner.m_connections;
+    socket->on_close.cb = &Impl::onConnectionClosed;
+    socket->on_close.data = &owner;
+    h2o_accept(&owner.m_accept, socket);
+}
+
+void HttpServer::Impl::onConnectionClosed(void *data)
+{
+    --static_cast<Impl *>(data)->m_connections;
+}
+
+int HttpServer::Impl::onRequest(h2o_handler_t *handler, h2o_req_t *request)
+{
+    Impl &owner = *reinterpret_cast<Handler *>(handler)->owner;
+    auto *exchange = static_cast<Exchange *>(
+        h2o_mem_alloc_shared(&request->pool, sizeof(Exchange), &Impl::onDispose));
+    *exchange = Exchange {};
+    exchange->generator.proceed = &Impl::onProceed;
+    exchange->generator.stop = &Impl::onStop;
+    exchange->owner = &owner;
+    exchange->request = request;
+    exchange->number = ++owner.m_lastNumber;
+    owner.m_exchanges.emplace(exchange->number, exchange);
+    owner.m_handler.onRequest(HttpServerRequest(request, exchange->number));
+    return 0;
+}
+
+void HttpServer::Impl::onDispose(void *data)
+{
+    auto &exchange = *static_cast<Exchange *>(data);
+    delete exchange.body;
+    delete exchange.waiting;
+    delete exchange.inFlight;
+    Impl &owner = *exchange.owner;
+    const uint64_t number = exchange.number;
+    const bool wasAnswered = exchange.isWhole;
+    owner.m_exchanges.erase(number);
+    owner.m_handler.onClosed(number, wasAnswered);
+}
+
+HttpServer::Impl::Exchange *HttpServer::Impl::find(uint64_t number) const
+{
+    const auto it = m_exchanges.find(number);
+    return it == m_exchanges.end() ? nullptr : it->second;
+}
+
+void HttpServer::Impl::begin(Exchange &exchange, uint16_t status, const Headers &headers)
+{
+    h2o_req_t *request = exchange.request;
+    request->res.status = status;
+    request->res.reason = status < 400 ? "OK" : "Error";
+    for (const Header &header : headers) {
+        addHeader(request, header);
+    }
+    h2o_start_response(request, &exchange.generator);
+}
+
+void HttpServer::Impl::respond(uint64_t number, uint16_t status, const Headers &headers,
+                               model::BodyPtr body)
+{
+    Exchange *exchange = find(number);
+    if (!exchange || exchange->isAnswered) {
+        return;
+    }
+    exchange->isAnswered = true;
+    exchange->isWhole = true;
+    exchange->body = new model::BodyPtr(std::move(body));
+    const size_t length = *exchange->body ? (*exchange->body)->size() : 0;
+    exchange->request->res.content_length = length;
+    begin(*exchange, status, headers);
+    h2o_iovec_t bytes = length == 0 ? h2o_iovec_init(nullptr, 0)
+                                    : h2o_iovec_init((*exchange->body)->data(), length);
+    h2o_send(exchange->request, &bytes, length == 0 ? 0 : 1, H2O_SEND_STATE_FINAL);
+}
+
+void HttpServer::Impl::beginStream(uint64_t number, uint16_t status, const Headers &headers)
+{
+    Exchange *exchange = find(number);
+    if (!exchange || exchange->isAnswered) {
+        return;
+    }
+    exchange->isAnswered = true;
+    exchange->waiting = new std::string;
+    exchange->inFlight = new std::string;
+    begin(*exchange, status, headers);
+}
+
+void HttpServer::Impl::write(uint64_t number, std::string_view bytes)
+{
+    Exchange *exchange = find(number);
+    if (!exchange || !exchange->waiting) {
+        return;
+    }
+    exchange->waiting->append(bytes);
+    flush(*exchange);
+}
+
+void HttpServer::Impl::endStream(uint64_t number)
+{
+    Exchange *exchange = find(number);
+    if (!exchange || !exchange->waiting) {
+        return;
+    }
+    exchange->isEnding = true;
+    exchange->isWhole = true;
+    flush(*exchange);
+}
+
+// The library takes one piece at a time and says by "proceed" when the caller has taken it.
+void HttpServer::Impl::flush(Exchange &exchange)
+{
+    if (exchange.isSending || (exchange.waiting->empty() && !exchange.isEnding)) {
+        return;
+    }
+    std::swap(*exchange.inFlight, *exchange.waiting);
+    exchange.waiting->clear();
+    exchange.isSending = !exchange.isEnding;
+    h2o_iovec_t bytes = h2o_iovec_init(exchange.inFlight->data(), exchange.inFlight->size());
+    h2o_send(exchange.request, &bytes, exchange.inFlight->empty() ? 0 : 1,
+             exchange.isEnding ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
+}
+
+void HttpServer::Impl::onProceed(h2o_generator_t *generator, h2o_req_t *)
+{
+    auto &exchange = *reinterpret_cast<Exchange *>(generator);
+    if (!exchange.waiting) {
+        return;
+    }
+    exchange.isSending = false;
+    exchange.inFlight->clear();
+    const bool isDrained = exchange.waiting->empty();
+    Impl &owner = *exchange.owner;
+    const uint64_t number = exchange.number;
+    flush(exchange);
+    if (isDrained) {
+        owner.m_handler.onDrained(number);
+    }
+}
+
+// The caller is gone; the request's memory, and with it the exchange, follows.
+void HttpServer::Impl::onStop(h2o_generator_t *, h2o_req_t *)
+{
+}
+
+size_t HttpServer::Impl::buffered(uint64_t number) const
+{
+    const Exchange *exchange = find(number);
+    if (!exchange || !exchange->waiting) {
+        return 0;
+    }
+    return exchange->waiting->size() + exchange->inFlight->size();
+}
+
+HttpServer::HttpServer(EventLoop &loop, IHttpHandler &handler, HttpServerLimits limits)
+    : m_impl(std::make_unique<Impl>(loop, handler, limits))
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+void HttpServer::listen(ListenSocket socket)
+{
+    m_impl->listen(std::move(socket));
+}
+
+uint16_t HttpServer::port() const
+{
+    return m_impl->port();
+}
+
+void HttpServer::stopListening()
+{
+    m_impl->stopListening();
+}
+
+void HttpServer::respond(uint64_t number, uint16_t status, const Headers &headers,
+                         model::BodyPtr body)
+{
+    m_impl->respond(number, status, headers, std::move(body));
+}
+
+void HttpServer::beginStream(uint64_t number, uint16_t status, const Headers &headers)
+{
+    m_impl->beginStream(number, status, headers);
+}
+
+void HttpServer::write(uint64_t number, std::string_view bytes)
+{
+    m_impl->write(number, bytes);
+}
+
+void HttpServer::endStream(uint64_t number)
+{
+    m_impl->endStream(number);
+}
+
+size_t HttpServer::buffered(uint64_t number) const
+{
+    return m_impl->buffered(number);
+}
+
+size_t HttpServer::openExchanges() const
+{
+    return m_impl->openExchanges();
+}
+
+size_t HttpServer::openConnections() const
+{
+    return m_impl->openConnections();
+}
+
+} // namespace citronpick::net
--- /dev/null
+++ b/src/observability/event.h
@@ -0,0 +1,93 @@
+#ifndef CITRONPICK_OBSERVABILITY_EVENT_H
+#define CITRONPICK_OBSERVABILITY_EVENT_H
+
+#include <compare>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "model/ids.h"
+
+namespace citronpick::observability
+{
+
+//! Numbers of the events in logs and time lines. A number never changes its meaning.
+enum class EventCode : uint16_t {
+    DaemonStarted = 101,
+    DaemonReady = 102,
+    DrainStarted = 103,
+    DrainComplete = 104,
+    DrainCut = 105,
+    SignalIgnored = 106,
+    ProcessWasPaused = 107,
+    ConfigurationAccepted = 201,
+    ConfigurationRejected = 202,
+    ConfigurationOlder = 203,
+    ConfigurationConflict = 204,
+    ConfigurationFetched = 205,
+    UpstreamSuspected = 301,
+    UpstreamEjected = 302,
+    UpstreamProbing = 303,
+    UpstreamTrial = 304,
+    UpstreamRamping = 305,
+    UpstreamActive = 306,
+    UpstreamLeaving = 307,
+    RequestRefused = 401,
+    RequestFailed = 402,
+    RequestUnknown = 403,
+    AttemptRetried = 404,
+    AttemptHedged = 405,
+    AnswerDropped = 406,
+    RequestStruck = 407,
+    RequestQuarantined = 408,
+    StreamResumed = 409,
+    CallerLeft = 410,
+    MemberJoined = 501,
+    MemberSuspected = 502,
+    MemberDead = 503,
+    MemberLeaving = 504,
+    MemberReturned = 505,
+    FleetMessageRejected = 506,
+    OperationRepeated = 601,
+    OperationTableFull = 602,
+    PlatformUnavailable = 701,
+    PlatformAvailable = 702,
+    OrderSent = 801,
+    OrderRefused = 802,
+};
+
+enum class EventLevel {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+std::string_view toString(EventLevel level);
+
+//! What the catalogue says of one event.
+struct EventDescription {
+    EventCode code = EventCode::DaemonStarted;
+    EventLevel level = EventLevel::Info;
+    std::string_view name;
+};
+
+//! Every event, in order of its number.
+std::span<const EventDescription> eventCatalogue();
+
+const EventDescription &describe(EventCode code);
+
+//! Something worth a line in the log and the time line.
+struct Event {
+    EventCode code = EventCode::DaemonStarted;
+    model::CallerRequestId request; //!< Empty when no request is concerned.
+    std::string subject; //!< Name of the upstream, daemon, account or file.
+    std::string detail; //!< Pairs as key=value.
+
+    friend auto operator<=>(const Event &, const Event &) = default;
+};
+
+} // namespace citronpick::observability
+
+#endif // CITRONPICK_OBSERVABILITY_EVENT_H
--- /dev/null
+++ b/src/observability/internal/event.cpp
@@ -0,0 +1,89 @@
+#include "observability/event.h"
+
+#include <algorithm>
+#include <array>
+
+namespace citronpick::observability
+{
+
+namespace
+{
+
+using enum EventCode;
+using enum EventLevel;
+
+constexpr std::array catalogue = {
+    EventDescription {DaemonStarted, Info, "daemon-started"},
+    EventDescription {DaemonReady, Info, "daemon-ready"},
+    EventDescription {DrainStarted, Info, "drain-started"},
+    EventDescription {DrainComplete, Info, "drain-complete"},
+    EventDescription {DrainCut, Error, "drain-cut"},
+    EventDescription {SignalIgnored, Info, "signal-ignored"},
+    EventDescription {ProcessWasPaused, Warning, "process-was-paused"},
+    EventDescription {ConfigurationAccepted, Info, "configuration-accepted"},
+    EventDescription {ConfigurationRejected, Error, "configuration-rejected"},
+    EventDescription {ConfigurationOlder, Warning, "configuration-older"},
+    EventDescription {ConfigurationConflict, Error, "configuration-conflict"},
+    EventDescription {ConfigurationFetched, Info, "configuration-fetched"},
+    EventDescription {UpstreamSuspected, Warning, "upstream-suspected"},
+    EventDescription {UpstreamEjected, Warning, "upstream-ejected"},
+    EventDescription {UpstreamProbing, Info, "upstream-probing"},
+    EventDescription {UpstreamTrial, Info, "upstream-trial"},
+    EventDescription {UpstreamRamping, Info, "upstream-ramping"},
+    EventDescription {UpstreamActive, Info, "upstream-active"},
+    EventDescription {UpstreamLeaving, Info, "upstream-leaving"},
+    EventDescription {RequestRefused, Debug, "request-refused"},
+    EventDescription {RequestFailed, Warning, "request-failed"},
+    EventDescription {RequestUnknown, Error, "request-unknown"},
+    EventDescription {AttemptRetried, Debug, "attempt-retried"},
+    EventDescription {AttemptHedged, Debug, "attempt-hedged"},
+    EventDescription {AnswerDropped, Debug, "answer-dropped"},
+    EventDescription {RequestStruck, Warning, "request-struck"},
+    EventDescription {RequestQuarantined, Error, "request-quarantined"},
+    EventDescription {StreamResumed, Info, "stream-resumed"},
+    EventDescription {CallerLeft, Debug, "caller-left"},
+    EventDescription {MemberJoined, Info, "member-joined"},
+    EventDescription {MemberSuspected, Warning, "member-suspected"},
+    EventDescription {MemberDead, Warning, "member-dead"},
+    EventDescription {MemberLeaving, Info, "member-leaving"},
+    EventDescription {MemberReturned, Info, "member-returned"},
+    EventDescription {FleetMessageRejected, Warning, "fleet-message-rejected"},
+    EventDescription {OperationRepeated, Info, "operation-repeated"},
+    EventDescription {OperationTableFull, Error, "operation-table-full"},
+    EventDescription {PlatformUnavailable, Warning, "platform-unavailable"},
+    EventDescription {PlatformAvailable, Info, "platform-available"},
+    EventDescription {OrderSent, Info, "order-sent"},
+    EventDescription {OrderRefused, Warning, "order-refused"},
+};
+
+} // namespace
+
+std::string_view toString(EventLevel level)
+{
+    switch (level) {
+    case EventLevel::Debug:
+        return "debug";
+    case EventLevel::Info:
+        return "info";
+    case EventLevel::Warning:
+        return "warning";
+    case EventLevel::Error:
+        return "error";
+    }
+    return "info";
+}
+
+std::span<const EventDescription> eventCatalogue()
+{
+    return catalogue;
+}
+
+const EventDescription &describe(EventCode code)
+{
+    const auto it = std::lower_bound(
+        catalogue.begin(), catalogue.end(), code,
+        [](const EventDescription &entry, EventCode wanted) { return entry.code < wanted; });
+    return it == catalogue.end() ? catalogue.front() : *it;
+}
+
+} // namespace citronpick::observability
--- /dev/null
+++ b/src/pipeline/internal/quarantinetable.cpp
@@ -0,0 +1,88 @@
+#include "pipeline/quarantinetable.h"
+
+#include <algorithm>
+
+namespace citronpick::pipeline
+{
+
+namespace
+{
+
+constexpr size_t maxRows = 4096;
+
+} // namespace
+
+QuarantineTable::QuarantineTable(uint32_t strikesToQuarantine, model::Duration strikeLifetime,
+                                 model::Duration quarantineLifetime)
+    : m_strikesToQuarantine(strikesToQuarantine)
+    , m_strikeLifetime(strikeLifetime)
+    , m_quarantineLifetime(quarantineLifetime)
+{
+}
+
+bool QuarantineTable::addStrike(const Strike &strike, model::TimePoint now)
+{
+    const bool isKnown = m_rows.contains(strike.fingerprint);
+    Row &row = m_rows[strike.fingerprint];
+    if (!isKnown) {
+        m_order.push_back(strike.fingerprint);
+    }
+    if (row.expiresAt <= now) {
+        row = Row {};
+    }
+    const bool isNew = std::find(row.upstreams.begin(), row.upstreams.end(), strike.upstream)
+                       == row.upstreams.end();
+    if (isNew) {
+        row.upstreams.push_back(strike.upstream);
+    }
+    const bool isEnough = row.upstreams.size() >= m_strikesToQuarantine;
+    const bool isFirstTime = isEnough && !row.isQuarantined;
+    row.isQuarantined = isEnough;
+    row.expiresAt = now + (isEnough ? m_quarantineLifetime : m_strikeLifetime);
+    while (m_order.size() > maxRows) {
+        m_rows.erase(m_order.front());
+        m_order.pop_front();
+    }
+    return isFirstTime;
+}
+
+void QuarantineTable::clear(model::Fingerprint fingerprint)
+{
+    const auto it = m_rows.find(fingerprint);
+    if (it != m_rows.end() && !it->second.isQuarantined) {
+        it->second.upstreams.clear();
+        it->second.expiresAt = model::TimePoint();
+    }
+}
+
+bool QuarantineTable::isStruck(model::Fingerprint fingerprint, model::TimePoint now) const
+{
+    return find(fingerprint, now) != nullptr;
+}
+
+std::optional<model::Duration> QuarantineTable::remaining(model::Fingerprint fingerprint,
+                                                          model::TimePoint now) const
+{
+    const Row *row = find(fingerprint, now);
+    if (!row || !row->isQuarantined) {
+        return std::nullopt;
+    }
+    return row->expiresAt - now;
+}
+
+std::vector<model::UpstreamId>
+QuarantineTable::struckUpstreams(model::Fingerprint fingerprint) const
+{
+    const auto it = m_rows.find(fingerprint);
+    return it == m_rows.end() ? std::vector<model::UpstreamId>() : it->second.upstreams;
+}
+
+const QuarantineTable::Row *QuarantineTable::find(model::Fingerprint fingerprint,
+                                                  model::TimePoint now) const
+{
+    const auto it = m_rows.find(fingerprint);
+    const bool isLive = it != m_rows.end() && it->second.expiresAt > now;
+    return isLive && !it->second.upstreams.empty() ? &it->second : nullptr;
+}
+
+} // namespace citronpick::pipeline
--- /dev/null
+++ b/src/pipeline/internal/requestattempts.cpp
@@ -0,0 +1,240 @@
+#include "pipeline/requestsystem.h"
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+
+#include "model/invariant.h"
+
+namespace citronpick::pipeline
+{
+
+namespace
+{
+
+constexpr double ratioSmoothing = 0.1;
+constexpr double slownessSmoothing = 0.2;
+//! Answers this much slower than at a quiet upstream are a sign of too many at once.
+constexpr double congestionFactor = 2.5;
+
+} // namespace
+
+Attempt RequestSystem::closeAttempt(Request &request, const Attempt &attempt, bool isUseful,
+                                    model::TimePoint now)
+{
+    const Attempt closed = attempt;
+    upstreams::Upstream &upstream = m_parts.upstreams.at(closed.upstream);
+    model::checkInvariant("requests in flight are counted", upstream.inFlight > 0);
+    --upstream.inFlight;
+    upstream.struckInFlight -= closed.isStruck ? 1 : 0;
+    stateOf(request.pool).longInFlight -= closed.isLong ? 1 : 0;
+    std::erase(request.attempts, closed.id);
+    const model::Duration taken = now - closed.startedAt;
+    StageCost &stage = m_costs.stages[{.route = request.route->id,
+                                       .stage = request.route->stages[closed.stage].name}];
+    AccountCost &account = m_costs.account(request.account);
+    stage.upstreamTime += taken;
+    account.upstreamTime += taken;
+    stage.tokens += closed.tokens;
+    if (!isUseful) {
+        stage.wastedTime += taken;
+        account.wastedTime += taken;
+    }
+    m_table.remove(closed.id);
+    return closed;
+}
+
+void RequestSystem::cancelAttempts(Request &request, model::TimePoint now)
+{
+    for (const model::AttemptId id : std::vector(request.attempts)) {
+        closeAttempt(request, *m_table.find(id), false, now);
+        m_commands.emplace_back(CancelAttempt {.attempt = id});
+    }
+}
+
+void RequestSystem::learnFrom(const Attempt &attempt, model::TimePoint now)
+{
+    upstreams::Upstream &upstream = m_parts.upstreams.at(attempt.upstream);
+    upstreams::Pool &pool = m_parts.upstreams.at(upstream.pool);
+    PoolState &state = stateOf(upstream.pool);
+    const double ratio = static_cast<double>((now - attempt.startedAt).count())
+                         / static_cast<double>(std::max<int64_t>(1, attempt.expected.count()));
+    m_parts.health.onAnswer(attempt.upstream, attempt.healthEpoch, ratio, now);
+    if (m_parts.health.row(attempt.upstream).state == health::HealthState::Active) {
+        pool.ratios.add(ratio);
+    }
+    const double poolRatio = std::max(1e-3, m_parts.health.poolRatio(upstream.pool));
+    upstream.slowness += slownessSmoothing * (ratio / poolRatio - upstream.slowness);
+    double &recent = state.recentRatios[attempt.upstream.value];
+    recent += ratioSmoothing * (ratio - recent);
+    if (attempt.startedQuiet) {
+        state.quietRatio += ratioSmoothing * (ratio - state.quietRatio);
+    }
+    if (recent > congestionFactor * std::max(state.quietRatio, 1e-3)) {
+        upstream.limit.onCongestion(now);
+    } else {
+        upstream.limit.onGoodAnswer(upstream.inFlight + 1);
+    }
+}
+
+void RequestSystem::noteLoad(model::UpstreamRow upstream, const ReportedLoad &load,
+                             model::TimePoint now)
+{
+    upstreams::Upstream &row = m_parts.upstreams.at(upstream);
+    row.report = {.inFlight = load.inFlight, .ownInFlight = row.inFlight, .at = now};
+    if (load.isLeaving && !row.leavingSince) {
+        row.leavingSince = now;
+        m_commands.emplace_back(
+            observability::Event {.code = observability::EventCode::UpstreamLeaving,
+                                  .request = {},
+                                  .subject = row.config.id.text(),
+                                  .detail = "source=answer"});
+    }
+}
+
+void RequestSystem::onCallerGone(const CallerGone &event, model::TimePoint now)
+{
+    Request *request = m_table.find(event.request);
+    if (!request) {
+        return;
+    }
+    record(observability::EventCode::CallerLeft, *request, request->route->id.text(), "");
+    request->isCallerGone = true;
+    // Work that may run only once goes on: cutting it would leave its outcome unknown, and the
+    // caller can ask for it again with its key.
+    if (request->unrepeatableSent > 0) {
+        return;
+    }
+    const model::PoolRow pool = request->pool;
+    finishFailed(*request, model::Reason::CallerGone, 0, now);
+    dispatch(pool, now);
+}
+
+void RequestSystem::onEjected(model::UpstreamRow upstream, model::TimePoint now)
+{
+    for (const model::AttemptId id : m_table.attemptsAt(upstream)) {
+        const Attempt *attempt = m_table.find(id);
+        Request *request = m_table.find(attempt->request);
+        const bool isStuck = request->attempts.size() == 1 && request->stageConfig().isIdempotent
+                             && request->nextToken == 0;
+        if (isStuck && !isHopeless(*request, now)) {
+            tryStart(*request, true, now);
+        }
+    }
+}
+
+void RequestSystem::runTimers(model::TimePoint now)
+{
+    while (const auto timer = m_timers.takeDue(now)) {
+        switch (timer->kind) {
+        case TimerKind::Deadline:
+            onDeadline(timer->request, now);
+            break;
+        case TimerKind::Hedge:
+            onHedgeDue(timer->attempt, now);
+            break;
+        case TimerKind::Overdue:
+            onOverdue(timer->attempt, now);
+            break;
+        case TimerKind::Retry:
+            onRetryDue(timer->request, now);
+            break;
+        }
+    }
+}
+
+void RequestSystem::onDeadline(model::RequestId id, model::TimePoint now)
+{
+    Request *request = m_table.find(id);
+    if (!request) {
+        return;
+    }
+    const model::PoolRow pool = request->pool;
+    finishFailed(*request, model::Reason::DeadlinePassed, 0, now);
+    dispatch(pool, now);
+}
+
+void RequestSystem::onHedgeDue(model::AttemptId id, model::TimePoint now)
+{
+    const Attempt *attempt = m_table.find(id);
+    if (!attempt) {
+        return;
+    }
+    Request *request = m_table.find(attempt->request);
+    PoolState &state = stateOf(request->pool);
+    const bool isUseful = request->attempts.size() == 1 && request->nextToken == 0
+                          && request->attemptCount < m_options.maxAttemptsPerStage
+                          && now < request->deadline;
+    // With requests waiting, a second copy would take a first one's place.
+    if (!isUseful || !state.queue.isEmpty() || isHopeless(*request, now)) {
+        return;
+    }
+    // Part of the budget stays back for retries, which save a request that has nothing else.
+    constexpr double retryReserve = 2.0;
+    if (!attempt->isReturning && !state.budget.take(retryReserve)) {
+        return;
+    }
+    const std::string slowUpstream = m_parts.upstreams.at(attempt->upstream).config.id.text();
+    if (tryStart(*request, true, now)) {
+        record(observability::EventCode::AttemptHedged, *request, slowUpstream, "");
+    }
+}
+
+void RequestSystem::onOverdue(model::AttemptId id, model::TimePoint now)
+{
+    const Attempt *attempt = m_table.find(id);
+    if (!attempt) {
+        return;
+    }
+    const double ratio = static_cast<double>((now - attempt->startedAt).count())
+                         / static_cast<double>(std::max<int64_t>(1, attempt->expected.count()));
+    m_parts.health.onOverdue(attempt->upstream, attempt->healthEpoch, ratio, now);
+}
+
+void RequestSystem::onRetryDue(model::RequestId id, model::TimePoint now)
+{
+    Request *request = m_table.find(id);
+    if (!request || request->phase != StagePhase::BackingOff) {
+        return;
+    }
+    enqueue(*request, now);
+    dispatch(request->pool, now);
+}
+
+void RequestSystem::stopAll(model::TimePoint now)
+{
+    for (const model::RequestId id : m_table.requestIds()) {
+        finishFailed(*m_table.find(id), model::Reason::Stopped, 0, now);
+    }
+}
+
+std::vector<RequestCommand> RequestSystem::takeCommands()
+{
+    return std::exchange(m_commands, {});
+}
+
+std::vector<Strike> RequestSystem::takeStrikes()
+{
+    return std::exchange(m_strikes, {});
+}
+
+size_t RequestSystem::queuedCount(model::PoolRow pool) const
+{
+    return pool.value < m_pools.size() ? m_pools[pool.value]->queue.size() : 0;
+}
+
+RequestSystem::PoolState &RequestSystem::stateOf(model::PoolRow pool)
+{
+    return *m_pools[pool.value];
+}
+
+void RequestSystem::record(observability::EventCode code, const Request &request,
+                           std::string subject, std::string detail)
+{
+    m_commands.emplace_back(observability::Event {.code = code,
+                                                  .request = request.callerId,
+                                                  .subject = std::move(subject),
+                                                  .detail = std::move(detail)});
+}
+
+} // namespace citronpick::pipeline
--- /dev/null
+++ b/src/pipeline/quarantinetable.h
@@ -0,0 +1,67 @@
+#ifndef CITRONPICK_PIPELINE_QUARANTINETABLE_H
+#define CITRONPICK_PIPELINE_QUARANTINETABLE_H
+
+#include <compare>
+#include <deque>
+#include <optional>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "model/ids.h"
+#include "model/time.h"
+
+namespace citronpick::pipeline
+{
+
+//! An upstream's connection was lost while it ran a request of this fingerprint.
+struct Strike {
+    model::Fingerprint fingerprint;
+    model::UpstreamId upstream;
+
+    friend auto operator<=>(const Strike &, const Strike &) = default;
+};
+
+//! Requests that may be crashing upstreams, by fingerprint.
+class QuarantineTable
+{
+public:
+    QuarantineTable(uint32_t strikesToQuarantine, model::Duration strikeLifetime,
+                    model::Duration quarantineLifetime);
+
+    //! True when this strike puts the fingerprint into quarantine.
+    bool addStrike(const Strike &strike, model::TimePoint now);
+
+    //! A request of the fingerprint was answered: its strikes were another request's doing.
+    void clear(model::Fingerprint fingerprint);
+
+    bool isStruck(model::Fingerprint fingerprint, model::TimePoint now) const;
+    //! Time left in quarantine; empty when not in it.
+    std::optional<model::Duration> remaining(model::Fingerprint fingerprint,
+                                             model::TimePoint now) const;
+    std::vector<model::UpstreamId> struckUpstreams(model::Fingerprint fingerprint) const;
+
+    size_t size() const
+    {
+        return m_rows.size();
+    }
+
+private:
+    struct Row {
+        std::vector<model::UpstreamId> upstreams;
+        model::TimePoint expiresAt;
+        bool isQuarantined = false;
+    };
+
+    const Row *find(model::Fingerprint fingerprint, model::TimePoint now) const;
+
+    uint32_t m_strikesToQuarantine;
+    model::Duration m_strikeLifetime;
+    model::Duration m_quarantineLifetime;
+    absl::flat_hash_map<model::Fingerprint, Row> m_rows;
+    std::deque<model::Fingerprint> m_order;
+};
+
+} // namespace citronpick::pipeline
+
+#endif // CITRONPICK_PIPELINE_QUARANTINETABLE_H
--- /dev/null
+++ b/src/platform/internal/platformdocuments.cpp
@@ -0,0 +1,68 @@
+#include "platform/platformdocuments.h"
+
+#include <nlohmann/json.hpp>
+
+namespace citronpick::platform
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+absl::Status malformed(const char *document)
+{
+    return absl::InvalidArgumentError(document);
+}
+
+bool isLeaving(const Json &entry)
+{
+    return entry.value("state", "live") == "leaving";
+}
+
+} // namespace
+
+absl::StatusOr<config::OfferedFile> parseConfigurationAnswer(std::string_view text)
+{
+    const Json document = Json::parse(text, nullptr, false);
+    const bool isGood = document.is_object() && document.contains("revision")
+                        && document["revision"].is_number_unsigned() && document.contains("text")
+                        && document["text"].is_string();
+    if (!isGood) {
+        return malformed("configuration answer without revision and text");
+    }
+    return config::OfferedFile {.revision = model::Revision(document["revision"]),
+                                .text = document["text"]};
+}
+
+std::string formatConfigurationAnswer(const config::OfferedFile &file)
+{
+    return Json {{"revision", file.revision.value()}, {"text", file.text}}.dump(
+        -1, ' ', false, Json::error_handler_t::replace);
+}
+
+absl::StatusOr<core::InstanceListRead> parseInstanceList(std::string_view text)
+{
+    const Json document = Json::parse(text, nullptr, false);
+    if (!document.is_object()) {
+        return malformed("instance list that is not an object");
+    }
+    core::InstanceListRead list;
+    try {
+        for (const Json &entry : document.value("upstreams", Json::array())) {
+            list.upstreams.push_back({.id = model::UpstreamId(entry.at("name").get<std::string>()),
+                                      .incarnation = entry.value("incarnation", uint64_t {1}),
+                                      .isLeaving = isLeaving(entry)});
+        }
+        for (const Json &entry : document.value("daemons", Json::array())) {
+            list.daemons.push_back({.id = model::DaemonId(entry.at("name").get<std::string>()),
+                                    .fleet = {.host = entry.at("host"), .port = entry.at("port")},
+                                    .isLeaving = isLeaving(entry)});
+        }
+    } catch (const Json::exception &) {
+        return malformed("instance list with a missing or absurd field");
+    }
+    return list;
+}
+
+} // namespace citronpick::platform
--- /dev/null
+++ b/tests/support/testmain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
