Core tests and policy experiments; faults that they found

Cause: first runs of twelve experiments under a manual clock. Change: ejection at the failure itself; a cold allowance for the first 24 answers; admission by the 0.9 quantile; a lost hedge counts as a slow answer; hold-down of at most 30 s.

--- /dev/null
+++ b/src/apps/citronpickctl/adminclient.h
@@ -0,0 +1,27 @@
+#ifndef CITRONPICK_APPS_CITRONPICKCTL_ADMINCLIENT_H
+#define CITRONPICK_APPS_CITRONPICKCTL_ADMINCLIENT_H
+
+#include <string>
+
+#include <absl/status/statusor.h>
+#include <nlohmann/json.hpp>
+
+#include "config/settings.h"
+#include "net/http.h"
+
+namespace citronpick::ctl
+{
+
+//! "HOST:PORT" as an endpoint. InvalidArgument for anything else.
+absl::StatusOr<config::Endpoint> parseEndpoint(const std::string &text);
+
+//! Makes one call and waits for its end. Unavailable when no answer comes.
+absl::StatusOr<net::HttpAnswer> call(const net::HttpCall &call);
+
+//! Reads one page of a daemon's administration API.
+absl::StatusOr<nlohmann::json> readAdminPage(const config::Endpoint &daemon,
+                                             const std::string &token, const std::string &page);
+
+} // namespace citronpick::ctl
+
+#endif // CITRONPICK_APPS_CITRONPICKCTL_ADMINCLIENT_H
--- a/src/health/healthoptions.h
+++ b/src/health/healthoptions.h
@@ -14,7 +14,7 @@
 //! Return by hold-down, probes, trials and a ramp whose steps are confirmed by real answers.
 struct StagedReturn {
     model::Duration holdDown = model::seconds(2); //!< First; doubles with each relapse.
-    model::Duration maxHoldDown = model::seconds(120);
+    model::Duration maxHoldDown = model::seconds(30);
     model::Duration relapseDecay = model::seconds(60); //!< Of good time per forgiven relapse.
     uint32_t probesToPass = 3; //!< Consecutive.
     uint32_t probesToPassWithoutTrial = 10; //!< Where no real request may be tried.
@@ -23,8 +23,8 @@
     uint32_t answersPerStep = 8;
     model::Duration minStepTime = model::milliseconds(500);
     double maxReturnRatio = 2.0; //!< Of the pool's present normalised answer time.
-    double coldAllowance = 3.0; //!< Extra factor for the first answers after a return.
-    uint32_t coldAnswers = 2;
+    double coldAllowance = 2.0; //!< Extra factor for the first answers after a return.
+    uint32_t coldAnswers = 24;
 
     friend bool operator==(const StagedReturn &, const StagedReturn &) = default;
 };
@@ -50,7 +50,6 @@
     model::Duration probeInterval = model::milliseconds(500);
     model::Duration probeTimeout = model::seconds(1);
     model::Duration wakeGap = model::seconds(3); //!< A longer pause of this process is noticed.
-    model::Duration wakeGrace = model::seconds(1); //!< After it, failures count for nothing.
     ReturnPolicy returnPolicy = StagedReturn {};
 
     friend bool operator==(const HealthOptions &, const HealthOptions &) = default;
--- a/src/health/healthsystem.h
+++ b/src/health/healthsystem.h
@@ -51,9 +51,11 @@
     //! An answer came; \a ratio is its time over the expected one.
     void onAnswer(model::UpstreamRow upstream, uint64_t epoch, double ratio, model::TimePoint now);
     //! No usable answer came.
-    void onFailure(model::UpstreamRow upstream, uint64_t epoch, model::TimePoint now);
+    void onFailure(model::UpstreamRow upstream, uint64_t epoch, model::TimePoint startedAt,
+                   model::TimePoint now);
     //! An attempt has been out for \a ratio times its expected duration.
-    void onOverdue(model::UpstreamRow upstream, uint64_t epoch, double ratio, model::TimePoint now);
+    void onOverdue(model::UpstreamRow upstream, uint64_t epoch, double ratio,
+                   model::TimePoint startedAt, model::TimePoint now);
     void onProbe(model::UpstreamRow upstream, uint64_t number, bool isGood, model::TimePoint now);
 
     //! Forgives relapses that a crashing request has caused.
@@ -96,7 +98,7 @@
     void eject(model::UpstreamRow upstream, EjectCause cause, model::TimePoint now);
     void onReturningAnswer(model::UpstreamRow upstream, double ratio, model::TimePoint now);
     void updatePoolRatios();
-    Verdict judge(model::UpstreamRow upstream, model::TimePoint now) const;
+    Verdict judge(model::UpstreamRow upstream) const;
     bool isFailing(const HealthRow &row) const;
     bool isSlow(model::UpstreamRow upstream) const;
     bool mayEject(model::UpstreamRow upstream, model::TimePoint now) const;
@@ -115,6 +117,7 @@
     void forgiveWithTime(HealthRow &row, model::TimePoint now) const;
 
     const upstreams::Pool &poolOf(model::UpstreamRow upstream) const;
+    double coldFactor(const HealthRow &row) const;
     double singleAnswerLimit(model::UpstreamRow upstream) const;
     uint32_t stepSlots(model::UpstreamRow upstream) const;
 
@@ -128,7 +131,7 @@
     HealthDecisions m_decisions;
     uint64_t m_lastProbe = 0;
     model::TimePoint m_lastTime = model::TimePoint::min();
-    model::TimePoint m_graceUntil = model::TimePoint::min();
+    model::TimePoint m_wokeAt = model::TimePoint::min(); //!< End of the last pause.
 };
 
 } // namespace citronpick::health
--- a/src/health/internal/healthrun.cpp
+++ b/src/health/internal/healthrun.cpp
@@ -89,10 +89,10 @@
     return row.ratios.median() > slowThreshold(m_upstreams.at(upstream).pool);
 }
 
-HealthSystem::Verdict HealthSystem::judge(model::UpstreamRow upstream, model::TimePoint now) const
+HealthSystem::Verdict HealthSystem::judge(model::UpstreamRow upstream) const
 {
     const HealthRow &row = m_table.at(upstream);
-    if (now >= m_graceUntil && isFailing(row)) {
+    if (isFailing(row)) {
         return {.isBad = true, .cause = EjectCause::Failures};
     }
     if (isSlow(upstream)) {
@@ -167,7 +167,7 @@
 {
     HealthRow &row = m_table.at(upstream);
     forgiveWithTime(row, now);
-    const Verdict verdict = judge(upstream, now);
+    const Verdict verdict = judge(upstream);
     if (row.state == HealthState::Active) {
         if (!verdict.isBad) {
             return;
@@ -283,7 +283,7 @@
         return;
     }
     const double median = poolRatio(m_upstreams.at(upstream).pool);
-    if (row.stepRatios.median() > m_staged.maxReturnRatio * median) {
+    if (row.stepRatios.median() > m_staged.maxReturnRatio * median * coldFactor(row)) {
         eject(upstream, EjectCause::Relapse, now);
         return;
     }
--- a/src/health/internal/healthsystem.cpp
+++ b/src/health/internal/healthsystem.cpp
@@ -43,7 +43,7 @@
     if (!isFirst && now - m_lastTime > m_options.wakeGap) {
         // Connections that died and answers that aged during the pause say nothing about upstreams,
         // and good answers from before it say nothing about the present.
-        m_graceUntil = now + m_options.wakeGrace;
+        m_wokeAt = now;
         for (uint32_t i = 0; i < m_table.size(); ++i) {
             HealthRow &row = m_table.at(model::UpstreamRow {i});
             row.ratios.clear();
@@ -76,9 +76,10 @@
     }
 }
 
-void HealthSystem::onFailure(model::UpstreamRow upstream, uint64_t epoch, model::TimePoint now)
+void HealthSystem::onFailure(model::UpstreamRow upstream, uint64_t epoch,
+                             model::TimePoint startedAt, model::TimePoint now)
 {
-    if (now < m_graceUntil) {
+    if (startedAt < m_wokeAt) {
         return;
     }
     HealthRow &row = m_table.at(upstream);
@@ -93,12 +94,17 @@
     ++row.consecutiveFailures;
     row.lastFailure = now;
     row.failures.add(true, m_options.failureWindow);
+    // An upstream that fails at once is always the least loaded one: every moment that it stays
+    // in service draws more requests to it.
+    if (isFailing(row) && mayEject(upstream, now)) {
+        eject(upstream, EjectCause::Failures, now);
+    }
 }
 
 void HealthSystem::onOverdue(model::UpstreamRow upstream, uint64_t epoch, double ratio,
-                             model::TimePoint now)
+                             model::TimePoint startedAt, model::TimePoint now)
 {
-    if (now < m_graceUntil) {
+    if (startedAt < m_wokeAt) {
         return;
     }
     HealthRow &row = m_table.at(upstream);
@@ -264,8 +270,12 @@
     const double median = poolRatio(m_upstreams.at(upstream).pool);
     const double tail = poolOf(upstream).ratios.quantile(tailShare, median);
     const double limit = std::max(m_staged.maxReturnRatio * median, tailFactor * tail);
-    const bool isCold = row.answersSinceReturn < m_staged.coldAnswers;
-    return isCold ? limit * m_staged.coldAllowance : limit;
+    return limit * coldFactor(row);
+}
+
+double HealthSystem::coldFactor(const HealthRow &row) const
+{
+    return row.answersSinceReturn < m_staged.coldAnswers ? m_staged.coldAllowance : 1.0;
 }
 
 uint32_t HealthSystem::stepSlots(model::UpstreamRow upstream) const
--- a/src/pipeline/internal/requestanswers.cpp
+++ b/src/pipeline/internal/requestanswers.cpp
@@ -60,13 +60,14 @@
     const Attempt attempt = closeAttempt(*request, *found, !isServerError && !isBusy, now);
     const model::PoolRow pool = request->pool;
     if (isServerError) {
-        m_parts.health.onFailure(attempt.upstream, attempt.healthEpoch, now);
+        m_parts.health.onFailure(attempt.upstream, attempt.healthEpoch, attempt.startedAt, now);
         retryOrFail(*request, attempt, model::Reason::UpstreamError, event.status, now);
     } else if (isBusy) {
         m_parts.upstreams.at(attempt.upstream).limit.onCongestion(now);
         retryOrFail(*request, attempt, model::Reason::Overloaded, event.status, now);
     } else {
         learnFrom(attempt, now);
+        blameSlowerAttempts(*request, attempt, now);
         m_quarantine.clear(request->fingerprint);
         cancelAttempts(*request, now);
         advance(*request, event.body, event.status, now);
@@ -172,7 +173,7 @@
     if (error == AttemptError::ConnectionLost) {
         addStrike(request, attempt, now);
     }
-    m_parts.health.onFailure(attempt.upstream, attempt.healthEpoch, now);
+    m_parts.health.onFailure(attempt.upstream, attempt.healthEpoch, attempt.startedAt, now);
     if (m_quarantine.remaining(request.fingerprint, now)) {
         cancelAttempts(request, now);
         finishFailed(request, model::Reason::Quarantined, 0, now);
--- a/src/pipeline/internal/requestarrival.cpp
+++ b/src/pipeline/internal/requestarrival.cpp
@@ -13,6 +13,9 @@
 
 //! Prompts shorter than this have no prefix worth looking for.
 constexpr size_t prefixBytes = 256;
+//! Requests that may just finish are not worth a place in a full queue.
+constexpr double safeQuantile = 0.9;
+constexpr double waitMargin = 1.1;
 
 model::Fingerprint fingerprintOf(const RequestArrived &event)
 {
@@ -183,12 +186,12 @@
     }
     model::Duration need {};
     for (const config::StageConfig &stage : request.route->stages) {
-        need += estimate(stage, request.expectedTokens);
+        need += estimate(stage, request.expectedTokens, safeQuantile);
     }
     const double ratio = std::max(1.0, m_parts.health.poolRatio(request.pool));
     const model::Duration wait = model::scaled(
         state.queue.expectedWait(queueItem(request), slots(request.pool), now), ratio);
-    if (now + need + wait > request.deadline) {
+    if (now + need + model::scaled(wait, waitMargin) > request.deadline) {
         return Refusal {.reason = wait > model::Duration::zero()
                                       ? model::Reason::Overloaded
                                       : model::Reason::DeadlineUnreachable,
@@ -220,22 +223,22 @@
     return pool.expectedDuration + pool.expectedPerToken * tokens;
 }
 
-model::Duration RequestSystem::estimate(const config::StageConfig &stage, uint32_t tokens) const
+model::Duration RequestSystem::estimate(const config::StageConfig &stage, uint32_t tokens,
+                                        double quantile) const
 {
     const auto pool = m_parts.upstreams.find(stage.pool);
     if (!pool) {
         return model::Duration::zero();
     }
     const upstreams::Pool &row = m_parts.upstreams.at(*pool);
-    constexpr double median = 0.5;
-    return model::scaled(costOf(row.config, tokens), row.ratios.quantile(median, 1.0));
+    return model::scaled(costOf(row.config, tokens), row.ratios.quantile(quantile, 1.0));
 }
 
 model::Duration RequestSystem::laterStagesNeed(const Request &request) const
 {
     model::Duration need {};
     for (size_t stage = request.stage + 1; stage < request.route->stages.size(); ++stage) {
-        need += estimate(request.route->stages[stage], request.expectedTokens);
+        need += estimate(request.route->stages[stage], request.expectedTokens, medianQuantile);
     }
     return need;
 }
--- a/src/pipeline/internal/requestattempts.cpp
+++ b/src/pipeline/internal/requestattempts.cpp
@@ -52,13 +52,35 @@
     }
 }
 
+// A hedge that wins hides how slow the first attempt would have been: without this, an upstream
+// that answers nothing at all would never look slow while hedges save its requests.
+void RequestSystem::blameSlowerAttempts(const Request &request, const Attempt &winner,
+                                        model::TimePoint now)
+{
+    constexpr double justAbove = 1.01;
+    for (const model::AttemptId id : request.attempts) {
+        const Attempt &loser = *m_table.find(id);
+        if (loser.startedAt >= winner.startedAt) {
+            continue;
+        }
+        const double atLeast = justAbove * m_parts.health.slowThreshold(request.pool);
+        m_parts.health.onOverdue(loser.upstream, loser.healthEpoch,
+                                 std::max(ratioOf(loser, now), atLeast), loser.startedAt, now);
+    }
+}
+
+double RequestSystem::ratioOf(const Attempt &attempt, model::TimePoint now)
+{
+    return static_cast<double>((now - attempt.startedAt).count())
+           / static_cast<double>(std::max<int64_t>(1, attempt.expected.count()));
+}
+
 void RequestSystem::learnFrom(const Attempt &attempt, model::TimePoint now)
 {
     upstreams::Upstream &upstream = m_parts.upstreams.at(attempt.upstream);
     upstreams::Pool &pool = m_parts.upstreams.at(upstream.pool);
     PoolState &state = stateOf(upstream.pool);
-    const double ratio = static_cast<double>((now - attempt.startedAt).count())
-                         / static_cast<double>(std::max<int64_t>(1, attempt.expected.count()));
+    const double ratio = ratioOf(attempt, now);
     m_parts.health.onAnswer(attempt.upstream, attempt.healthEpoch, ratio, now);
     if (m_parts.health.row(attempt.upstream).state == health::HealthState::Active) {
         pool.ratios.add(ratio);
@@ -70,6 +92,9 @@
     if (attempt.startedQuiet) {
         state.quietRatio += ratioSmoothing * (ratio - state.quietRatio);
     }
+    if (!m_options.adaptsLimits) {
+        return;
+    }
     if (recent > congestionFactor * std::max(state.quietRatio, 1e-3)) {
         upstream.limit.onCongestion(now);
     } else {
@@ -186,9 +211,8 @@
     if (!attempt) {
         return;
     }
-    const double ratio = static_cast<double>((now - attempt->startedAt).count())
-                         / static_cast<double>(std::max<int64_t>(1, attempt->expected.count()));
-    m_parts.health.onOverdue(attempt->upstream, attempt->healthEpoch, ratio, now);
+    m_parts.health.onOverdue(attempt->upstream, attempt->healthEpoch, ratioOf(*attempt, now),
+                             attempt->startedAt, now);
 }
 
 void RequestSystem::onRetryDue(model::RequestId id, model::TimePoint now)
--- a/src/pipeline/internal/requestdispatch.cpp
+++ b/src/pipeline/internal/requestdispatch.cpp
@@ -126,10 +126,11 @@
     if (!m_options.refusesEarly) {
         return false;
     }
-    constexpr double hopefulShare = 0.8;
+    constexpr double likelyQuantile = 0.75;
     const model::Duration need
-        = estimate(request.stageConfig(), request.expectedTokens) + laterStagesNeed(request);
-    return now + model::scaled(need, hopefulShare) > request.deadline;
+        = estimate(request.stageConfig(), request.expectedTokens, likelyQuantile)
+          + laterStagesNeed(request);
+    return now + need > request.deadline;
 }
 
 uint32_t RequestSystem::slots(model::PoolRow pool) const
@@ -153,7 +154,8 @@
 
 bool RequestSystem::tryStart(Request &request, bool isHedge, model::TimePoint now)
 {
-    const model::Duration expected = estimate(request.stageConfig(), request.expectedTokens);
+    const model::Duration expected
+        = estimate(request.stageConfig(), request.expectedTokens, medianQuantile);
     const bool isIdempotent = request.stageConfig().isIdempotent;
     // A trial may take as long as two slow answers, and the retry has to fit behind it.
     constexpr int64_t trialTime = 4;
--- a/src/pipeline/pipelineoptions.h
+++ b/src/pipeline/pipelineoptions.h
@@ -13,6 +13,7 @@
     bool refusesEarly = true; //!< Refuse what cannot finish in time; false is the baseline.
     double extraAttemptRatio = 0.09; //!< Retries and hedges per first attempt.
     uint32_t maxAttemptsPerStage = 3;
+    bool adaptsLimits = true; //!< Learn each upstream's concurrency; false keeps the first.
     bool hedges = true;
     double hedgeQuantile = 0.95; //!< Of the pool's answer times, after which a second is tried.
     double longCostFactor = 6.0; //!< Of the pool's usual cost; beyond it work is long.
--- a/src/pipeline/requestsystem.h
+++ b/src/pipeline/requestsystem.h
@@ -100,6 +100,8 @@
     }
 
 private:
+    static constexpr double medianQuantile = 0.5;
+
     struct PoolState {
         admission::StageQueue queue;
         admission::AttemptBudget budget;
@@ -134,7 +136,8 @@
                         model::TimePoint now) const;
     bool passesOperationGate(const Request &request, model::TimePoint now);
     void refuse(const RequestArrived &event, const Refusal &refusal);
-    model::Duration estimate(const config::StageConfig &stage, uint32_t tokens) const;
+    model::Duration estimate(const config::StageConfig &stage, uint32_t tokens,
+                             double quantile) const;
     model::Duration laterStagesNeed(const Request &request) const;
     static model::Duration costOf(const config::PoolConfig &pool, uint32_t tokens);
 
@@ -159,6 +162,8 @@
     Attempt closeAttempt(Request &request, const Attempt &attempt, bool isUseful,
                          model::TimePoint now);
     void cancelAttempts(Request &request, model::TimePoint now);
+    void blameSlowerAttempts(const Request &request, const Attempt &winner, model::TimePoint now);
+    static double ratioOf(const Attempt &attempt, model::TimePoint now);
     void learnFrom(const Attempt &attempt, model::TimePoint now);
     void noteLoad(model::UpstreamRow upstream, const ReportedLoad &load, model::TimePoint now);
     void advance(Request &request, model::BodyPtr result, uint16_t status, model::TimePoint now);
--- /dev/null
+++ b/tests/support/experiments.cpp
@@ -0,0 +1,492 @@
+#include "support/experiments.h"
+
+#include <algorithm>
+#include <cmath>
+#include <stdexcept>
+
+#include <nlohmann/json.hpp>
+
+namespace citronpick::testing
+{
+
+namespace
+{
+
+using health::HealthState;
+
+Submission call(const std::string &label = "short", uint32_t tokens = 0)
+{
+    return {.route = "call", .label = label, .expectedTokens = tokens};
+}
+
+WorldOptions worldOptions(Policy policy, uint64_t seed, size_t upstreams, uint32_t slots)
+{
+    WorldOptions options;
+    options.seed = seed;
+    options.pipelines = onePoolFile(upstreams, slots);
+    options.core = coreOptionsFor(policy);
+    return options;
+}
+
+size_t countFailed(const World &world, model::TimePoint from)
+{
+    return static_cast<size_t>(
+        std::count_if(world.results().begin(), world.results().end(), [&](const auto &entry) {
+            return entry.second.submittedAt >= from && !entry.second.isComplete();
+        }));
+}
+
+//! Relapses and the time until one upstream took its full part again.
+void addReturn(const World &world, model::TimePoint healedAt, Figures &figures)
+{
+    using observability::EventCode;
+    double ejections = 0;
+    double activeAfter = -1.0;
+    for (const World::SeenEvent &seen : world.events()) {
+        if (seen.event.subject != "u1") {
+            continue;
+        }
+        ejections += seen.event.code == EventCode::UpstreamEjected ? 1 : 0;
+        const bool isBack = seen.event.code == EventCode::UpstreamActive && seen.at >= healedAt;
+        if (isBack && activeAfter < 0.0) {
+            activeAfter = model::toSeconds(seen.at - healedAt);
+        }
+        if (seen.event.code == EventCode::UpstreamEjected && seen.at >= healedAt) {
+            activeAfter = -1.0;
+        }
+    }
+    figures.add("ejections", ejections);
+    figures.add("back_after_s", activeAfter);
+}
+
+uint64_t badRuns(World &world, uint64_t before)
+{
+    return world.upstream("u1").totalRuns() - before;
+}
+
+} // namespace
+
+double Figures::at(const std::string &name) const
+{
+    for (const Figure &figure : m_figures) {
+        if (figure.name == name) {
+            return figure.value;
+        }
+    }
+    throw std::out_of_range("no figure " + name);
+}
+
+core::CoreOptions coreOptionsFor(Policy policy)
+{
+    core::CoreOptions options;
+    if (policy == Policy::Product) {
+        return options;
+    }
+    options.health.returnPolicy = health::TimedReturn {};
+    options.health.slowRatio = 1e9;
+    options.routing = routing::RoundRobin {};
+    options.pipeline.queue.order = admission::ArrivalOrder {};
+    options.pipeline.refusesEarly = false;
+    options.pipeline.extraAttemptRatio = 1.0;
+    options.pipeline.hedges = false;
+    options.pipeline.adaptsLimits = false;
+    options.pipeline.longSlotShare = 1.0;
+    options.pipeline.strikesToQuarantine = 1000;
+    return options;
+}
+
+std::string onePoolFile(size_t upstreams, uint32_t slots)
+{
+    const std::vector<std::string> zones = {"a", "b", "c"};
+    nlohmann::json list = nlohmann::json::array();
+    for (size_t i = 0; i < upstreams; ++i) {
+        list.push_back({{"name", "u" + std::to_string(i + 1)},
+                        {"host", "127.0.0.1"},
+                        {"port", 100 + i},
+                        {"zone", zones[i % zones.size()]}});
+    }
+    const nlohmann::json pool {{"name", "p"},
+                               {"path", "/p"},
+                               {"concurrency", slots},
+                               {"expectedMs", 50},
+                               {"expectedPerTokenMs", 10},
+                               {"upstreams", list}};
+    const nlohmann::json file {
+        {"pools", {pool}},
+        {"services",
+         {{{"name", "call"}, {"pool", "p"}, {"deadlineMs", 6000}},
+          {{"name", "once"}, {"pool", "p"}, {"idempotent", false}}}},
+        {"priorities", {{{"name", "high"}, {"rank", 0}}, {{"name", "low"}, {"rank", 1}}}},
+        {"accounts",
+         {{{"name", "acme"}}, {{"name", "small"}}, {{"name", "big"}, {"requestsPerSecond", 50}}}}};
+    return file.dump();
+}
+
+double latencyQuantile(const std::vector<const Result *> &results, double share)
+{
+    std::vector<double> latencies;
+    for (const Result *result : results) {
+        if (result->isComplete()) {
+            latencies.push_back(model::toSeconds(result->latency()) * 1000.0);
+        }
+    }
+    if (latencies.empty()) {
+        return 0.0;
+    }
+    std::sort(latencies.begin(), latencies.end());
+    const auto index
+        = static_cast<size_t>(std::ceil(share * static_cast<double>(latencies.size()))) - 1;
+    return latencies[std::min(index, latencies.size() - 1)];
+}
+
+// Ten upstreams of 16 slots and 50 ms serve 3,200 requests a second; 40 % of that is offered.
+Figures probePassesRequestsFail(Policy policy, uint64_t seed)
+{
+    World world(worldOptions(policy, seed, 10, 16));
+    world.load(1280, model::seconds(90), [](model::Random &) { return call(); });
+    world.runFor(model::seconds(5));
+    const model::TimePoint brokenAt = world.now();
+    const uint64_t before = world.upstream("u1").totalRuns();
+    world.upstream("u1").setBehaviour({.failShare = 1.0});
+    world.runFor(model::seconds(45));
+    const uint64_t wasted = badRuns(world, before);
+    const model::TimePoint healedAt = world.now();
+    world.upstream("u1").setBehaviour({});
+    world.runFor(model::seconds(50));
+    Figures figures;
+    figures.add("lost", static_cast<double>(countFailed(world, brokenAt)));
+    figures.add("runs_at_broken", static_cast<double>(wasted));
+    addReturn(world, healedAt, figures);
+    return figures;
+}
+
+Figures collapsesUnderLoad(Policy policy, uint64_t seed)
+{
+    World world(worldOptions(policy, seed, 10, 16));
+    world.load(1280, model::seconds(90), [](model::Random &) { return call(); });
+    world.runFor(model::seconds(5));
+    const model::TimePoint brokenAt = world.now();
+    world.upstream("u1").setBehaviour({.collapsesAbove = 4});
+    world.runFor(model::seconds(45));
+    const model::TimePoint healedAt = world.now();
+    world.upstream("u1").setBehaviour({});
+    world.runFor(model::seconds(50));
+    Figures figures;
+    figures.add("lost", static_cast<double>(countFailed(world, brokenAt)));
+    addReturn(world, healedAt, figures);
+    return figures;
+}
+
+Figures flapsWithHoldDown(Policy policy, uint64_t seed)
+{
+    World world(worldOptions(policy, seed, 10, 16));
+    world.load(1280, model::seconds(130), [](model::Random &) { return call(); });
+    world.runFor(model::seconds(5));
+    const model::TimePoint brokenAt = world.now();
+    const uint64_t before = world.upstream("u1").totalRuns();
+    uint64_t whileBad = 0;
+    // Good and bad in turn with the period of the first hold-down.
+    for (int turn = 0; turn < 20; ++turn) {
+        const uint64_t atStart = world.upstream("u1").totalRuns();
+        world.upstream("u1").setBehaviour({.failShare = 1.0});
+        world.runFor(model::milliseconds(2200));
+        whileBad += world.upstream("u1").totalRuns() - atStart;
+        world.upstream("u1").setBehaviour({});
+        world.runFor(model::milliseconds(2200));
+    }
+    const model::TimePoint healedAt = world.now();
+    world.runFor(model::seconds(50));
+    Figures figures;
+    figures.add("lost", static_cast<double>(countFailed(world, brokenAt)));
+    figures.add("runs_at_broken", static_cast<double>(whileBad));
+    figures.add("runs", static_cast<double>(badRuns(world, before)));
+    addReturn(world, healedAt, figures);
+    return figures;
+}
+
+Figures returnsCold(Policy policy, uint64_t seed)
+{
+    World world(worldOptions(policy, seed, 10, 16));
+    world.load(1280, model::seconds(60), [](model::Random &) { return call(); });
+    world.runFor(model::seconds(5));
+    const model::TimePoint brokenAt = world.now();
+    world.upstream("u1").setBehaviour({.isDown = true});
+    world.runFor(model::seconds(10));
+    const model::TimePoint healedAt = world.now();
+    world.upstream("u1").setBehaviour({.coldAnswers = 20});
+    world.runFor(model::seconds(50));
+    Figures figures;
+    figures.add("lost", static_cast<double>(countFailed(world, brokenAt)));
+    addReturn(world, healedAt, figures);
+    return figures;
+}
+
+Figures returnsIntoOverload(Policy policy, uint64_t seed)
+{
+    World world(worldOptions(policy, seed, 10, 16));
+    const auto make = [](model::Random &) {
+        Submission submission = call();
+        submission.budget = model::seconds(2);
+        return submission;
+    };
+    world.load(1280, model::seconds(60), make);
+    world.runFor(model::seconds(5));
+    world.upstream("u1").setBehaviour({.isDown = true});
+    world.runFor(model::seconds(8));
+    // The nine others hold 2,880 a second; 3,500 come from now on.
+    world.load(2220, model::seconds(40), make);
+    world.runFor(model::seconds(2));
+    const model::TimePoint healedAt = world.now();
+    world.upstream("u1").setBehaviour({});
+    world.runFor(model::seconds(50));
+    Figures figures;
+    double good = 0;
+    double offered = 0;
+    for (const auto &[number, result] : world.results()) {
+        const bool isCounted
+            = result.submittedAt >= healedAt && result.submittedAt < healedAt + model::seconds(30);
+        offered += isCounted ? 1 : 0;
+        good += isCounted && result.isInTime() ? 1 : 0;
+    }
+    figures.add("in_time_share", good / offered);
+    addReturn(world, healedAt, figures);
+    return figures;
+}
+
+Figures pausedProcessWakes(Policy policy, uint64_t seed)
+{
+    World world(worldOptions(policy, seed, 10, 16));
+    world.load(600, model::seconds(20), [](model::Random &) { return call(); });
+    world.runFor(model::seconds(5));
+    world.pause(0, model::seconds(60));
+    world.runFor(model::seconds(2));
+    world.upstream("u1").setBehaviour({.failShare = 1.0});
+    world.runFor(model::seconds(58));
+    const model::TimePoint wokenAt = world.now();
+    world.load(600, model::seconds(10), [](model::Random &) { return call("after"); });
+    world.runFor(model::seconds(20));
+    Figures figures;
+    // What was held up by the pause comes in one burst; refusing part of it is right.
+    double failed = 0;
+    double refused = 0;
+    for (const Result *result : world.labelled("after")) {
+        const bool isRefused = result->answer && result->answer->outcome == model::Outcome::NotRun;
+        refused += isRefused ? 1 : 0;
+        failed += !isRefused && !result->isComplete() ? 1 : 0;
+    }
+    double wronglyEjected = 0;
+    for (const World::SeenEvent &seen : world.events()) {
+        const bool isEjection = seen.event.code == observability::EventCode::UpstreamEjected;
+        wronglyEjected += isEjection && seen.at >= wokenAt && seen.event.subject != "u1" ? 1 : 0;
+    }
+    figures.add("failed_after", failed);
+    figures.add("refused_after", refused);
+    figures.add("good_upstreams_ejected", wronglyEjected);
+    return figures;
+}
+
+// Four upstreams serve 320 a second at 4 slots; the crest offers four times that for 5 s.
+Figures crestOfDemand(Policy policy, uint64_t seed)
+{
+    World world(worldOptions(policy, seed, 4, 4));
+    const auto make = [](model::Random &) {
+        Submission submission = call();
+        submission.budget = model::milliseconds(1000);
+        return submission;
+    };
+    world.load(200, model::seconds(20), make);
+    world.runFor(model::seconds(5));
+    const model::TimePoint crest = world.now();
+    constexpr double capacity = 320.0;
+    world.load(4 * capacity - 200, model::seconds(5), make);
+    world.runFor(model::seconds(20));
+    Figures figures;
+    double good = 0;
+    double after = 0;
+    double afterOffered = 0;
+    double maxWait = 0;
+    for (const auto &[number, result] : world.results()) {
+        if (result.isInTime() && *result.answeredAt >= crest
+            && *result.answeredAt < crest + model::seconds(5)) {
+            good += 1;
+        }
+        const bool isAfter = result.submittedAt >= crest + model::seconds(6);
+        afterOffered += isAfter ? 1 : 0;
+        after += isAfter && result.isInTime() ? 1 : 0;
+        if (result.answer && result.answer->outcome == model::Outcome::NotRun) {
+            maxWait = std::max(maxWait, model::toSeconds(result.latency()) * 1000.0);
+        }
+    }
+    figures.add("goodput_share", good / (capacity * 5.0));
+    figures.add("after_in_time_share", after / std::max(1.0, afterOffered));
+    figures.add("slowest_refusal_ms", maxWait);
+    return figures;
+}
+
+// 5 % of requests cost 40 times the others' 50 ms.
+Figures longBehindShort(Policy policy, uint64_t seed)
+{
+    const auto run = [&](double longShare) {
+        World world(worldOptions(policy, seed, 12, 16));
+        world.load(1200, model::seconds(60), [longShare](model::Random &random) {
+            const bool isLong = random.unit() < longShare;
+            Submission submission = isLong ? call("long", 195) : call("short");
+            submission.budget = model::seconds(isLong ? 60 : 6);
+            return submission;
+        });
+        world.runFor(model::seconds(130));
+        Figures figures;
+        figures.add("p99", latencyQuantile(world.labelled("short"), 0.99));
+        figures.add("long_p50", latencyQuantile(world.labelled("long"), 0.5));
+        const auto longOnes = world.labelled("long");
+        const auto done = std::count_if(longOnes.begin(), longOnes.end(),
+                                        [](const Result *result) { return result->isInTime(); });
+        figures.add("long_share", longOnes.empty() ? 1.0
+                                                   : static_cast<double>(done)
+                                                         / static_cast<double>(longOnes.size()));
+        return figures;
+    };
+    const Figures without = run(0.0);
+    const Figures with = run(0.05);
+    Figures figures;
+    figures.add("short_p99_without_ms", without.at("p99"));
+    figures.add("short_p99_with_ms", with.at("p99"));
+    figures.add("ratio", with.at("p99") / without.at("p99"));
+    figures.add("long_in_time_share", with.at("long_share"));
+    return figures;
+}
+
+Figures slowedUpstreams(Policy policy, uint64_t seed)
+{
+    const auto p99 = [&](double slowFactor) {
+        World world(worldOptions(policy, seed, 12, 16));
+        world.load(1500, model::seconds(60), [](model::Random &) { return call(); });
+        world.runFor(model::seconds(10));
+        world.upstream("u1").setBehaviour({.slowFactor = slowFactor});
+        world.upstream("u5").setBehaviour({.slowFactor = slowFactor});
+        world.runFor(model::seconds(60));
+        return latencyQuantile(world.labelled("short"), 0.99);
+    };
+    Figures figures;
+    const double unslowed = p99(1.0);
+    const double slowed = p99(10.0);
+    figures.add("p99_unslowed_ms", unslowed);
+    figures.add("p99_slowed_ms", slowed);
+    figures.add("ratio", slowed / unslowed);
+    return figures;
+}
+
+Figures completeOutage(Policy policy, uint64_t seed)
+{
+    World world(worldOptions(policy, seed, 10, 16));
+    world.load(500, model::seconds(20), [](model::Random &) { return call(); });
+    for (auto &[name, upstream] : world.upstreams()) {
+        upstream->setBehaviour({.failShare = 1.0});
+    }
+    world.runFor(model::seconds(30));
+    double offered = 0;
+    for (const auto &[number, result] : world.results()) {
+        const bool wasRefused = result.answer && result.answer->outcome == model::Outcome::NotRun;
+        offered += wasRefused ? 0 : 1;
+    }
+    Figures figures;
+    figures.add("offered", static_cast<double>(world.results().size()));
+    figures.add("attempts_per_request",
+                static_cast<double>(world.totalRuns()) / std::max(1.0, offered));
+    return figures;
+}
+
+Figures crashingRequest(Policy policy, uint64_t seed)
+{
+    World world(worldOptions(policy, seed, 10, 16));
+    world.load(300, model::seconds(40), [](model::Random &) { return call(); });
+    for (auto &[name, upstream] : world.upstreams()) {
+        upstream->setBehaviour({.crashWord = "poison"});
+    }
+    world.runFor(model::seconds(5));
+    const model::TimePoint sentAt = world.now();
+    // The caller sends it again every second, for ten seconds.
+    for (int resend = 0; resend < 10; ++resend) {
+        Submission poison = call("poison");
+        poison.body = "poison";
+        world.submit(0, poison);
+        world.runFor(model::seconds(1));
+    }
+    world.runFor(model::seconds(30));
+    Figures figures;
+    double crashes = 0;
+    for (auto &[name, upstream] : world.upstreams()) {
+        crashes += upstream->crashes();
+    }
+    double lost = 0;
+    for (const Result *result : world.labelled("short")) {
+        lost += result->submittedAt >= sentAt && !result->isComplete() ? 1 : 0;
+    }
+    double outOfService = 0;
+    for (size_t i = 1; i <= 10; ++i) {
+        const HealthState state = world.stateOf(0, "u" + std::to_string(i));
+        outOfService += health::isOutOfService(state) ? 1 : 0;
+    }
+    figures.add("crashes", crashes);
+    figures.add("others_lost", lost);
+    figures.add("out_of_service_at_end", outOfService);
+    return figures;
+}
+
+// "big" may send 50 a second and sends 500; "small" sends 20.
+Figures floodingAccount(Policy policy, uint64_t seed)
+{
+    const auto smallP99 = [&](double flood) {
+        World world(worldOptions(policy, seed, 4, 4));
+        const auto from = [](const std::string &account) {
+            return [account](model::Random &) {
+                Submission submission = call(account);
+                submission.account = account;
+                submission.budget = model::seconds(2);
+                return submission;
+            };
+        };
+        world.load(20, model::seconds(40), from("small"));
+        world.load(200, model::seconds(40), from("acme"));
+        if (flood > 0.0) {
+            world.load(flood, model::seconds(40), from("big"));
+        }
+        world.runFor(model::seconds(50));
+        Figures figures;
+        figures.add("p99", latencyQuantile(world.labelled("small"), 0.99));
+        double done = 0;
+        for (const Result *result : world.labelled("big")) {
+            done += result->isComplete() ? 1 : 0;
+        }
+        figures.add("big_per_s", done / 40.0);
+        return figures;
+    };
+    const Figures without = smallP99(0.0);
+    const Figures with = smallP99(500.0);
+    Figures figures;
+    figures.add("small_p99_without_ms", without.at("p99"));
+    figures.add("small_p99_with_ms", with.at("p99"));
+    figures.add("big_per_s", with.at("big_per_s"));
+    return figures;
+}
+
+const std::vector<Experiment> &experiments()
+{
+    static const std::vector<Experiment> all = {
+        {"return-probe-passes", "probe good, requests fail for 45 s", &probePassesRequestsFail},
+        {"return-collapses", "fails while more than 4 of 16 run, for 45 s", &collapsesUnderLoad},
+        {"return-flapping", "good and bad in turn every 2.2 s", &flapsWithHoldDown},
+        {"return-cold", "20 answers of twice the time after a restart", &returnsCold},
+        {"return-overload", "returns while 3,500/s meet 2,880/s", &returnsIntoOverload},
+        {"return-paused", "process paused for 60 s, one upstream broke", &pausedProcessWakes},
+        {"crest", "four times capacity for 5 s, deadline 1 s", &crestOfDemand},
+        {"head-of-line", "5 % of jobs cost 40 times the others", &longBehindShort},
+        {"tail", "2 of 12 upstreams ten times slower", &slowedUpstreams},
+        {"outage", "every upstream fails everything", &completeOutage},
+        {"crashing-request", "a request that crashes upstreams, sent ten times", &crashingRequest},
+        {"flooding-account", "one account at ten times its limit", &floodingAccount},
+    };
+    return all;
+}
+
+} // namespace citronpick::testing
--- /dev/null
+++ b/tests/support/fakeupstream.cpp
@@ -0,0 +1,121 @@
+#include "support/fakeupstream.h"
+
+#include <algorithm>
+
+namespace citronpick::testing
+{
+
+FakeUpstream::FakeUpstream(std::string name, uint32_t slots, model::Duration serviceTime,
+                           model::Duration timePerToken, uint64_t seed)
+    : m_name(std::move(name))
+    , m_slots(slots)
+    , m_serviceTime(serviceTime)
+    , m_timePerToken(timePerToken)
+    , m_random(seed)
+{
+}
+
+void FakeUpstream::receive(const pipeline::StartAttempt &attempt, const Schedule &schedule,
+                           OnEnd onEnd)
+{
+    if (m_behaviour.isDown || m_isRestarting) {
+        onEnd({.error = pipeline::AttemptError::ConnectFailed});
+        return;
+    }
+    ++m_totalRuns;
+    ++m_runs[{attempt.callerId.text(), attempt.path}];
+    const Job job {.attempt = attempt, .onEnd = std::move(onEnd)};
+    m_inside.push_back(job);
+    const bool isCrash = !m_behaviour.crashWord.empty()
+                         && attempt.body->find(m_behaviour.crashWord) != std::string::npos;
+    if (isCrash) {
+        crash(model::seconds(2), schedule);
+        return;
+    }
+    if (m_behaviour.isFrozen) {
+        return;
+    }
+    if (m_running >= m_slots) {
+        m_waiting.push_back(job);
+        return;
+    }
+    start(job, schedule);
+}
+
+bool FakeUpstream::probe() const
+{
+    return !m_behaviour.isDown && !m_behaviour.isFrozen && !m_behaviour.failsProbes
+           && !m_isRestarting;
+}
+
+void FakeUpstream::start(const Job &job, const Schedule &schedule)
+{
+    ++m_running;
+    const uint64_t generation = m_generation;
+    schedule(serviceTime(job.attempt),
+             [this, job, generation, schedule] { end(job, generation, schedule); });
+}
+
+model::Duration FakeUpstream::serviceTime(const pipeline::StartAttempt &attempt)
+{
+    const model::Duration usual = m_serviceTime + m_timePerToken * attempt.expectedTokens;
+    double factor = m_behaviour.slowFactor * (0.8 + 0.4 * m_random.unit());
+    if (m_behaviour.coldAnswers > 0) {
+        --m_behaviour.coldAnswers;
+        factor *= 2.0;
+    }
+    return model::scaled(usual, factor);
+}
+
+void FakeUpstream::end(const Job &job, uint64_t generation, const Schedule &schedule)
+{
+    if (generation != m_generation) {
+        return;
+    }
+    const bool isCollapsed
+        = m_behaviour.collapsesAbove > 0 && m_inside.size() > m_behaviour.collapsesAbove;
+    --m_running;
+    const model::AttemptId id = job.attempt.attempt;
+    std::erase_if(m_inside, [&](const Job &other) {
+        return other.attempt.attempt == id && other.attempt.request == job.attempt.request
+               && other.attempt.callerId == job.attempt.callerId;
+    });
+    Ending ending;
+    ending.load
+        = {.inFlight = static_cast<uint32_t>(m_inside.size()), .isLeaving = m_behaviour.isLeaving};
+    const bool fails = isCollapsed || m_random.unit() < m_behaviour.failShare;
+    if (fails) {
+        ending.status = 500;
+    } else if (job.attempt.isStreaming) {
+        for (uint32_t i = job.attempt.resumeFrom; i < std::max(1U, job.attempt.expectedTokens);
+             ++i) {
+            ending.tokens.push_back({.sequence = i, .text = std::to_string(i) + " "});
+        }
+    } else {
+        ending.body = job.attempt.path + "(" + *job.attempt.body + ")";
+    }
+    if (!m_behaviour.isFrozen) {
+        job.onEnd(ending);
+    }
+    if (!m_waiting.empty() && m_running < m_slots) {
+        const Job next = m_waiting.front();
+        m_waiting.pop_front();
+        start(next, schedule);
+    }
+}
+
+void FakeUpstream::crash(model::Duration restartTime, const Schedule &schedule)
+{
+    ++m_generation;
+    ++m_crashes;
+    m_running = 0;
+    m_waiting.clear();
+    m_isRestarting = true;
+    const std::vector<Job> lost = std::exchange(m_inside, {});
+    for (const Job &job : lost) {
+        job.onEnd({.error = pipeline::AttemptError::ConnectionLost});
+    }
+    schedule(restartTime, [this] { m_isRestarting = false; });
+}
+
+} // namespace citronpick::testing
