--- a/src/admission/stagequeue.h
+++ b/src/admission/stagequeue.h
@@ -44,7 +44,7 @@
     model::AccountId account;
     double weight = 1.0; //!< Of the account.
     uint32_t priorityRank = 0;
-    model::Duration cost; //!< Expected time at an upstream.
+    model::Duration cost {}; //!< Expected time at an upstream.
     bool isLong = false;
     size_t bytes = 0;
 };
--- a/src/core/commands.h
+++ b/src/core/commands.h
@@ -21,7 +21,7 @@
     std::string host;
     uint16_t port = 0;
     std::string path;
-    model::Duration timeout;
+    model::Duration timeout {};
 };
 
 //! Get a configuration file from a peer; offer it when it comes.
@@ -34,7 +34,7 @@
 struct OperationOpened {
     model::RequestId request;
     std::optional<std::string> key; //!< Empty when the table of keys is full.
-    model::Duration lifetime;
+    model::Duration lifetime {};
 };
 
 //! Nothing is in flight any more; the process may end.
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -72,6 +72,7 @@
     std::deque<core::Event> m_events;
     core::CommandList m_commands;
     model::TimePoint m_nextTick;
+    model::TimePoint m_nextSweep;
     model::TimePoint m_drainLimit = model::TimePoint::max();
     bool m_wasReady = false;
     bool m_isFinished = false;
--- a/src/daemon/internal/attemptrunner.cpp
+++ b/src/daemon/internal/attemptrunner.cpp
@@ -63,7 +63,7 @@
     // Attempt numbers are a daemon's own; with the incarnation they are everybody's.
     open.echo = absl::StrCat(m_incarnation, "-", command.attempt.value());
     if (command.isStreaming) {
-        m_streams[command.request] = command.attempt;
+        m_streams[command.request].push_back(command.attempt);
     }
     const uint64_t call = m_client.start(callFor(command, open.echo),
                                          callbacksFor(command.attempt, command.isStreaming));
@@ -131,23 +131,31 @@
         return;
     }
     const uint64_t call = it->second.call;
-    const auto stream = m_streams.find(it->second.request);
-    if (stream != m_streams.end() && stream->second == attempt) {
-        m_streams.erase(stream);
+    forget(attempt);
+    m_client.cancel(call);
+}
+
+void AttemptRunner::forget(model::AttemptId attempt)
+{
+    const auto it = m_attempts.find(attempt);
+    const auto streams = m_streams.find(it->second.request);
+    if (streams != m_streams.end()) {
+        std::erase(streams->second, attempt);
+        if (streams->second.empty()) {
+            m_streams.erase(streams);
+        }
     }
     m_attempts.erase(it);
-    m_client.cancel(call);
 }
 
 void AttemptRunner::setPaused(model::RequestId request, bool isPaused)
 {
-    const auto stream = m_streams.find(request);
-    if (stream == m_streams.end()) {
+    const auto streams = m_streams.find(request);
+    if (streams == m_streams.end()) {
         return;
     }
-    const auto it = m_attempts.find(stream->second);
-    if (it != m_attempts.end()) {
-        m_client.setPaused(it->second.call, isPaused);
+    for (const model::AttemptId attempt : streams->second) {
+        m_client.setPaused(m_attempts.at(attempt).call, isPaused);
     }
 }
 
@@ -249,8 +257,7 @@
         .status = answer.status,
         .body = isStreaming ? model::makeBody(std::move(open.collected)) : std::move(answer.body),
         .load = loadOf(answer.headers)};
-    m_streams.erase(open.request);
-    m_attempts.erase(it);
+    forget(attempt);
     m_sink.post(std::move(event));
 }
 
@@ -260,8 +267,7 @@
     if (it == m_attempts.end()) {
         return;
     }
-    m_streams.erase(it->second.request);
-    m_attempts.erase(it);
+    forget(attempt);
     m_sink.post(pipeline::AttemptFailed {.attempt = attempt, .error = attemptErrorOf(error)});
 }
 
--- a/src/daemon/internal/attemptrunner.h
+++ b/src/daemon/internal/attemptrunner.h
@@ -45,6 +45,7 @@
         std::optional<pipeline::ReportedLoad> load;
     };
 
+    void forget(model::AttemptId attempt);
     net::HttpCall callFor(const pipeline::StartAttempt &command, const std::string &echo) const;
     net::HttpCallbacks callbacksFor(model::AttemptId attempt, bool isStreaming);
     void onHead(model::AttemptId attempt, const net::HttpAnswer &answer);
@@ -59,7 +60,8 @@
     IEventSink &m_sink;
     std::string m_incarnation;
     absl::flat_hash_map<model::AttemptId, Open> m_attempts;
-    absl::flat_hash_map<model::RequestId, model::AttemptId> m_streams; //!< The latest attempt.
+    //! Streamed attempts of each request; two while one hedges the other.
+    absl::flat_hash_map<model::RequestId, std::vector<model::AttemptId>> m_streams;
 };
 
 } // namespace citronpick::daemon
--- a/src/daemon/internal/callerapi.cpp
+++ b/src/daemon/internal/callerapi.cpp
@@ -313,9 +313,14 @@
 
 void CallerApi::onMetrics(const net::HttpServerRequest &request)
 {
+    size_t buffered = 0;
+    for (const auto &[number, open] : m_open) {
+        buffered += open.hasStreamBegun ? m_server.buffered(number) : 0;
+    }
     sendText(request.number(), 200, "text/plain; version=0.0.4",
              metricsPage(m_core, {.openConnections = m_server.openConnections(),
                                   .openAttempts = m_attempts.openAttempts(),
+                                  .streamBufferBytes = buffered,
                                   .badRequests = m_badRequests}));
 }
 
--- a/src/daemon/internal/callerapi.h
+++ b/src/daemon/internal/callerapi.h
@@ -32,6 +32,12 @@
         m_server.stopListening();
     }
 
+    //! Looks for callers that have gone without a word.
+    void dropAbandoned()
+    {
+        m_server.dropAbandoned();
+    }
+
     void respond(const pipeline::Respond &command);
     void stream(const pipeline::StreamToCaller &command);
     void open(const core::OperationOpened &command);
--- a/src/daemon/internal/daemon.cpp
+++ b/src/daemon/internal/daemon.cpp
@@ -22,6 +22,7 @@
 {
 
 constexpr model::Duration tickInterval = model::milliseconds(5);
+constexpr model::Duration sweepInterval = model::milliseconds(200);
 constexpr size_t timelineCapacity = 4096;
 //! Time for the last answers to leave the process after everything has ended.
 constexpr model::Duration flushTime = model::milliseconds(300);
@@ -118,6 +119,10 @@
         m_platform->run(now, m_core->revisions().revision());
         handle(core::Tick {});
         handleEvents();
+        if (now >= m_nextSweep) {
+            m_nextSweep = now + sweepInterval;
+            m_callers->dropAbandoned();
+        }
         checkReady(now);
         checkDrainLimit(now);
     }
--- a/src/daemon/internal/metricspage.cpp
+++ b/src/daemon/internal/metricspage.cpp
@@ -137,6 +137,8 @@
              static_cast<double>(core.requests().requestCount()));
     addGauge(families, "citronpick_attempts_open", "Attempts under way",
              static_cast<double>(counts.openAttempts));
+    addGauge(families, "citronpick_stream_buffer_bytes", "Streamed bytes that callers did not take",
+             static_cast<double>(counts.streamBufferBytes));
     addGauge(families, "citronpick_connections_open", "Connections of callers",
              static_cast<double>(counts.openConnections));
     addGauge(families, "citronpick_members_alive", "Daemons held for alive",
--- a/src/daemon/internal/metricspage.h
+++ b/src/daemon/internal/metricspage.h
@@ -12,6 +12,7 @@
 struct ShellCounts {
     size_t openConnections = 0;
     size_t openAttempts = 0;
+    size_t streamBufferBytes = 0;
     uint64_t badRequests = 0;
 };
 
--- a/src/fleet/fact.h
+++ b/src/fleet/fact.h
@@ -62,6 +62,7 @@
     model::DaemonId origin;
     model::Incarnation incarnation; //!< Of the origin.
     uint64_t version = 0; //!< Rises with each fact of the incarnation.
+    model::Duration age {}; //!< Since the origin told it; passing it on does not make it younger.
     FactBody body;
 
     friend bool operator==(const Fact &, const Fact &) = default;
@@ -72,6 +73,9 @@
 //! How long a fact holds without being told again.
 model::Duration lifetimeOf(const Fact &fact);
 
+//! Facts that are told once and compared between daemons, so that nobody misses one for long.
+bool isCompared(const Fact &fact);
+
 //! Facts that are passed on at once instead of with the next regular exchange.
 bool isUrgent(const Fact &fact);
 
--- a/src/fleet/fleetmessage.h
+++ b/src/fleet/fleetmessage.h
@@ -27,7 +27,7 @@
     Member from;
     model::Revision revision; //!< Of the sender's configuration.
     uint64_t digest = 0; //!< Of that configuration's text.
-    uint64_t tableDigest = 0; //!< Of the sender's member table.
+    uint64_t tableDigest = 0; //!< Of the sender's members and compared facts.
     bool wantsAll = false; //!< Asks for the whole member table and all facts.
     model::DaemonId target; //!< Of an indirect probe.
     config::Endpoint targetEndpoint;
@@ -42,7 +42,7 @@
 struct SendExchange {
     uint64_t exchange = 0;
     config::Endpoint to;
-    model::Duration timeout;
+    model::Duration timeout {};
     FleetMessage message;
 };
 
--- a/src/fleet/fleetoptions.h
+++ b/src/fleet/fleetoptions.h
@@ -20,7 +20,8 @@
     model::Duration deadMemory = model::seconds(600); //!< A dead member is remembered for this.
     uint32_t farEvery = 4; //!< One exchange in so many goes to another zone.
     uint32_t urgentFanout = 3;
-    double urgentPerSecond = 5.0; //!< Exchanges beyond the regular ones.
+    uint32_t directFanout = 7; //!< A fleet with no more peers than this is told directly.
+    double urgentPerSecond = 10.0; //!< Exchanges beyond the regular ones.
     double bytesPerSecond = 5000.0; //!< Of members and facts sent, estimated.
     double burstBytes = 16000.0;
     model::Duration fullExchangeInterval = model::seconds(20); //!< Least time between two.
--- a/src/fleet/fleetsystem.h
+++ b/src/fleet/fleetsystem.h
@@ -102,7 +102,8 @@
         uint32_t sends = 0;
     };
 
-    void startExchange(const Member &peer, uint64_t onBehalfOf, model::TimePoint now);
+    void startExchange(const Member &peer, uint64_t onBehalfOf, bool countsAsTold,
+                       model::TimePoint now);
     void contactSeeds(model::TimePoint now);
     void startIndirect(const model::DaemonId &suspect, model::TimePoint now);
     void spreadUrgently(model::TimePoint now);
@@ -111,7 +112,9 @@
     std::vector<Member> randomPeers(size_t count, const model::DaemonId &except);
 
     FleetMessage message(MessageKind kind);
-    void addDeltas(FleetMessage &message);
+    void addDeltas(FleetMessage &message, bool countsAsTold);
+    Fact agedFact(const FactTable::Row &row) const;
+    uint64_t tableDigest() const;
     void addEverything(FleetMessage &message) const;
     void absorb(const FleetMessage &message, model::TimePoint now);
     void applyMember(const Member &member, model::TimePoint now);
--- a/src/fleet/internal/fact.cpp
+++ b/src/fleet/internal/fact.cpp
@@ -44,6 +44,12 @@
                       fact.body);
 }
 
+bool isCompared(const Fact &fact)
+{
+    return std::holds_alternative<StrikeFact>(fact.body)
+           || std::holds_alternative<ReturnFact>(fact.body);
+}
+
 bool isUrgent(const Fact &fact)
 {
     if (std::holds_alternative<StrikeFact>(fact.body)) {
--- a/src/fleet/internal/facttable.cpp
+++ b/src/fleet/internal/facttable.cpp
@@ -2,6 +2,8 @@
 
 #include <tuple>
 
+#include "model/hash.h"
+
 namespace citronpick::fleet
 {
 
@@ -14,27 +16,39 @@
 
 bool FactTable::apply(const Fact &fact, model::TimePoint now)
 {
+    if (fact.age > lifetimeOf(fact)) {
+        return false;
+    }
+    const Row row {.fact = fact, .toldAt = now - fact.age};
     FactKey key = keyOf(fact);
     const auto it = m_rows.find(key);
     if (it == m_rows.end()) {
         if (m_rows.size() >= maxFacts) {
             return false;
         }
-        m_rows.emplace(std::move(key), Row {.fact = fact, .heardAt = now});
+        m_rows.emplace(std::move(key), row);
+        m_digest ^= digestOf(fact);
         return true;
     }
     const Fact &present = it->second.fact;
     const bool isNewer
         = std::tie(fact.incarnation, fact.version) > std::tie(present.incarnation, present.version);
     if (isNewer) {
-        it->second = Row {.fact = fact, .heardAt = now};
+        m_digest ^= digestOf(present) ^ digestOf(fact);
+        it->second = row;
     }
     return isNewer;
 }
 
-void FactTable::remove(const FactKey &key)
+uint64_t FactTable::digestOf(const Fact &fact)
 {
-    m_rows.erase(key);
+    if (!isCompared(fact)) {
+        return 0;
+    }
+    const FactKey key = keyOf(fact);
+    const uint64_t named = model::hash64(key.subject, model::hash64(key.origin.text(), key.kind));
+    return named ^ (fact.incarnation.value() * 0x9E3779B97F4A7C15ULL)
+           ^ (fact.version * 0xC2B2AE3D27D4EB4FULL);
 }
 
 } // namespace citronpick::fleet
--- a/src/fleet/internal/fleetexchange.cpp
+++ b/src/fleet/internal/fleetexchange.cpp
@@ -36,7 +36,7 @@
         refreshOwnFacts(now);
         const Member *peer = nextPeer();
         if (peer) {
-            startExchange(*peer, 0, now);
+            startExchange(*peer, 0, true, now);
         }
         constexpr uint32_t seedPeriods = 10;
         if (!peer || m_periods % seedPeriods == 0) {
@@ -48,10 +48,11 @@
     }
 }
 
-void FleetSystem::startExchange(const Member &peer, uint64_t onBehalfOf, model::TimePoint now)
+void FleetSystem::startExchange(const Member &peer, uint64_t onBehalfOf, bool countsAsTold,
+                                model::TimePoint now)
 {
     FleetMessage outgoing = message(MessageKind::Exchange);
-    addDeltas(outgoing);
+    addDeltas(outgoing, countsAsTold);
     const uint64_t number = ++m_lastExchange;
     m_open.emplace(number,
                    OpenExchange {.peer = peer.id, .startedAt = now, .onBehalfOf = onBehalfOf});
@@ -126,12 +127,18 @@
         return;
     }
     m_hasUrgent = false;
-    for (const Member &peer : randomPeers(m_options.urgentFanout, m_self.id)) {
+    // A small fleet is told directly, a large one by passing on.
+    const size_t others = m_members.usableCount();
+    const size_t fanout
+        = others <= m_options.directFanout + 1 ? m_options.directFanout : m_options.urgentFanout;
+    for (const Member &peer : randomPeers(fanout, m_self.id)) {
         if (m_urgentTokens < 1.0) {
             return;
         }
         m_urgentTokens -= 1.0;
-        startExchange(peer, 0, now);
+        // The first hurried copies may all go to the same few; they must not use up the regular
+        // ones.
+        startExchange(peer, 0, false, now);
     }
 }
 
@@ -199,12 +206,12 @@
     result.from = m_self;
     result.revision = m_revision;
     result.digest = m_digest;
-    result.tableDigest = m_members.digest();
+    result.tableDigest = tableDigest();
     return result;
 }
 
 // What was told least often goes first; the byte budget cuts the rest, which waits.
-void FleetSystem::addDeltas(FleetMessage &message)
+void FleetSystem::addDeltas(FleetMessage &message, bool countsAsTold)
 {
     for (auto it = m_pendingMembers.begin(); it != m_pendingMembers.end();) {
         if (m_byteTokens < memberBytes) {
@@ -216,7 +223,7 @@
             m_byteTokens -= memberBytes;
             m_sentBytes += static_cast<uint64_t>(memberBytes);
         }
-        const bool isDone = !row || --it->second.sends == 0;
+        const bool isDone = !row || (countsAsTold && --it->second.sends == 0);
         it = isDone ? m_pendingMembers.erase(it) : std::next(it);
     }
     std::vector<std::pair<uint32_t, const FactKey *>> order;
@@ -233,11 +240,11 @@
         const auto row = m_facts.rows().find(*key);
         const bool isKnown = row != m_facts.rows().end();
         if (isKnown) {
-            message.facts.push_back(row->second.fact);
+            message.facts.push_back(agedFact(row->second));
             m_byteTokens -= factBytes;
             m_sentBytes += static_cast<uint64_t>(factBytes);
         }
-        if (!isKnown || --m_pendingFacts[*key].sends == 0) {
+        if (!isKnown || (countsAsTold && --m_pendingFacts[*key].sends == 0)) {
             done.push_back(*key);
         }
     }
@@ -255,10 +262,22 @@
         if (message.facts.size() >= maxFactsAtOnce) {
             break;
         }
-        message.facts.push_back(row.fact);
+        message.facts.push_back(agedFact(row));
     }
 }
 
+Fact FleetSystem::agedFact(const FactTable::Row &row) const
+{
+    Fact fact = row.fact;
+    fact.age = m_lastRun - row.toldAt;
+    return fact;
+}
+
+uint64_t FleetSystem::tableDigest() const
+{
+    return m_members.digest() ^ m_facts.digest();
+}
+
 void FleetSystem::suspect(const model::DaemonId &daemon, model::TimePoint now)
 {
     const MemberTable::Row *row = m_members.find(daemon);
--- a/src/fleet/internal/fleetsystem.cpp
+++ b/src/fleet/internal/fleetsystem.cpp
@@ -102,17 +102,18 @@
         const MemberTable::Row *row = m_members.find(message.target);
         Member target = row ? row->member : Member {.id = message.target};
         target.fleet = message.targetEndpoint;
-        startExchange(target, exchange, now);
+        startExchange(target, exchange, true, now);
         return;
     }
     FleetMessage reply = this->message(MessageKind::Reply);
-    const bool differs = message.tableDigest != m_members.digest();
+    const bool differs = message.tableDigest != tableDigest();
     if (message.wantsAll) {
         addEverything(reply);
     } else {
-        addDeltas(reply);
+        addDeltas(reply, true);
         // Tables that differ although all deltas were passed on are compared as a whole.
-        reply.wantsAll = differs && m_pendingMembers.empty() && now >= m_nextFullExchange;
+        reply.wantsAll = differs && m_pendingMembers.empty() && m_pendingFacts.empty()
+                         && now >= m_nextFullExchange;
         if (reply.wantsAll) {
             m_nextFullExchange = now + m_options.fullExchangeInterval;
         }
--- a/src/health/healthsystem.h
+++ b/src/health/healthsystem.h
@@ -26,7 +26,7 @@
 struct Probe {
     model::UpstreamRow upstream;
     uint64_t number = 0;
-    model::Duration timeout;
+    model::Duration timeout {};
 };
 
 //! What one run decided.
@@ -50,6 +50,9 @@
 
     //! An answer came; \a ratio is its time over the expected one.
     void onAnswer(model::UpstreamRow upstream, uint64_t epoch, double ratio, model::TimePoint now);
+    //! The upstream could not be connected to.
+    void onConnectFailure(model::UpstreamRow upstream, uint64_t epoch, model::TimePoint startedAt,
+                          model::TimePoint now);
     //! No usable answer came.
     void onFailure(model::UpstreamRow upstream, uint64_t epoch, model::TimePoint startedAt,
                    model::TimePoint now);
--- a/src/health/internal/healthsystem.cpp
+++ b/src/health/internal/healthsystem.cpp
@@ -101,6 +101,17 @@
     }
 }
 
+// Nobody listens: further requests could only find out the same.
+void HealthSystem::onConnectFailure(model::UpstreamRow upstream, uint64_t epoch,
+                                    model::TimePoint startedAt, model::TimePoint now)
+{
+    HealthRow &row = m_table.at(upstream);
+    if (startedAt >= m_wokeAt && !isOutOfService(row.state)) {
+        row.consecutiveFailures = std::max(row.consecutiveFailures, m_options.failuresToEject - 1);
+    }
+    onFailure(upstream, epoch, startedAt, now);
+}
+
 void HealthSystem::onOverdue(model::UpstreamRow upstream, uint64_t epoch, double ratio,
                              model::TimePoint startedAt, model::TimePoint now)
 {
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -90,6 +90,9 @@
     //! Bytes written that the caller has not taken yet.
     size_t buffered(uint64_t number) const;
 
+    //! Ends exchanges whose caller has closed its connection; to be called now and then.
+    void dropAbandoned();
+
     size_t openExchanges() const;
     size_t openConnections() const;
 
--- a/src/net/internal/fleetcodec.cpp
+++ b/src/net/internal/fleetcodec.cpp
@@ -99,6 +99,7 @@
 };
 
 constexpr uint32_t maxPort = 65535;
+constexpr uint32_t maxAgeMs = 3600000;
 constexpr auto lastMemberState = static_cast<uint32_t>(fleet::MemberState::Dead);
 constexpr auto lastHealthState = static_cast<uint32_t>(health::HealthState::Ramping);
 constexpr auto lastKind = static_cast<uint32_t>(fleet::MessageKind::Reply);
@@ -192,6 +193,7 @@
     value.append(fact.origin.text());
     value.append(Json::UInt64(fact.incarnation.value()));
     value.append(Json::UInt64(fact.version));
+    value.append(Json::UInt64(std::max<int64_t>(0, model::toMilliseconds(fact.age))));
     value.append(static_cast<uint32_t>(fact.body.index()));
     value.append(encodeBody(fact.body));
     return value;
@@ -199,16 +201,17 @@
 
 fleet::Fact decodeFact(const Json::Value &given, Reader &reader)
 {
-    const Json::Value &value = reader.fields(given, 5);
+    const Json::Value &value = reader.fields(given, 6);
     if (value.empty()) {
         return {};
     }
     constexpr uint32_t lastFactKind = std::variant_size_v<fleet::FactBody> - 1;
-    const uint32_t kind = reader.smallNumber(value[3], lastFactKind);
+    const uint32_t kind = reader.smallNumber(value[4], lastFactKind);
     return {.origin = model::DaemonId(reader.text(value[0])),
             .incarnation = model::Incarnation(reader.number(value[1])),
             .version = reader.number(value[2]),
-            .body = decodeBody(kind, value[4], reader)};
+            .age = model::milliseconds(reader.smallNumber(value[3], maxAgeMs)),
+            .body = decodeBody(kind, value[5], reader)};
 }
 
 Json::Value encode(const fleet::FleetMessage &message)
--- a/src/net/internal/httpclient.cpp
+++ b/src/net/internal/httpclient.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <sys/socket.h>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
@@ -23,6 +24,15 @@
 constexpr uint64_t idleConnectionMs = 4000;
 constexpr size_t maxPooledConnections = 1024;
 
+// The library takes all that a socket holds in one go, which the system would let grow to many
+// megabytes while a stream is not read.
+void boundReceiveBuffer(h2o_socket_t *socket)
+{
+    constexpr int receiveBufferBytes = 128 << 10;
+    setsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes,
+               sizeof(receiveBufferBytes));
+}
+
 h2o_iovec_t toIovec(std::string_view text)
 {
     return h2o_iovec_init(text.data(), text.size());
@@ -172,6 +182,9 @@
     }
     call.client = client;
     call.isSent = true;
+    if (call.isStreamed) {
+        boundReceiveBuffer(client->sock);
+    }
     call.buffers[0] = toIovec(call.head);
     call.buffers[1] = call.body ? toIovec(*call.body) : h2o_iovec_init(nullptr, 0);
     *buffers = call.buffers.data();
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -1,6 +1,8 @@
 #include "net/httpserver.h"
 
 #include <algorithm>
+#include <sys/socket.h>
+#include <vector>
 
 #include <absl/container/flat_hash_map.h>
 
@@ -12,6 +14,9 @@
 namespace
 {
 
+//! As the library writes protocol versions.
+constexpr int http2Version = 0x200;
+
 std::string_view viewOf(const h2o_iovec_t &bytes)
 {
     return {bytes.base, bytes.len};
@@ -124,6 +129,7 @@
     void write(uint64_t number, std::string_view bytes);
     void endStream(uint64_t number);
     size_t buffered(uint64_t number) const;
+    void dropAbandoned();
 
     size_t openExchanges() const
     {
@@ -155,6 +161,7 @@
         bool isWhole; //!< All that there is to send was handed over.
     };
 
+    static bool isPeerGone(h2o_conn_t *connection);
     static int onRequest(h2o_handler_t *handler, h2o_req_t *request);
     static void onAccept(h2o_socket_t *listener, const char *error);
     static void onConnectionClosed(void *data);
@@ -383,6 +390,33 @@
     }
 }
 
+// While a request waits for its answer the library does not read from an HTTP/1 connection, so it
+// does not see the caller close it; looking at the socket does.
+void HttpServer::Impl::dropAbandoned()
+{
+    std::vector<uint64_t> abandoned;
+    for (const auto &[number, exchange] : m_exchanges) {
+        const bool isHttp1 = exchange->request->version < http2Version;
+        if (isHttp1 && !exchange->isWhole && isPeerGone(exchange->request->conn)) {
+            abandoned.push_back(number);
+        }
+    }
+    for (const uint64_t number : abandoned) {
+        m_handler.onClosed(number, false);
+        // Writing to the closed connection is what makes the library let go of it.
+        constexpr uint16_t clientClosedRequest = 499;
+        respond(number, clientClosedRequest, {}, nullptr);
+        endStream(number);
+    }
+}
+
+bool HttpServer::Impl::isPeerGone(h2o_conn_t *connection)
+{
+    h2o_socket_t *socket = connection->callbacks->get_socket(connection);
+    char byte = 0;
+    return recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 // The caller is gone; the request's memory, and with it the exchange, follows.
 void HttpServer::Impl::onStop(h2o_generator_t *, h2o_req_t *)
 {
@@ -445,6 +479,11 @@
     return m_impl->buffered(number);
 }
 
+void HttpServer::dropAbandoned()
+{
+    m_impl->dropAbandoned();
+}
+
 size_t HttpServer::openExchanges() const
 {
     return m_impl->openExchanges();
--- a/src/net/internal/jsonrpc.cpp
+++ b/src/net/internal/jsonrpc.cpp
@@ -20,6 +20,23 @@
 //! Identifier of the only call of a batch.
 constexpr int callId = 1;
 
+//! Deeper texts are none of this system's; the parser would refuse them by an exception.
+constexpr int maxDepth = 32;
+
+bool parseText(const std::string &text, Json::Value &value)
+{
+    Json::CharReaderBuilder builder;
+    builder["stackLimit"] = maxDepth;
+    builder["failIfExtra"] = true;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    std::string errors;
+    try {
+        return reader->parse(text.data(), text.data() + text.size(), &value, &errors);
+    } catch (const std::exception &) {
+        return false;
+    }
+}
+
 //! Hands out an answer that has already come, so that the library does no input or output.
 class AnswerHolder : public jsonrpc::IClientConnector
 {
@@ -50,12 +67,8 @@
 
 bool decodeJsonRpcCall(const std::string &text, std::string &method, Json::Value &params)
 {
-    const Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
     Json::Value batch;
-    std::string errors;
-    const bool isRead = reader->parse(text.data(), text.data() + text.size(), &batch, &errors);
-    if (!isRead || !batch.isArray() || batch.size() != 1 || !batch[0].isObject()) {
+    if (!parseText(text, batch) || !batch.isArray() || batch.size() != 1 || !batch[0].isObject()) {
         return false;
     }
     const Json::Value &call = batch[0];
@@ -84,6 +97,11 @@
 
 bool decodeJsonRpcResult(const std::string &text, Json::Value &result)
 {
+    // The library ends the process on texts that its parser throws at.
+    Json::Value batch;
+    if (!parseText(text, batch)) {
+        return false;
+    }
     AnswerHolder holder(text);
     jsonrpc::Client client(holder);
     jsonrpc::BatchCall call;
--- a/src/pipeline/costtable.h
+++ b/src/pipeline/costtable.h
@@ -21,8 +21,8 @@
     uint64_t retries = 0;
     uint64_t hedges = 0;
     uint64_t tokens = 0;
-    model::Duration upstreamTime; //!< Of all attempts.
-    model::Duration wastedTime; //!< Of attempts whose answer was of no use.
+    model::Duration upstreamTime {}; //!< Of all attempts.
+    model::Duration wastedTime {}; //!< Of attempts whose answer was of no use.
 
     friend auto operator<=>(const StageCost &, const StageCost &) = default;
 };
@@ -30,8 +30,8 @@
 //! What a client account has cost since the daemon started.
 struct AccountCost {
     uint64_t requests = 0;
-    model::Duration upstreamTime;
-    model::Duration wastedTime;
+    model::Duration upstreamTime {};
+    model::Duration wastedTime {};
 
     friend auto operator<=>(const AccountCost &, const AccountCost &) = default;
 };
@@ -44,7 +44,7 @@
     uint64_t failed = 0;
     uint64_t unknown = 0;
     uint64_t late = 0; //!< Of the complete ones, past their deadline.
-    model::Duration totalTime; //!< From arrival to answer, of complete ones.
+    model::Duration totalTime {}; //!< From arrival to answer, of complete ones.
 
     friend auto operator<=>(const RouteCount &, const RouteCount &) = default;
 };
--- a/src/pipeline/internal/requestanswers.cpp
+++ b/src/pipeline/internal/requestanswers.cpp
@@ -169,11 +169,14 @@
         --request.sentAttempts;
         request.unrepeatableSent -= request.stageConfig().isIdempotent ? 0 : 1;
         request.hasOpenUnrepeatable = false;
+        m_parts.health.onConnectFailure(attempt.upstream, attempt.healthEpoch, attempt.startedAt,
+                                        now);
+    } else {
+        m_parts.health.onFailure(attempt.upstream, attempt.healthEpoch, attempt.startedAt, now);
     }
     if (error == AttemptError::ConnectionLost) {
         addStrike(request, attempt, now);
     }
-    m_parts.health.onFailure(attempt.upstream, attempt.healthEpoch, attempt.startedAt, now);
     if (m_quarantine.remaining(request.fingerprint, now)) {
         cancelAttempts(request, now);
         finishFailed(request, model::Reason::Quarantined, 0, now);
--- a/src/pipeline/quarantinetable.h
+++ b/src/pipeline/quarantinetable.h
@@ -56,8 +56,8 @@
     const Row *find(model::Fingerprint fingerprint, model::TimePoint now) const;
 
     uint32_t m_strikesToQuarantine;
-    model::Duration m_strikeLifetime;
-    model::Duration m_quarantineLifetime;
+    model::Duration m_strikeLifetime {};
+    model::Duration m_quarantineLifetime {};
     absl::flat_hash_map<model::Fingerprint, Row> m_rows;
     std::deque<model::Fingerprint> m_order;
 };
--- a/src/pipeline/requestcommands.h
+++ b/src/pipeline/requestcommands.h
@@ -21,7 +21,7 @@
     std::string host;
     uint16_t port = 0;
     std::string path;
-    model::Duration budget; //!< Time left for this stage.
+    model::Duration budget {}; //!< Time left for this stage.
     uint32_t priorityRank = 0;
     bool isStreaming = false;
     uint32_t resumeFrom = 0; //!< First token wanted; earlier ones were delivered.
@@ -50,7 +50,7 @@
     model::Outcome outcome = model::Outcome::Complete;
     model::Reason reason = model::Reason::None;
     uint16_t upstreamStatus = 0; //!< Zero when no upstream answered.
-    model::Duration retryAfter; //!< Zero when a resend has no better time.
+    model::Duration retryAfter {}; //!< Zero when a resend has no better time.
     std::string detail; //!< For people; may be empty.
     model::BodyPtr body; //!< Null when there is none.
 };
--- a/src/pipeline/requestsystem.h
+++ b/src/pipeline/requestsystem.h
@@ -127,7 +127,7 @@
     // Arrival
     struct Refusal {
         model::Reason reason = model::Reason::None;
-        model::Duration retryAfter;
+        model::Duration retryAfter {};
     };
     std::optional<Refusal> checkArrival(const RequestArrived &event, model::Fingerprint fingerprint,
                                         model::TimePoint now) const;
--- a/src/pipeline/requesttable.h
+++ b/src/pipeline/requesttable.h
@@ -30,7 +30,7 @@
     model::UpstreamRow upstream;
     size_t stage = 0;
     model::TimePoint startedAt;
-    model::Duration expected; //!< Of the whole answer at the configured speed.
+    model::Duration expected {}; //!< Of the whole answer at the configured speed.
     uint64_t healthEpoch = 0;
     bool isHedge = false;
     bool isReturning = false; //!< Went to an upstream that is returning to service.
@@ -62,7 +62,7 @@
     model::PoolRow pool; //!< Of the present stage.
     model::BodyPtr input; //!< Of the present stage.
     admission::QueueTicket ticket; //!< Valid while queued.
-    model::Duration cost; //!< Expected, of the present stage.
+    model::Duration cost {}; //!< Expected, of the present stage.
     bool isLong = false;
     std::vector<model::AttemptId> attempts; //!< Under way.
     std::vector<model::UpstreamRow> tried; //!< In the present stage.
--- a/tests/standins/upstreamstandin.cpp
+++ b/tests/standins/upstreamstandin.cpp
@@ -10,6 +10,14 @@
 namespace citronpick::standins
 {
 
+namespace
+{
+
+//! A longer stream is left open: its end would hide how much of it was read.
+constexpr size_t maxUnendedBytes = 8U << 20U;
+
+} // namespace
+
 UpstreamStandIn::UpstreamStandIn(net::EventLoop &loop, std::string name)
     : m_name(std::move(name))
     , m_server(loop, *this, {.maxBodyBytes = 8U << 20U, .maxConnections = 10000})
@@ -87,6 +95,7 @@
 
 void UpstreamStandIn::run(model::TimePoint now)
 {
+    m_server.dropAbandoned();
     for (size_t i = 0; i < m_due.size();) {
         if (m_due[i].at > now) {
             ++i;
@@ -111,8 +120,18 @@
     m_server.respond(due.number, due.script.status, due.headers, model::makeBody(std::move(body)));
 }
 
+size_t UpstreamStandIn::unreadBytes() const
+{
+    size_t bytes = 0;
+    for (const uint64_t stream : m_streams) {
+        bytes += m_server.buffered(stream);
+    }
+    return bytes;
+}
+
 void UpstreamStandIn::answerStream(const Due &due)
 {
+    m_streams.push_back(due.number);
     m_server.beginStream(due.number, 200, due.headers);
     const uint32_t last = due.script.breaksAfterTokens > 0
                               ? std::min(due.script.tokens, due.script.breaksAfterTokens)
@@ -125,11 +144,15 @@
         records += "{\"done\":true}\n";
     }
     m_server.write(due.number, records);
-    m_server.endStream(due.number);
+    if (m_server.buffered(due.number) < maxUnendedBytes) {
+        m_server.endStream(due.number);
+    }
 }
 
-void UpstreamStandIn::onClosed(uint64_t, bool)
+void UpstreamStandIn::onClosed(uint64_t number, bool)
 {
+    std::erase(m_streams, number);
+    std::erase_if(m_due, [number](const Due &due) { return due.number == number; });
     m_open -= m_open > 0 ? 1 : 0;
 }
 
--- a/tests/standins/upstreamstandin.h
+++ b/tests/standins/upstreamstandin.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "net/httpserver.h"
 
@@ -12,7 +13,7 @@
 
 //! How an upstream stand-in behaves from now on.
 struct UpstreamScript {
-    model::Duration delay; //!< Before an answer.
+    model::Duration delay {}; //!< Before an answer.
     uint16_t status = 200;
     bool isSilent = false; //!< Takes requests and never answers.
     bool closesConnection = false; //!< Loses the connection instead of answering.
@@ -22,7 +23,6 @@
     uint32_t tokens = 0; //!< Answers by a stream of so many tokens.
     uint32_t breaksAfterTokens = 0; //!< Ends the stream after so many; zero never does.
     uint32_t answerBytes = 0; //!< Answers with so many bytes instead of the input.
-    bool runsOnlyOnce = false; //!< Closes its listener after one request, like a crash.
     std::string crashWord; //!< A body with this word closes every connection.
 };
 
@@ -49,6 +49,13 @@
         return m_runs;
     }
     uint32_t totalRuns() const;
+    //! Bytes of streams that the daemon has not read yet.
+    size_t unreadBytes() const;
+    //! Requests under way.
+    uint32_t open() const
+    {
+        return m_open;
+    }
     uint32_t probes() const
     {
         return m_probes;
@@ -78,6 +85,7 @@
     std::map<std::string, uint32_t> m_runs;
     uint32_t m_probes = 0;
     uint32_t m_open = 0;
+    std::vector<uint64_t> m_streams;
 };
 
 } // namespace citronpick::standins
--- a/tests/support/fakeupstream.h
+++ b/tests/support/fakeupstream.h
@@ -92,8 +92,8 @@
 
     std::string m_name;
     uint32_t m_slots;
-    model::Duration m_serviceTime;
-    model::Duration m_timePerToken;
+    model::Duration m_serviceTime {};
+    model::Duration m_timePerToken {};
     model::Random m_random;
     Behaviour m_behaviour;
     uint32_t m_running = 0;
