--- a/src/observability/event.h
+++ b/src/observability/event.h
@@ -53,8 +53,6 @@
     OperationTableFull = 602,
     PlatformUnavailable = 701,
     PlatformAvailable = 702,
-    OrderSent = 801,
-    OrderRefused = 802,
 };
 
 enum class EventLevel {
--- a/src/observability/internal/event.cpp
+++ b/src/observability/internal/event.cpp
@@ -52,8 +52,6 @@
     EventDescription {OperationTableFull, Error, "operation-table-full"},
     EventDescription {PlatformUnavailable, Warning, "platform-unavailable"},
     EventDescription {PlatformAvailable, Info, "platform-available"},
-    EventDescription {OrderSent, Info, "order-sent"},
-    EventDescription {OrderRefused, Warning, "order-refused"},
 };
 
 } // namespace
