--- a/src/admission/stagequeue.h
+++ b/src/admission/stagequeue.h
@@ -82,6 +82,11 @@
     {
         return m_items.size();
     }
+    //! Without long work that waits apart.
+    size_t shortSize() const
+    {
+        return m_short.size();
+    }
     bool isEmpty() const
     {
         return m_items.empty();
--- a/src/core/internal/coreperiodic.cpp
+++ b/src/core/internal/coreperiodic.cpp
@@ -56,6 +56,7 @@
         m_nextHealthRun = now + healthInterval;
         m_shares.refresh();
         runHealth(now);
+        m_requests.refreshPools(static_cast<uint32_t>(m_fleet.members().usableCount()), now);
     }
     if (now >= m_nextSecond) {
         m_nextSecond = now + model::seconds(1);
@@ -115,7 +116,9 @@
         upstream.limit.restartFrom(m_health.lastStepSlots(transition.upstream));
         upstream.slowness = 1.0;
     }
-    if (wasOut || isOut) {
+    const bool isSuspicion = transition.to == health::HealthState::Suspect
+                             || transition.from == health::HealthState::Suspect;
+    if (wasOut || isOut || isSuspicion) {
         publishReturn(transition, now);
     }
 }
@@ -133,7 +136,7 @@
         return;
     }
     m_fleet.publish(fact, now);
-    if (!health::isOutOfService(row.state)) {
+    if (row.state == health::HealthState::Active) {
         m_fleet.withdraw(fact);
     }
 }
--- a/src/fleet/fleetshares.h
+++ b/src/fleet/fleetshares.h
@@ -21,6 +21,7 @@
     uint32_t slots(const model::UpstreamId &upstream, uint32_t total) const override;
     std::optional<health::PeerReturn>
     furthestPeer(const model::UpstreamId &upstream) const override;
+    bool isSuspectedByPeer(const model::UpstreamId &upstream) const override;
     uint32_t peerRelapses(const model::UpstreamId &upstream) const override;
 
     //! Whether this daemon is early enough in line for an upstream's return to get slots.
--- a/src/fleet/internal/fact.cpp
+++ b/src/fleet/internal/fact.cpp
@@ -62,7 +62,9 @@
         return true;
     }
     const auto *returning = std::get_if<ReturnFact>(&fact.body);
-    return returning && returning->relapses > 0 && returning->state == health::HealthState::Ejected;
+    const bool isRelapse
+        = returning && returning->relapses > 0 && returning->state == health::HealthState::Ejected;
+    return isRelapse || (returning && returning->state == health::HealthState::Suspect);
 }
 
 } // namespace citronpick::fleet
--- a/src/fleet/internal/fleetshares.cpp
+++ b/src/fleet/internal/fleetshares.cpp
@@ -119,7 +119,6 @@
         constexpr uint32_t returned = 1000;
         switch (state.state) {
         case health::HealthState::Active:
-        case health::HealthState::Suspect:
             return returned;
         case health::HealthState::Ramping:
             return 1 + state.rampStep;
@@ -136,6 +135,15 @@
     return furthest;
 }
 
+bool FleetShares::isSuspectedByPeer(const model::UpstreamId &upstream) const
+{
+    const auto it = m_returns.find(upstream);
+    return it != m_returns.end()
+           && std::any_of(it->second.begin(), it->second.end(), [](const PeerReturnRow &peer) {
+                  return peer.state.state != health::HealthState::Active;
+              });
+}
+
 uint32_t FleetShares::peerRelapses(const model::UpstreamId &upstream) const
 {
     const auto it = m_returns.find(upstream);
--- a/src/health/internal/healthrun.cpp
+++ b/src/health/internal/healthrun.cpp
@@ -12,8 +12,10 @@
 // Ejections this recent count as signs of a degraded pool or zone.
 constexpr model::Duration recentEjectionTime = model::seconds(3);
 // A suspect without any new answer for this long is tried again as before.
-constexpr model::Duration suspectWithoutEvidence = model::seconds(3);
+constexpr model::Duration suspectWithoutEvidence = model::seconds(10);
 constexpr size_t minSuspectSamples = 3;
+// Consecutive slow answers that make an upstream suspect.
+constexpr size_t minSlowAnswers = 2;
 constexpr size_t minFailureSamples = 6;
 
 } // namespace
@@ -82,13 +84,17 @@
 {
     const HealthRow &row = m_table.at(upstream);
     const double limit = slowThreshold(m_upstreams.at(upstream).pool);
-    if (row.state == HealthState::Suspect) {
-        return row.ratios.size() >= minSuspectSamples && row.ratios.median() > limit;
-    }
-    // Little is lost by suspecting, so where answers are few the last ones are enough.
     const bool isMostlySlow
         = row.ratios.size() >= m_options.minSlowSamples && row.ratios.median() > limit;
-    return isMostlySlow || row.ratios.areLastAbove(minSuspectSamples, limit);
+    // Little is lost by suspecting, so where answers are few the last ones are enough; and what
+    // a peer has seen as well needs one answer only.
+    const bool isSuspectedByPeer = m_share.isSuspectedByPeer(m_upstreams.at(upstream).config.id);
+    const size_t enough = isSuspectedByPeer ? 1 : minSlowAnswers;
+    if (row.state == HealthState::Suspect) {
+        const size_t needed = isSuspectedByPeer ? 1 : minSuspectSamples;
+        return row.ratios.size() >= needed && row.ratios.median() > limit;
+    }
+    return isMostlySlow || row.ratios.areLastAbove(enough, limit);
 }
 
 HealthSystem::Verdict HealthSystem::judge(model::UpstreamRow upstream) const
--- a/src/health/ireturnshare.h
+++ b/src/health/ireturnshare.h
@@ -31,6 +31,9 @@
     //! The furthest return that a peer reports; empty when no peer reports any.
     virtual std::optional<PeerReturn> furthestPeer(const model::UpstreamId &upstream) const = 0;
 
+    //! Whether a peer suspects the upstream of being slow.
+    virtual bool isSuspectedByPeer(const model::UpstreamId &upstream) const = 0;
+
     //! The most relapses that any peer reports.
     virtual uint32_t peerRelapses(const model::UpstreamId &upstream) const = 0;
 };
--- a/src/pipeline/internal/requestanswers.cpp
+++ b/src/pipeline/internal/requestanswers.cpp
@@ -245,8 +245,8 @@
     if (isHopeless(request, now) || !hasUntriedUpstream(request)) {
         return false;
     }
-    // The few requests that try a returning upstream must not pay for it.
-    if (attempt.isReturning) {
+    // The few requests that test an upstream must not pay for it.
+    if (attempt.isTest) {
         return true;
     }
     return stateOf(request.pool).budget.take(0.0);
--- a/src/pipeline/internal/requestattempts.cpp
+++ b/src/pipeline/internal/requestattempts.cpp
@@ -100,13 +100,57 @@
     if (!m_options.adaptsLimits) {
         return;
     }
-    if (recent > congestionFactor * std::max(state.quietRatio, 1e-3)) {
+    // The upstream's own word comes before what answer times say: more there than it can run at a
+    // time means that requests wait where no daemon can reorder or refuse them.
+    const bool isFresh = upstream.report.at == now;
+    const bool isFull = isFresh && upstream.report.inFlight > pool.config.concurrency;
+    if (isFull || recent > congestionFactor * std::max(state.quietRatio, 1e-3)) {
         upstream.limit.onCongestion(now);
     } else {
         upstream.limit.onGoodAnswer(upstream.inFlight + 1);
     }
 }
 
+void RequestSystem::refreshPools(uint32_t daemons, model::TimePoint now)
+{
+    for (uint32_t i = 0; i < m_pools.size(); ++i) {
+        PoolState &state = *m_pools[i];
+        uint32_t inFlight = 0;
+        state.usableSlots = usableSlots(model::PoolRow {i}, daemons, now, inFlight);
+        const uint32_t shortInFlight = inFlight - std::min(inFlight, state.longInFlight);
+        const auto present = static_cast<double>(shortInFlight + state.queue.shortSize());
+        // The need of the last seconds: short work comes in bursts.
+        constexpr double decay = 0.98;
+        state.shortNeed = std::max(present, state.shortNeed * decay);
+    }
+}
+
+// What this daemon may count on: its part of each upstream, or more where the upstream reports
+// that others leave room.
+uint32_t RequestSystem::usableSlots(model::PoolRow pool, uint32_t daemons, model::TimePoint now,
+                                    uint32_t &inFlight) const
+{
+    constexpr model::Duration reportLifetime = model::seconds(2);
+    const uint32_t concurrency = m_parts.upstreams.at(pool).config.concurrency;
+    const uint32_t fairShare = (concurrency + daemons - 1) / std::max(1U, daemons);
+    uint32_t sum = 0;
+    for (const model::UpstreamRow upstream : m_parts.upstreams.at(pool).upstreams) {
+        const upstreams::Upstream &row = m_parts.upstreams.at(upstream);
+        inFlight += row.inFlight;
+        const bool isInService = !health::isOutOfService(m_parts.health.row(upstream).state);
+        if (!row.takesNewWork() || !isInService) {
+            continue;
+        }
+        const bool isFresh
+            = row.report.at != model::TimePoint::min() && now - row.report.at < reportLifetime;
+        const uint32_t room = isFresh && row.report.inFlight < concurrency
+                                  ? row.inFlight + concurrency - row.report.inFlight
+                                  : 0;
+        sum += std::min(row.limit.value(), std::max(fairShare, room));
+    }
+    return sum;
+}
+
 void RequestSystem::noteLoad(model::UpstreamRow upstream, const ReportedLoad &load,
                              model::TimePoint now)
 {
@@ -214,8 +258,8 @@
         return;
     }
     // Part of the budget stays back for retries, which save a request that has nothing else.
-    constexpr double retryReserve = 2.0;
-    if (!attempt->isReturning && !state.budget.take(retryReserve)) {
+    constexpr double retryReserve = 0.5;
+    if (!attempt->isTest && !state.budget.take(retryReserve)) {
         return;
     }
     const std::string slowUpstream = m_parts.upstreams.at(attempt->upstream).config.id.text();
@@ -243,7 +287,10 @@
                           && request.attemptCount < m_options.maxAttemptsPerStage
                           && m_options.hedges && stateOf(request.pool).queue.isEmpty()
                           && !isHopeless(request, now);
-    if (!mayStart || !hasUntriedUpstream(request) || !stateOf(request.pool).budget.take(0.0)) {
+    // Hedges come first: they act earlier, for more requests.
+    constexpr double hedgeReserve = 2.0;
+    if (!mayStart || !hasUntriedUpstream(request)
+        || !stateOf(request.pool).budget.take(hedgeReserve)) {
         return;
     }
     if (tryStart(request, true, now)) {
--- a/src/pipeline/internal/requestdispatch.cpp
+++ b/src/pipeline/internal/requestdispatch.cpp
@@ -148,8 +148,17 @@
 
 bool RequestSystem::mayTakeLong(model::PoolRow pool) const
 {
-    const double allowed = m_options.longSlotShare * slots(pool);
-    return m_pools[pool.value]->longInFlight < std::max(1.0, allowed);
+    const PoolState &state = *m_pools[pool.value];
+    if (m_options.longSlotShare >= 1.0) {
+        return true;
+    }
+    // Long work leaves room for what short work has needed of late, and for its bursts.
+    constexpr double burstFactor = 1.5;
+    const double usable = state.usableSlots;
+    const double besideShort = usable - burstFactor * state.shortNeed;
+    const double most = m_options.maxLongSlotShare * usable;
+    const double allowed = std::clamp(besideShort, m_options.longSlotShare * usable, most);
+    return state.longInFlight < std::max(1.0, allowed);
 }
 
 bool RequestSystem::tryStart(Request &request, bool isHedge, model::TimePoint now)
@@ -197,7 +206,7 @@
     attempt.expected = request.cost;
     attempt.healthEpoch = m_parts.health.row(choice.upstream).epoch;
     attempt.isHedge = isHedge;
-    attempt.isReturning = choice.kind == routing::ChoiceKind::Returning;
+    attempt.isTest = choice.kind == routing::ChoiceKind::Test;
     attempt.isStruck = m_quarantine.isStruck(request.fingerprint, now);
     attempt.isLong = request.isLong;
     constexpr uint32_t quietDivisor = 4;
@@ -267,9 +276,11 @@
     }
     // A stream is hedged until its first token only: later ones already reached the caller.
     const model::Duration usual = pool.isStreaming ? pool.expectedDuration : attempt.expected;
-    constexpr double fallbackFactor = 2.0;
-    const double ratio
-        = std::max(ratios.quantile(m_options.hedgeQuantile, fallbackFactor * median), median);
+    // Where several upstreams are slow the quantile is theirs, and waiting for it would save
+    // nobody.
+    constexpr double mostFactor = 2.0;
+    const double most = mostFactor * median;
+    const double ratio = std::clamp(ratios.quantile(m_options.hedgeQuantile, most), median, most);
     m_timers.add(attempt.startedAt + model::scaled(usual, ratio),
                  {.kind = TimerKind::Hedge, .request = request.id, .attempt = attempt.id});
 }
--- a/src/pipeline/pipelineoptions.h
+++ b/src/pipeline/pipelineoptions.h
@@ -17,7 +17,8 @@
     bool hedges = true;
     double hedgeQuantile = 0.95; //!< Of the pool's answer times, after which a second is tried.
     double longCostFactor = 6.0; //!< Of the pool's usual cost; beyond it work is long.
-    double longSlotShare = 0.5; //!< Of a pool's slots that long work may hold.
+    double longSlotShare = 0.5; //!< Of a pool's slots that long work may hold in any case.
+    double maxLongSlotShare = 0.9; //!< The same while short work needs little.
     model::Duration minBackoff = model::milliseconds(5);
     model::Duration maxBackoff = model::milliseconds(200);
     model::Duration minBudget = model::milliseconds(1);
--- a/src/pipeline/requestsystem.h
+++ b/src/pipeline/requestsystem.h
@@ -73,6 +73,8 @@
     void rescueFrom(model::UpstreamRow upstream, model::TimePoint now);
 
     void runTimers(model::TimePoint now);
+    //! Works out what the daemon may count on in each pool; every 100 ms.
+    void refreshPools(uint32_t daemons, model::TimePoint now);
     //! Hands queued work to whatever has room.
     void dispatchAll(model::TimePoint now);
     //! Ends every request as "stopped"; for the end of a stop that took too long.
@@ -111,6 +113,8 @@
         double quietRatio = 1.0; //!< Normalised answer time while upstreams are little used.
         std::vector<double> recentRatios; //!< By upstream row; smoothed.
         uint32_t longInFlight = 0;
+        uint32_t usableSlots = 1;
+        double shortNeed = 0.0; //!< Slots that short work has needed in the last seconds.
         model::TimePoint lastAnswerAt;
     };
 
@@ -158,6 +162,8 @@
     void armAttemptTimers(const Request &request, const Attempt &attempt);
     bool isHopeless(const Request &request, model::TimePoint now) const;
     uint32_t slots(model::PoolRow pool) const;
+    uint32_t usableSlots(model::PoolRow pool, uint32_t daemons, model::TimePoint now,
+                         uint32_t &inFlight) const;
     bool mayTakeLong(model::PoolRow pool) const;
     admission::QueueItem queueItem(const Request &request) const;
 
--- a/src/pipeline/requesttable.h
+++ b/src/pipeline/requesttable.h
@@ -33,7 +33,7 @@
     model::Duration expected {}; //!< Of the whole answer at the configured speed.
     uint64_t healthEpoch = 0;
     bool isHedge = false;
-    bool isReturning = false; //!< Went to an upstream that is returning to service.
+    bool isTest = false; //!< Went to an upstream to see whether it is fit.
     bool isStruck = false;
     bool isLong = false;
     bool startedQuiet = false; //!< The upstream held little else of this daemon's.
--- a/src/routing/internal/router.cpp
+++ b/src/routing/internal/router.cpp
@@ -105,7 +105,7 @@
         return std::nullopt;
     }
     const uint32_t pick = m_random.below(static_cast<uint32_t>(m_returning.size()));
-    return Choice {.upstream = m_returning[pick], .kind = ChoiceKind::Returning};
+    return Choice {.upstream = m_returning[pick], .kind = ChoiceKind::Test};
 }
 
 std::optional<Choice> Router::chooseByPrefix(const PowerOfTwo &policy, const StageDemand &demand,
@@ -157,11 +157,11 @@
     }
     const bool mayTestSuspect = demand.isIdempotent && demand.hasTimeToRetry && !demand.isStruck
                                 && !m_suspects.empty()
-                                && m_random.below(policy.suspectTrialOdds) == 0;
+                                && m_random.below(policy.suspectTestOdds) == 0;
     if (mayTestSuspect) {
         const uint32_t pick = m_random.below(static_cast<uint32_t>(m_suspects.size()));
         if (m_upstreams.at(m_suspects[pick]).inFlight == 0) {
-            return Choice {.upstream = m_suspects[pick]};
+            return Choice {.upstream = m_suspects[pick], .kind = ChoiceKind::Test};
         }
     }
     if (m_near.empty() && m_far.empty()) {
@@ -186,7 +186,7 @@
 {
     const bool mayUseReturning = demand.isIdempotent;
     if (mayUseReturning && !m_returning.empty()) {
-        return Choice {.upstream = m_returning.front(), .kind = ChoiceKind::Returning};
+        return Choice {.upstream = m_returning.front(), .kind = ChoiceKind::Test};
     }
     std::vector<model::UpstreamRow> &rows = m_near;
     rows.insert(rows.end(), m_far.begin(), m_far.end());
--- a/src/routing/irouter.h
+++ b/src/routing/irouter.h
@@ -26,7 +26,7 @@
 enum class ChoiceKind {
     Normal,
     Prefix, //!< The prompt's beginning is probably cached there.
-    Returning, //!< A trial or ramp slot of an upstream that returns.
+    Test, //!< A trial or ramp slot of an upstream that returns, or a look at a suspect.
     LastResort, //!< A suspect, because nothing better is free.
 };
 
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -18,7 +18,7 @@
 struct PowerOfTwo {
     double spillFactor = 1.5; //!< Own zone's load over another's from which work leaves the zone.
     double prefixLoadFactor = 1.25; //!< Load over the pool's mean up to which a prefix decides.
-    uint32_t suspectTrialOdds = 8; //!< One request in so many tests a suspect.
+    uint32_t suspectTestOdds = 2; //!< One request in so many tests a suspect that holds none.
 
     friend auto operator<=>(const PowerOfTwo &, const PowerOfTwo &) = default;
 };
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -196,6 +196,8 @@
     void onStartAttempt(size_t daemon, const pipeline::StartAttempt &command);
     void onAttemptEnd(size_t daemon, uint64_t life, model::AttemptId attempt,
                       const FakeUpstream::Ending &ending);
+    void onCancel(size_t daemon, const pipeline::CancelAttempt &command);
+    static std::string attemptName(size_t daemon, uint64_t life, model::AttemptId attempt);
     void onRespond(size_t daemon, const pipeline::Respond &command);
     void onProbe(size_t daemon, const core::SendProbe &command);
     void onExchange(size_t daemon, const fleet::SendExchange &command);
@@ -227,6 +229,7 @@
     std::map<uint64_t, std::string> m_operationKeys;
     std::vector<std::set<size_t>> m_partition;
     std::set<std::pair<size_t, std::string>> m_cutPaths;
+    std::map<std::string, std::string> m_attemptPlaces; //!< Upstreams of attempts under way.
     config::ConfigurationPtr m_configuration;
     uint64_t m_platformRevision = 0;
     std::string m_platformText;
