--- a/bench/capacitybench.cpp
+++ b/bench/capacitybench.cpp
@@ -48,6 +48,7 @@
             const Measure &measure)
 {
     std::vector<Cost> costs;
+    costs.reserve(sizes.size());
     for (const size_t size : sizes) {
         costs.push_back(measure(size));
     }
@@ -296,7 +297,8 @@
     for (int second = 0; second < allSeconds; ++second) {
         int calls = 0;
         for (int step = 0; step < 100; ++step) {
-            const model::TimePoint now {model::seconds(second) + model::milliseconds(step * 10)};
+            const model::TimePoint now {model::seconds(second)
+                                        + model::milliseconds(int64_t {step} * 10)};
             for (size_t i = 0; i < daemons; ++i) {
                 for (auto *schedule : {&watches[i], &lists[i]}) {
                     if (!schedule->isDue(now)) {
--- a/bench/randomrun.cpp
+++ b/bench/randomrun.cpp
@@ -21,6 +21,7 @@
     const uint64_t last
         = dash == std::string::npos ? first : std::strtoull(seeds.c_str() + dash + 1, nullptr, 10);
     const int steps = absl::GetFlag(FLAGS_steps);
+    const uint64_t count = last - first + 1;
     uint64_t broken = 0;
     uint64_t requests = 0;
     for (uint64_t seed = first; seed <= last; ++seed) {
@@ -36,8 +37,7 @@
         }
         std::printf("repeat: %s\n", repeatCommand(seed, steps).c_str());
     }
-    std::printf("%llu seeds, %llu requests, %llu broken\n",
-                static_cast<unsigned long long>(last - first + 1),
+    std::printf("%llu seeds, %llu requests, %llu broken\n", static_cast<unsigned long long>(count),
                 static_cast<unsigned long long>(requests), static_cast<unsigned long long>(broken));
     return broken == 0 ? 0 : 1;
 }
--- a/src/daemon/internal/platformreader.cpp
+++ b/src/daemon/internal/platformreader.cpp
@@ -16,6 +16,7 @@
 //! How long the service is asked to hold a watch, and how long this daemon waits for it.
 constexpr int64_t watchHoldMs = 25000;
 constexpr model::Duration watchTimeout = model::milliseconds(watchHoldMs + 5000);
+constexpr double listBytesPerSecond = 4000.0;
 constexpr model::Duration listTimeout = model::seconds(2);
 
 } // namespace
@@ -109,7 +110,10 @@
         m_list.onFailed(net::EventLoop::now());
         return;
     }
-    m_list.onSucceeded(net::EventLoop::now());
+    // Large lists are read less often. Each daemon reads at its own time and tells the others at
+    // once which upstream leaves, so a large fleet as a whole still notices soon.
+    const double seconds = static_cast<double>(answer.body->size()) / listBytesPerSecond;
+    m_list.onSucceeded(net::EventLoop::now(), model::scaled(model::seconds(1), seconds));
     m_sink.post(*std::move(list));
 }
 
--- a/src/platform/internal/readschedule.cpp
+++ b/src/platform/internal/readschedule.cpp
@@ -11,13 +11,14 @@
 {
 }
 
-void ReadSchedule::onSucceeded(model::TimePoint now)
+void ReadSchedule::onSucceeded(model::TimePoint now, model::Duration atLeast)
 {
     constexpr double leastPart = 0.8;
     constexpr double randomPart = 0.4;
     m_isReading = false;
     m_failures = 0;
-    m_next = now + model::scaled(m_options.afterSuccess, leastPart + randomPart * m_random.unit());
+    const model::Duration usual = std::max(m_options.afterSuccess, atLeast);
+    m_next = now + model::scaled(usual, leastPart + randomPart * m_random.unit());
 }
 
 void ReadSchedule::onFailed(model::TimePoint now)
--- a/src/platform/readschedule.h
+++ b/src/platform/readschedule.h
@@ -33,7 +33,8 @@
     {
         m_isReading = true;
     }
-    void onSucceeded(model::TimePoint now);
+    //! The next read comes no sooner than \a atLeast from now, more or less.
+    void onSucceeded(model::TimePoint now, model::Duration atLeast = {});
     void onFailed(model::TimePoint now);
 
     bool isReading() const
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -13,6 +13,7 @@
 
 ABSL_FLAG(std::string, pipelines, "", "Pipeline file; every upstream in it is played.");
 ABSL_FLAG(uint32_t, platform_port, 7000, "Port of the platform's services.");
+ABSL_FLAG(uint32_t, tokens, 5, "Tokens of a streamed answer.");
 ABSL_FLAG(uint32_t, delay_us, 0, "Time that every upstream takes.");
 
 namespace
@@ -54,7 +55,7 @@
         for (const config::UpstreamConfig &upstream : pool.upstreams) {
             auto standIn = std::make_unique<standins::UpstreamStandIn>(loop, upstream.id.text());
             standIn->setScript({.delay = model::Duration(absl::GetFlag(FLAGS_delay_us)),
-                                .tokens = pool.isStreaming ? 5U : 0U});
+                                .tokens = pool.isStreaming ? absl::GetFlag(FLAGS_tokens) : 0U});
             if (standIn->listen(upstream.port) == 0) {
                 std::cerr << "the port of " << upstream.id.text() << " is taken\n";
                 return 1;
