--- a/src/fleet/fleetsystem.h
+++ b/src/fleet/fleetsystem.h
@@ -151,6 +151,7 @@
     std::vector<model::DaemonId> m_nearRing;
     std::vector<model::DaemonId> m_farRing;
     model::TimePoint m_nextPeriod = model::TimePoint::min();
+    model::TimePoint m_nextExpiry = model::TimePoint::min();
     model::TimePoint m_nextFullExchange = model::TimePoint::min();
     model::TimePoint m_lastRun = model::TimePoint::min();
     double m_byteTokens;
--- a/src/fleet/internal/fleetexchange.cpp
+++ b/src/fleet/internal/fleetexchange.cpp
@@ -12,6 +12,8 @@
 constexpr double memberBytes = 95.0;
 constexpr double factBytes = 60.0;
 constexpr double messageBytes = 500.0;
+//! Members and facts are looked through this often; a tick is much shorter.
+constexpr model::Duration expiryInterval = model::milliseconds(100);
 //! Facts in one full exchange; the rest follows with later ones.
 constexpr size_t maxFactsAtOnce = 500;
 
@@ -60,8 +62,11 @@
                                   m_urgentTokens + elapsed * m_options.urgentPerSecond);
     }
     m_lastRun = now;
-    expireExchanges(now);
-    expireSuspects(now);
+    if (now >= m_nextExpiry) {
+        m_nextExpiry = now + expiryInterval;
+        expireExchanges(now);
+        expireSuspects(now);
+    }
     if (now >= m_nextPeriod) {
         // The random part keeps daemons that started together from exchanging in step.
         m_nextPeriod = now + model::scaled(m_options.period, 0.9 + 0.2 * m_random.unit());
--- a/src/net/internal/httpclient.cpp
+++ b/src/net/internal/httpclient.cpp
@@ -10,11 +10,13 @@
 #include <absl/strings/str_cat.h>
 
 #include "model/abslview.h"
-#include "net/internal/h2o.h"
+#include "net/internal/iovec.h"
 
 namespace citronpick::net
 {
 
+using internal::toIovec;
+
 namespace
 {
 
@@ -33,11 +35,6 @@
                sizeof(receiveBufferBytes));
 }
 
-h2o_iovec_t toIovec(std::string_view text)
-{
-    return h2o_iovec_init(text.data(), text.size());
-}
-
 } // namespace
 
 class HttpClient::Impl
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -17,11 +17,6 @@
 //! As the library writes protocol versions.
 constexpr int http2Version = 0x200;
 
-std::string_view viewOf(const h2o_iovec_t &bytes)
-{
-    return {bytes.base, bytes.len};
-}
-
 void addHeader(h2o_req_t *request, const Header &header)
 {
     const h2o_iovec_t name = h2o_strdup(&request->pool, header.name.data(), header.name.size());
@@ -30,91 +25,8 @@
                           value.base, value.len);
 }
 
-int hexDigit(char character)
-{
-    if (character >= '0' && character <= '9') {
-        return character - '0';
-    }
-    if (character >= 'a' && character <= 'f') {
-        return character - 'a' + 10;
-    }
-    if (character >= 'A' && character <= 'F') {
-        return character - 'A' + 10;
-    }
-    return -1;
-}
-
-std::string percentDecoded(std::string_view text)
-{
-    std::string decoded;
-    for (size_t i = 0; i < text.size(); ++i) {
-        const bool isEscape = text[i] == '%' && i + 2 < text.size() && hexDigit(text[i + 1]) >= 0
-                              && hexDigit(text[i + 2]) >= 0;
-        if (isEscape) {
-            decoded += static_cast<char>(hexDigit(text[i + 1]) * 16 + hexDigit(text[i + 2]));
-            i += 2;
-        } else {
-            decoded += text[i];
-        }
-    }
-    return decoded;
-}
-
 } // namespace
 
-HttpServerRequest::HttpServerRequest(st_h2o_req_t *request, uint64_t number)
-    : m_request(request)
-    , m_number(number)
-{
-}
-
-std::string_view HttpServerRequest::method() const
-{
-    return viewOf(m_request->method);
-}
-
-std::string_view HttpServerRequest::path() const
-{
-    const std::string_view whole = viewOf(m_request->path);
-    return whole.substr(0, whole.find('?'));
-}
-
-std::string HttpServerRequest::query(std::string_view name) const
-{
-    const std::string_view whole = viewOf(m_request->path);
-    const size_t start = whole.find('?');
-    if (start == std::string_view::npos) {
-        return {};
-    }
-    std::string_view rest = whole.substr(start + 1);
-    while (!rest.empty()) {
-        const size_t end = std::min(rest.find('&'), rest.size());
-        const std::string_view pair = rest.substr(0, end);
-        const size_t equals = std::min(pair.find('='), pair.size());
-        if (pair.substr(0, equals) == name) {
-            return percentDecoded(pair.substr(std::min(equals + 1, pair.size())));
-        }
-        rest = rest.substr(std::min(end + 1, rest.size()));
-    }
-    return {};
-}
-
-std::string_view HttpServerRequest::header(std::string_view name) const
-{
-    for (size_t i = 0; i < m_request->headers.size; ++i) {
-        const h2o_header_t &header = m_request->headers.entries[i];
-        if (viewOf(*header.name) == name) {
-            return viewOf(header.value);
-        }
-    }
-    return {};
-}
-
-std::string_view HttpServerRequest::body() const
-{
-    return viewOf(m_request->entity);
-}
-
 class HttpServer::Impl
 {
 public:
@@ -122,7 +34,10 @@
     ~Impl();
 
     void listen(ListenSocket socket);
-    uint16_t port() const;
+    uint16_t port() const
+    {
+        return m_port;
+    }
     void stopListening();
     void respond(uint64_t number, uint16_t status, const Headers &headers, model::BodyPtr body);
     void beginStream(uint64_t number, uint16_t status, const Headers &headers);
@@ -223,11 +138,6 @@
     h2o_socket_read_start(m_listener, &Impl::onAccept);
 }
 
-uint16_t HttpServer::Impl::port() const
-{
-    return m_port;
-}
-
 void HttpServer::Impl::stopListening()
 {
     if (m_listener) {
@@ -425,10 +335,8 @@
 size_t HttpServer::Impl::buffered(uint64_t number) const
 {
     const Exchange *exchange = find(number);
-    if (!exchange || !exchange->waiting) {
-        return 0;
-    }
-    return exchange->waiting->size() + exchange->inFlight->size();
+    const bool isStream = exchange && exchange->waiting;
+    return isStream ? exchange->waiting->size() + exchange->inFlight->size() : 0;
 }
 
 HttpServer::HttpServer(EventLoop &loop, IHttpHandler &handler, HttpServerLimits limits)
