--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -563,7 +563,11 @@
             std::string expected = result.callerId;
             for (const config::StageConfig &stage : route->stages) {
                 const bool isStreaming = configuration->pool(stage.pool)->isStreaming;
-                expected = isStreaming ? "0 " : stage.path + "(" + expected + ")";
+                if (isStreaming) {
+                    expected = "0 ";
+                } else {
+                    expected.insert(0, stage.path + "(").append(")");
+                }
             }
             if (*result.answer->body != expected) {
                 broken.push_back("the answer to " + result.callerId
