--- a/src/core/tests/requesttest.cpp
+++ b/src/core/tests/requesttest.cpp
@@ -159,6 +159,7 @@
     CHECK(result.answer->reason == Reason::DeadlinePassed);
     world.runFor(model::seconds(5));
     CHECK(world.core(0).requests().droppedAnswers() > 0);
+    CHECK(world.countEvents(observability::EventCode::AnswerDropped) > 0);
     world.checkPromises();
 }
 
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -42,8 +42,6 @@
     //! Ends calls that are past their time; to be called every few milliseconds.
     void expire(model::TimePoint now);
 
-    size_t openCalls() const;
-
 private:
     class Impl;
     std::unique_ptr<Impl> m_impl;
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -93,7 +93,6 @@
     //! Ends exchanges whose caller has closed its connection; to be called now and then.
     void dropAbandoned();
 
-    size_t openExchanges() const;
     size_t openConnections() const;
 
 private:
--- a/src/net/internal/httpclient.cpp
+++ b/src/net/internal/httpclient.cpp
@@ -48,11 +48,6 @@
     void setPaused(uint64_t number, bool isPaused);
     void expire(model::TimePoint now);
 
-    size_t openCalls() const
-    {
-        return m_calls.size();
-    }
-
 private:
     struct Call {
         Impl *owner = nullptr;
@@ -393,9 +388,4 @@
     m_impl->expire(now);
 }
 
-size_t HttpClient::openCalls() const
-{
-    return m_impl->openCalls();
-}
-
 } // namespace citronpick::net
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -46,10 +46,6 @@
     size_t buffered(uint64_t number) const;
     void dropAbandoned();
 
-    size_t openExchanges() const
-    {
-        return m_exchanges.size();
-    }
     size_t openConnections() const
     {
         return m_connections;
@@ -392,11 +388,6 @@
     m_impl->dropAbandoned();
 }
 
-size_t HttpServer::openExchanges() const
-{
-    return m_impl->openExchanges();
-}
-
 size_t HttpServer::openConnections() const
 {
     return m_impl->openConnections();
--- a/src/pipeline/internal/requestanswers.cpp
+++ b/src/pipeline/internal/requestanswers.cpp
@@ -45,6 +45,11 @@
     const Attempt *found = m_table.find(event.attempt);
     if (!found) {
         ++m_droppedAnswers;
+        m_commands.emplace_back(
+            observability::Event {.code = observability::EventCode::AnswerDropped,
+                                  .request = {},
+                                  .subject = absl::StrCat("attempt-", event.attempt.value()),
+                                  .detail = absl::StrCat("status=", event.status)});
         return;
     }
     Request *request = m_table.find(found->request);
