--- /dev/null
+++ b/bench/fleetbench.cpp
@@ -0,0 +1,164 @@
+#include <cmath>
+#include <cstdio>
+#include <ctime>
+#include <string>
+#include <vector>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/strings/str_split.h>
+
+#include "net/fleetcodec.h"
+#include "support/experiments.h"
+#include "support/world.h"
+
+ABSL_FLAG(std::string, sizes, "6,24,96,370", "Numbers of daemons.");
+
+namespace
+{
+
+using namespace citronpick;
+using namespace citronpick::testing;
+
+double cpuSeconds()
+{
+    timespec time {};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) / 1e9;
+}
+
+//! Seconds until the condition holds on all daemons; -1 when it does not within a minute.
+template<typename Condition>
+double until(World &world, size_t daemons, Condition holds)
+{
+    const model::TimePoint start = world.now();
+    while (world.now() - start < model::seconds(60)) {
+        bool isEverywhere = true;
+        for (size_t daemon = 0; daemon < daemons && isEverywhere; ++daemon) {
+            isEverywhere = !world.isAlive(daemon) || holds(world.core(daemon));
+        }
+        if (isEverywhere) {
+            return model::toSeconds(world.now() - start);
+        }
+        world.runFor(model::milliseconds(20));
+    }
+    return -1.0;
+}
+
+double bytesSent(World &world, size_t daemons)
+{
+    double bytes = 0.0;
+    for (size_t daemon = 0; daemon < daemons; ++daemon) {
+        bytes += world.isAlive(daemon)
+                     ? static_cast<double>(world.core(daemon).fleet().sentBytesEstimate())
+                     : 0.0;
+    }
+    return bytes;
+}
+
+void measure(size_t daemons)
+{
+    WorldOptions options;
+    options.daemons = daemons;
+    options.zones = {"a", "b", "c", "d", "e", "f", "g"};
+    options.pipelines = onePoolFile(10, 16);
+    World world(options);
+    const double joined = until(world, daemons, [&](const core::Core &core) {
+        return core.fleet().members().usableCount() == daemons;
+    });
+    world.runFor(model::seconds(30));
+    // Nothing happens: what the exchange costs at rest.
+    const double bytesBefore = bytesSent(world, daemons);
+    const uint64_t messagesBefore = world.peerMessages();
+    const double cpuBefore = cpuSeconds();
+    constexpr double quietSeconds = 20.0;
+    world.runFor(model::seconds(20));
+    const auto perDaemon = static_cast<double>(daemons) * quietSeconds;
+    const double bytes = (bytesSent(world, daemons) - bytesBefore) / perDaemon;
+    const double messages = static_cast<double>(world.peerMessages() - messagesBefore) / perDaemon;
+    const double cpu = (cpuSeconds() - cpuBefore) / perDaemon;
+    // One daemon reads a new file; the platform is gone for all others.
+    for (size_t daemon = 1; daemon < daemons; ++daemon) {
+        world.pause(daemon, model::milliseconds(30));
+    }
+    world.publish(2, onePoolFile(10, 8));
+    world.runFor(model::milliseconds(20));
+    world.setPlatformDown(true);
+    const double file = until(world, daemons, [](const core::Core &core) {
+        return core.revisions().revision() == model::Revision(2);
+    });
+    // A strike is told to all.
+    Submission poison {.route = "call", .label = "poison", .body = "poison"};
+    for (auto &[name, upstream] : world.upstreams()) {
+        upstream->setBehaviour({.crashWord = "poison"});
+    }
+    world.submit(0, poison);
+    const double strike = until(world, daemons, [](const core::Core &core) {
+        size_t strikes = 0;
+        for (const auto &[key, row] : core.fleet().facts().rows()) {
+            strikes += std::holds_alternative<fleet::StrikeFact>(row.fact.body) ? 1 : 0;
+        }
+        return strikes >= 2;
+    });
+    world.kill(daemons / 2);
+    const model::DaemonId killed("d" + std::to_string(daemons / 2));
+    const double death = until(world, daemons, [&](const core::Core &core) {
+        const auto *row = core.fleet().members().find(killed);
+        return row && row->member.state == fleet::MemberState::Dead;
+    });
+    std::printf("| %zu | %.2f | %.2f | %.2f | %.2f | %.2f | %.0f | %.3f |\n", daemons, joined, file,
+                strike, death, messages, bytes, cpu * 100.0);
+    std::fflush(stdout);
+}
+
+void measureCodec()
+{
+    fleet::FleetMessage message;
+    message.from = {.id = model::DaemonId("daemon-100"),
+                    .incarnation = model::Incarnation(1796363460535133),
+                    .zone = model::ZoneId("zone-a"),
+                    .fleet = {.host = "10.100.100.100", .port = 18002},
+                    .caller = {.host = "10.100.100.100", .port = 18000}};
+    for (const size_t facts : {0U, 10U, 100U}) {
+        message.facts.clear();
+        for (size_t i = 0; i < facts; ++i) {
+            message.facts.push_back(
+                {.origin = message.from.id,
+                 .incarnation = message.from.incarnation,
+                 .version = i,
+                 .body
+                 = fleet::DemandFact {.account = model::AccountId("account-" + std::to_string(i)),
+                                      .requestsPerSecond = 1.5 + static_cast<double>(i)}});
+        }
+        constexpr int rounds = 500;
+        const double before = cpuSeconds();
+        size_t bytes = 0;
+        for (int round = 0; round < rounds; ++round) {
+            const std::string text = net::encodeFleetCall(message);
+            bytes = text.size();
+            if (!net::decodeFleetCall(text).ok()) {
+                return;
+            }
+        }
+        std::printf("message with %zu facts: %zu bytes, %.0f us to write and read\n", facts, bytes,
+                    (cpuSeconds() - before) / rounds * 1e6);
+    }
+}
+
+} // namespace
+
+// Convergence and cost of the exchange between daemons, in memory, by number of daemons.
+int main(int argc, char **argv)
+{
+    absl::ParseCommandLine(argc, argv);
+    measureCodec();
+    std::printf(
+        "\n| daemons | all joined s | file everywhere s | strike everywhere s | death known s "
+        "| exchanges/s each | bytes/s each | %% of a core each |\n"
+        "|---|---|---|---|---|---|---|---|\n");
+    const std::string sizes = absl::GetFlag(FLAGS_sizes);
+    for (const auto &size : absl::StrSplit(sizes, ',')) {
+        measure(std::stoul(std::string(size)));
+    }
+    return 0;
+}
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -74,6 +74,7 @@
     model::TimePoint m_nextTick;
     model::TimePoint m_nextSweep;
     model::TimePoint m_drainLimit = model::TimePoint::max();
+    bool m_hasActed = false; //!< Commands were carried out since the loop last turned.
     bool m_wasReady = false;
     bool m_isFinished = false;
     model::TimePoint m_exitAt = model::TimePoint::max();
--- a/src/daemon/internal/daemon.cpp
+++ b/src/daemon/internal/daemon.cpp
@@ -110,7 +110,10 @@
 {
     model::TimePoint now = net::EventLoop::now();
     const model::Duration wait = std::max(model::Duration::zero(), m_nextTick - now);
-    m_loop.runOnce(m_events.empty() ? std::min(wait, tickInterval) : model::Duration::zero());
+    // Writes that the last turn began outside the loop complete only in its next turn, so that one
+    // must not wait for something else to happen.
+    const bool mustNotWait = std::exchange(m_hasActed, false) || !m_events.empty();
+    m_loop.runOnce(mustNotWait ? model::Duration::zero() : std::min(wait, tickInterval));
     handleEvents();
     now = net::EventLoop::now();
     if (now >= m_nextTick) {
@@ -168,6 +171,7 @@
 {
     m_commands.clear();
     m_core->handle(event, net::EventLoop::now(), m_commands);
+    m_hasActed = m_hasActed || !m_commands.empty();
     for (core::Command &command : m_commands) {
         execute(command);
     }
--- a/src/fleet/fleetoptions.h
+++ b/src/fleet/fleetoptions.h
@@ -24,7 +24,8 @@
     double urgentPerSecond = 10.0; //!< Exchanges beyond the regular ones.
     double bytesPerSecond = 5000.0; //!< Of members and facts sent, estimated.
     double burstBytes = 16000.0;
-    model::Duration fullExchangeInterval = model::seconds(20); //!< Least time between two.
+    model::Duration fullExchangeInterval = model::seconds(2); //!< Least time between two.
+    double fullExchangeBytesPerSecond = 4000.0; //!< Spreads them further in large fleets.
     std::vector<config::Endpoint> seeds;
 
     friend bool operator==(const FleetOptions &, const FleetOptions &) = default;
--- a/src/fleet/fleetsystem.h
+++ b/src/fleet/fleetsystem.h
@@ -100,11 +100,6 @@
         uint64_t onBehalfOf = 0; //!< Exchange of another daemon that waits for the outcome.
     };
 
-    //! Something to be told, with how often it still is.
-    struct Pending {
-        uint32_t sends = 0;
-    };
-
     void startExchange(const Member &peer, uint64_t onBehalfOf, bool countsAsTold,
                        model::TimePoint now);
     void contactSeeds(model::TimePoint now);
@@ -118,7 +113,9 @@
     void addDeltas(FleetMessage &message, bool countsAsTold);
     Fact agedFact(const FactTable::Row &row) const;
     uint64_t tableDigest() const;
-    void addEverything(FleetMessage &message) const;
+    void addEverything(FleetMessage &message);
+    double fullExchangeBytes() const;
+    void spend(double bytes);
     void absorb(const FleetMessage &message, model::TimePoint now);
     void applyMember(const Member &member, model::TimePoint now);
     void refute(const Member &claim, model::TimePoint now);
@@ -146,8 +143,8 @@
     uint64_t m_digest = 0;
     std::map<model::DaemonId, ListedDaemon> m_listed;
     bool m_hasList = false;
-    std::map<model::DaemonId, Pending> m_pendingMembers;
-    std::map<FactKey, Pending> m_pendingFacts;
+    std::map<model::DaemonId, uint32_t> m_pendingMembers; //!< How often each is still told.
+    std::map<FactKey, uint32_t> m_pendingFacts;
     std::map<uint64_t, OpenExchange> m_open;
     uint64_t m_lastExchange = 0;
     uint32_t m_periods = 0;
--- a/src/fleet/internal/fleetexchange.cpp
+++ b/src/fleet/internal/fleetexchange.cpp
@@ -9,12 +9,45 @@
 {
 
 //! Estimated length of one member or fact in a message.
-constexpr double memberBytes = 150.0;
-constexpr double factBytes = 110.0;
-constexpr double messageBytes = 400.0;
+constexpr double memberBytes = 95.0;
+constexpr double factBytes = 60.0;
+constexpr double messageBytes = 500.0;
 //! Facts in one full exchange; the rest follows with later ones.
 constexpr size_t maxFactsAtOnce = 500;
 
+//! Keys in the order in which they are told, at most as many as one message may hold.
+template<typename Key>
+std::vector<Key> leastTold(const std::map<Key, uint32_t> &pending)
+{
+    constexpr size_t maxKeys = 300;
+    std::vector<std::pair<uint32_t, const Key *>> order;
+    order.reserve(pending.size());
+    for (const auto &[key, sends] : pending) {
+        order.emplace_back(sends, &key);
+    }
+    const size_t count = std::min(maxKeys, order.size());
+    std::partial_sort(order.begin(), order.begin() + static_cast<ptrdiff_t>(count), order.end(),
+                      [](const auto &left, const auto &right) {
+                          return left.first != right.first ? left.first > right.first
+                                                           : *left.second < *right.second;
+                      });
+    std::vector<Key> keys;
+    keys.reserve(count);
+    for (size_t i = 0; i < count; ++i) {
+        keys.push_back(*order[i].second);
+    }
+    return keys;
+}
+
+template<typename Key>
+void noteTold(std::map<Key, uint32_t> &pending, const Key &key, bool countsAsTold)
+{
+    const auto it = pending.find(key);
+    if (countsAsTold && --it->second == 0) {
+        pending.erase(it);
+    }
+}
+
 } // namespace
 
 void FleetSystem::run(model::TimePoint now)
@@ -199,8 +232,7 @@
 
 FleetMessage FleetSystem::message(MessageKind kind)
 {
-    m_sentBytes += static_cast<uint64_t>(messageBytes);
-    m_byteTokens -= messageBytes;
+    spend(messageBytes);
     FleetMessage result;
     result.kind = kind;
     result.from = m_self;
@@ -213,47 +245,36 @@
 // What was told least often goes first; the byte budget cuts the rest, which waits.
 void FleetSystem::addDeltas(FleetMessage &message, bool countsAsTold)
 {
-    for (auto it = m_pendingMembers.begin(); it != m_pendingMembers.end();) {
+    for (const model::DaemonId &id : leastTold(m_pendingMembers)) {
         if (m_byteTokens < memberBytes) {
             return;
         }
-        const MemberTable::Row *row = m_members.find(it->first);
-        if (row) {
+        if (const MemberTable::Row *row = m_members.find(id)) {
             message.members.push_back(row->member);
-            m_byteTokens -= memberBytes;
-            m_sentBytes += static_cast<uint64_t>(memberBytes);
+            spend(memberBytes);
         }
-        const bool isDone = !row || (countsAsTold && --it->second.sends == 0);
-        it = isDone ? m_pendingMembers.erase(it) : std::next(it);
+        noteTold(m_pendingMembers, id, countsAsTold);
     }
-    std::vector<std::pair<uint32_t, const FactKey *>> order;
-    for (const auto &[key, pending] : m_pendingFacts) {
-        order.emplace_back(pending.sends, &key);
-    }
-    std::stable_sort(order.begin(), order.end(),
-                     [](const auto &left, const auto &right) { return left.first > right.first; });
-    std::vector<FactKey> done;
-    for (const auto &[sends, key] : order) {
+    for (const FactKey &key : leastTold(m_pendingFacts)) {
         if (m_byteTokens < factBytes) {
-            break;
+            return;
         }
-        const auto row = m_facts.rows().find(*key);
-        const bool isKnown = row != m_facts.rows().end();
-        if (isKnown) {
+        const auto row = m_facts.rows().find(key);
+        if (row != m_facts.rows().end()) {
             message.facts.push_back(agedFact(row->second));
-            m_byteTokens -= factBytes;
-            m_sentBytes += static_cast<uint64_t>(factBytes);
-        }
-        if (!isKnown || (countsAsTold && --m_pendingFacts[*key].sends == 0)) {
-            done.push_back(*key);
+            spend(factBytes);
         }
+        noteTold(m_pendingFacts, key, countsAsTold || row == m_facts.rows().end());
     }
-    for (const FactKey &key : done) {
-        m_pendingFacts.erase(key);
-    }
 }
 
-void FleetSystem::addEverything(FleetMessage &message) const
+void FleetSystem::spend(double bytes)
+{
+    m_byteTokens -= bytes;
+    m_sentBytes += static_cast<uint64_t>(bytes);
+}
+
+void FleetSystem::addEverything(FleetMessage &message)
 {
     for (const auto &[id, row] : m_members.rows()) {
         message.members.push_back(row.member);
@@ -264,6 +285,15 @@
         }
         message.facts.push_back(agedFact(row));
     }
+    // Not taken from the budget, which would leave nothing for news; the least time between two
+    // full exchanges bounds them instead.
+    m_sentBytes += static_cast<uint64_t>(fullExchangeBytes());
+}
+
+double FleetSystem::fullExchangeBytes() const
+{
+    return memberBytes * static_cast<double>(m_members.rows().size())
+           + factBytes * static_cast<double>(std::min(maxFactsAtOnce, m_facts.rows().size()));
 }
 
 Fact FleetSystem::agedFact(const FactTable::Row &row) const
--- a/src/fleet/internal/fleetsystem.cpp
+++ b/src/fleet/internal/fleetsystem.cpp
@@ -131,7 +131,10 @@
         // Tables that differ although all deltas were passed on are compared as a whole.
         reply.wantsAll = differs && m_pendingMembers.empty() && now >= m_nextFullExchange;
         if (reply.wantsAll) {
-            m_nextFullExchange = now + m_options.fullExchangeInterval;
+            const double seconds = fullExchangeBytes() / m_options.fullExchangeBytesPerSecond;
+            m_nextFullExchange = now
+                                 + std::max(m_options.fullExchangeInterval,
+                                            model::scaled(model::seconds(1), seconds));
         }
     }
     m_commands.emplace_back(SendReply {.exchange = exchange, .message = std::move(reply)});
@@ -317,12 +320,12 @@
 
 void FleetSystem::tellMember(const model::DaemonId &id)
 {
-    m_pendingMembers[id] = {.sends = sendsPerItem()};
+    m_pendingMembers[id] = sendsPerItem();
 }
 
 void FleetSystem::tellFact(const FactKey &key)
 {
-    m_pendingFacts[key] = {.sends = sendsPerItem()};
+    m_pendingFacts[key] = sendsPerItem();
 }
 
 uint32_t FleetSystem::sendsPerItem() const
--- a/src/pipeline/internal/requestattempts.cpp
+++ b/src/pipeline/internal/requestattempts.cpp
@@ -152,6 +152,7 @@
 void RequestSystem::runTimers(model::TimePoint now)
 {
     m_lastTime = now;
+    dropDeadTimers();
     while (const auto timer = m_timers.takeDue(now)) {
         switch (timer->kind) {
         case TimerKind::Deadline:
@@ -170,6 +171,22 @@
     }
 }
 
+// Most requests end long before their deadlines; their timers would outnumber the live ones by far.
+void RequestSystem::dropDeadTimers()
+{
+    constexpr size_t timersPerRow = 8;
+    constexpr size_t alwaysKept = 256;
+    const size_t live = m_table.requestCount() + m_table.attemptCount();
+    if (m_timers.size() <= alwaysKept + timersPerRow * live) {
+        return;
+    }
+    m_timers.removeIf([this](const Timer &timer) {
+        const bool isOfAttempt = timer.attempt != model::AttemptId();
+        return isOfAttempt ? m_table.find(timer.attempt) == nullptr
+                           : m_table.find(timer.request) == nullptr;
+    });
+}
+
 void RequestSystem::onDeadline(model::RequestId id, model::TimePoint now)
 {
     Request *request = m_table.find(id);
--- a/src/pipeline/requestsystem.h
+++ b/src/pipeline/requestsystem.h
@@ -184,6 +184,7 @@
     void recordOutcome(const Request &request, const Respond &answer);
 
     // Timers
+    void dropDeadTimers();
     void onDeadline(model::RequestId id, model::TimePoint now);
     void onHedgeDue(model::AttemptId id, model::TimePoint now);
     void onOverdue(model::AttemptId id, model::TimePoint now);
