--- a/bench/capacitybench.cpp
+++ b/bench/capacitybench.cpp
@@ -14,7 +14,7 @@
 #include "fleet/membertable.h"
 #include "observability/timeline.h"
 #include "operations/operationtable.h"
-#include "platform/readschedule.h"
+#include "documents/readschedule.h"
 #include "support/experiments.h"
 
 // State and processor time of each role by its size: three sizes and the slope through the outer
@@ -282,13 +282,13 @@
 void reportPlatformCalls(size_t daemons)
 {
     model::Random random(1);
-    std::vector<platform::ReadSchedule> watches;
-    std::vector<platform::ReadSchedule> lists;
+    std::vector<documents::ReadSchedule> watches;
+    std::vector<documents::ReadSchedule> lists;
     for (size_t i = 0; i < daemons; ++i) {
         watches.emplace_back(
-            platform::ReadScheduleOptions {.afterSuccess = model::milliseconds(20)},
+            documents::ReadScheduleOptions {.afterSuccess = model::milliseconds(20)},
             random.next64());
-        lists.emplace_back(platform::ReadScheduleOptions {}, random.next64());
+        lists.emplace_back(documents::ReadScheduleOptions {}, random.next64());
     }
     constexpr int downSeconds = 60;
     constexpr int allSeconds = 90;
--- a/src/apps/citronpickd/main.cpp
+++ b/src/apps/citronpickd/main.cpp
@@ -1,5 +1,6 @@
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -9,12 +10,17 @@
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
 
+#include "config/relaysettings.h"
 #include "config/settings.h"
 #include "daemon/daemon.h"
+#include "daemon/relaydaemon.h"
+#include "model/abslview.h"
 #include "net/eventloop.h"
 #include "observability/log.h"
+#include "platform/wireformat.h"
 
-ABSL_FLAG(std::string, settings, "", "Path of the daemon's settings file (JSON).");
+ABSL_FLAG(std::string, settings, "",
+          "Path of the daemon's settings file (JSON); by default that of $CITRONPICK_SETTINGS.");
 
 namespace
 {
@@ -49,6 +55,61 @@
     }
 }
 
+std::string readFile(const std::string &path)
+{
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+int failSettings(const std::string &path, const absl::Status &status)
+{
+    std::cerr << "citronpickd: " << path << " is not valid:\n" << status.message() << '\n';
+    return exitUsage;
+}
+
+void reload(citronpick::daemon::RelayDaemon &daemon, const std::string &path)
+{
+    const auto settings = citronpick::config::parseRelaySettings(readFile(path));
+    if (settings.ok()) {
+        daemon.reload(*settings);
+        return;
+    }
+    daemon.record(
+        {.code = citronpick::observability::EventCode::SettingsRejected,
+         .request = {},
+         .subject = path,
+         .detail = std::string(citronpick::model::fromAbsl(settings.status().message()))});
+}
+
+int runRelay(citronpick::config::RelaySettings settings, const std::string &path)
+{
+    using namespace citronpick;
+    observability::openLog(settings.logLevel);
+    net::EventLoop loop;
+    const platform::WireFormat format;
+    daemon::RelayDaemon daemon(loop, std::move(settings), format);
+    installSignalHandlers();
+    const absl::Status status = daemon.start();
+    if (!status.ok()) {
+        std::cerr << "citronpickd: " << status.message() << '\n';
+        return exitFailure;
+    }
+    int seenStops = 0;
+    while (daemon.runOnce()) {
+        if (stopSignals > seenStops) {
+            ++seenStops;
+            daemon.requestStop();
+        }
+        if (ignoredSignal == SIGHUP) {
+            ignoredSignal = 0;
+            reload(daemon, path);
+        }
+    }
+    return 0;
+}
+
 int run(citronpick::config::Settings settings)
 {
     using namespace citronpick;
@@ -91,20 +152,22 @@
     absl::SetFlagsUsageConfig(usage);
     absl::ParseCommandLine(argc, argv);
 
-    const std::string path = absl::GetFlag(FLAGS_settings);
-    std::ifstream file(path);
-    if (path.empty() || !file) {
+    std::string path = absl::GetFlag(FLAGS_settings);
+    const char *environment = std::getenv("CITRONPICK_SETTINGS");
+    if (path.empty() && environment) {
+        path = environment;
+    }
+    if (path.empty() || !std::ifstream(path)) {
         std::cerr << "citronpickd: cannot read the settings file '" << path
                   << "' (--settings=FILE)\n";
         return exitUsage;
     }
-    std::stringstream text;
-    text << file.rdbuf();
-    auto settings = citronpick::config::parseSettings(text.str());
-    if (!settings.ok()) {
-        std::cerr << "citronpickd: " << path << " is not valid:\n"
-                  << settings.status().message() << '\n';
-        return exitUsage;
+    const std::string text = readFile(path);
+    if (citronpick::config::isRelaySettings(text)) {
+        auto settings = citronpick::config::parseRelaySettings(text);
+        return settings.ok() ? runRelay(*std::move(settings), path)
+                             : failSettings(path, settings.status());
     }
-    return run(*std::move(settings));
+    auto settings = citronpick::config::parseSettings(text);
+    return settings.ok() ? run(*std::move(settings)) : failSettings(path, settings.status());
 }
--- a/src/config/internal/schemas.cpp
+++ b/src/config/internal/schemas.cpp
@@ -77,6 +77,58 @@
   }
 })json";
 
+const char *const relaySettingsSchema = R"json({
+  "type": "object",
+  "additionalProperties": false,
+  "required": ["mode", "daemon", "zone", "callers", "readiness", "directory", "fleet", "fleetKey",
+               "fleetPorts", "registry"],
+  "definitions": {
+    "name": { "type": "string", "pattern": "^[A-Za-z0-9._-]{1,64}$" },
+    "address": { "type": "string", "pattern": "^[0-9.]{7,15}:[0-9]{1,5}$" },
+    "milliseconds": { "type": "integer", "minimum": 1, "maximum": 86400000 }
+  },
+  "properties": {
+    "mode": { "enum": ["relay"] },
+    "daemon": { "$ref": "#/definitions/name" },
+    "zone": { "$ref": "#/definitions/name" },
+    "callers": { "$ref": "#/definitions/address" },
+    "readiness": { "$ref": "#/definitions/address" },
+    "directory": { "$ref": "#/definitions/address" },
+    "fleet": { "$ref": "#/definitions/address" },
+    "fleetKey": { "type": "string", "minLength": 8, "maxLength": 256 },
+    "fleetPorts": {
+      "type": "array", "minItems": 2, "maxItems": 2,
+      "items": { "type": "integer", "minimum": 1, "maximum": 65535 }
+    },
+    "seeds": { "type": "array", "maxItems": 64, "items": { "$ref": "#/definitions/address" } },
+    "registry": { "$ref": "#/definitions/address" },
+    "entryLifetimeMs": { "$ref": "#/definitions/milliseconds" },
+    "maxConnections": { "type": "integer", "minimum": 1, "maximum": 1000000 },
+    "retries": {
+      "type": "object", "additionalProperties": false,
+      "properties": {
+        "ratio": { "type": "number", "minimum": 0, "maximum": 10 },
+        "slack": { "type": "number", "minimum": 0, "maximum": 1000000 },
+        "windowMs": { "$ref": "#/definitions/milliseconds" }
+      }
+    },
+    "drain": {
+      "type": "object", "additionalProperties": false,
+      "properties": {
+        "acceptMs": { "$ref": "#/definitions/milliseconds" },
+        "limitMs": { "$ref": "#/definitions/milliseconds" }
+      }
+    },
+    "log": {
+      "type": "object", "additionalProperties": false,
+      "properties": {
+        "level": { "enum": ["debug", "info", "warning", "error"] },
+        "maxLinesPerSecond": { "type": "integer", "minimum": 1, "maximum": 1000000 }
+      }
+    }
+  }
+})json";
+
 const char *const pipelineSchema = R"json({
   "type": "object",
   "additionalProperties": false,
--- a/src/config/internal/schemas.h
+++ b/src/config/internal/schemas.h
@@ -6,6 +6,8 @@
 
 //! JSON Schema (draft 7) of the daemon's settings file.
 extern const char *const settingsSchema;
+//! The same for a daemon that relays.
+extern const char *const relaySettingsSchema;
 //! JSON Schema (draft 7) of a pipeline file.
 extern const char *const pipelineSchema;
 
--- a/src/config/internal/settings.cpp
+++ b/src/config/internal/settings.cpp
@@ -1,5 +1,9 @@
 #include "config/settings.h"
 
+#include <charconv>
+
+#include <absl/strings/str_cat.h>
+
 #include "config/internal/checkedjson.h"
 #include "config/internal/schemas.h"
 
@@ -45,6 +49,26 @@
 
 } // namespace
 
+std::optional<Endpoint> parseEndpoint(std::string_view text)
+{
+    const size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos || colon == 0) {
+        return std::nullopt;
+    }
+    uint16_t port = 0;
+    const char *end = text.data() + text.size();
+    const auto result = std::from_chars(text.data() + colon + 1, end, port);
+    if (result.ec != std::errc() || result.ptr != end || port == 0) {
+        return std::nullopt;
+    }
+    return Endpoint {.host = std::string(text.substr(0, colon)), .port = port};
+}
+
+std::string toText(const Endpoint &endpoint)
+{
+    return absl::StrCat(endpoint.host, ":", endpoint.port);
+}
+
 absl::StatusOr<Settings> parseSettings(std::string_view text)
 {
     std::vector<Finding> findings;
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,6 +24,12 @@
     friend auto operator<=>(const Endpoint &, const Endpoint &) = default;
 };
 
+//! "IP:PORT"; empty when the text is anything else.
+std::optional<Endpoint> parseEndpoint(std::string_view text);
+
+//! As parseEndpoint() reads it.
+std::string toText(const Endpoint &endpoint);
+
 //! Bounds on what callers may send.
 struct CallerLimits {
     uint64_t maxBodyBytes = 1U << 20U;
--- /dev/null
+++ b/src/daemon/internal/batchrunner.cpp
@@ -0,0 +1,156 @@
+#include "daemon/internal/batchrunner.h"
+
+#include <absl/strings/str_cat.h>
+
+#include "model/abslview.h"
+
+namespace citronpick::daemon
+{
+
+namespace
+{
+
+//! Releases of one maker are collected for this long: results outlive it many times.
+constexpr model::Duration releaseDelay = model::milliseconds(100);
+constexpr model::Duration releaseTimeout = model::seconds(2);
+//! The scheduler gives batches up much sooner.
+constexpr model::Duration batchTimeout = model::seconds(20);
+
+} // namespace
+
+BatchRunner::BatchRunner(net::UpstreamClient &client, const IWireFormat &format,
+                         relay::RelaySystem &system, IRelayHost &host)
+    : m_client(client)
+    , m_format(format)
+    , m_system(system)
+    , m_host(host)
+{
+}
+
+void BatchRunner::run(const relay::RunBatch &command)
+{
+    net::UpstreamCall call = m_format.encodeBatch(command);
+    call.timeout = batchTimeout;
+    const uint64_t number = m_client.start(std::move(call), *this);
+    m_calls[number] = {.batch = command.batch,
+                       .upstream = command.upstream,
+                       .items = command.items.size(),
+                       .startedAt = net::EventLoop::now()};
+    m_batches[command.batch] = number;
+}
+
+void BatchRunner::cancel(const relay::CancelBatch &command)
+{
+    const auto it = m_batches.find(command.batch);
+    if (it == m_batches.end()) {
+        return;
+    }
+    record(m_calls[it->second], "given-up");
+    m_client.cancel(it->second);
+    m_calls.erase(it->second);
+    m_batches.erase(it);
+}
+
+void BatchRunner::release(const relay::ReleaseResults &command, model::TimePoint now)
+{
+    for (const relay::ResultHandle &handle : command.handles) {
+        if (const std::optional<config::Endpoint> maker = m_format.makerOf(handle)) {
+            m_releases[*maker].push_back(handle);
+        }
+    }
+    if (!m_releases.empty() && m_nextFlush == model::TimePoint::max()) {
+        m_nextFlush = now + releaseDelay;
+    }
+}
+
+void BatchRunner::flush(model::TimePoint now)
+{
+    if (now < m_nextFlush) {
+        return;
+    }
+    m_nextFlush = model::TimePoint::max();
+    for (const auto &[maker, handles] : std::exchange(m_releases, {})) {
+        net::UpstreamCall call = m_format.encodeRelease(maker, handles);
+        call.timeout = releaseTimeout;
+        m_calls[m_client.start(std::move(call), *this)] = {};
+    }
+}
+
+void BatchRunner::onHead(uint64_t call, const net::MessageHead &head)
+{
+    const auto it = m_calls.find(call);
+    if (it != m_calls.end()) {
+        it->second.facts = m_format.decodeAnswer(head, {});
+    }
+}
+
+void BatchRunner::onBody(uint64_t call, std::string_view bytes)
+{
+    const auto it = m_calls.find(call);
+    if (it != m_calls.end()) {
+        it->second.body.append(bytes);
+    }
+}
+
+void BatchRunner::onEnd(uint64_t number)
+{
+    const auto it = m_calls.find(number);
+    if (it == m_calls.end()) {
+        return;
+    }
+    const Call call = std::move(it->second);
+    m_calls.erase(it);
+    if (call.batch.value() == 0) {
+        return;
+    }
+    m_batches.erase(call.batch);
+    constexpr uint16_t success = 200;
+    const model::TimePoint now = net::EventLoop::now();
+    if (call.facts.isNotRun) {
+        record(call, absl::StrCat("refused-", call.facts.status));
+        m_system.onBatchRefused(call.batch, now);
+    } else if (auto outcomes = m_format.decodeBatch(call.body);
+               call.facts.status == success && outcomes.ok() && outcomes->size() == call.items) {
+        size_t made = 0;
+        for (const relay::ItemOutcome &outcome : *outcomes) {
+            made += outcome.failure == relay::ItemFailure::None ? 1 : 0;
+        }
+        record(call, absl::StrCat("made-", made));
+        m_system.onBatchAnswered(call.batch, *outcomes, now);
+    } else {
+        record(call, absl::StrCat("status-", call.facts.status));
+        m_system.onBatchBroken(call.batch, now);
+    }
+    m_host.execute();
+}
+
+void BatchRunner::onFailure(uint64_t number, net::CallFailure failure)
+{
+    const auto it = m_calls.find(number);
+    if (it == m_calls.end()) {
+        return;
+    }
+    const Call call = std::move(it->second);
+    m_calls.erase(it);
+    if (call.batch.value() == 0) {
+        // Results that are not given back end by themselves after some seconds.
+        return;
+    }
+    m_batches.erase(call.batch);
+    record(call, net::toString(failure));
+    m_system.onBatchBroken(call.batch, net::EventLoop::now());
+    m_host.execute();
+}
+
+void BatchRunner::record(const Call &call, std::string_view outcome)
+{
+    const model::Duration took = net::EventLoop::now() - call.startedAt;
+    m_host.record({.code = observability::EventCode::BatchEnded,
+                   .request = {},
+                   .subject = call.upstream.text(),
+                   .detail = absl::StrCat("batch=", call.batch.value(), " pieces=", call.items,
+                                          " outcome=", model::toAbsl(outcome),
+                                          " tookMs=", model::toMilliseconds(took))});
+}
+
+} // namespace citronpick::daemon
--- /dev/null
+++ b/src/daemon/internal/batchrunner.h
@@ -0,0 +1,60 @@
+#ifndef CITRONPICK_DAEMON_INTERNAL_BATCHRUNNER_H
+#define CITRONPICK_DAEMON_INTERNAL_BATCHRUNNER_H
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "daemon/internal/irelayhost.h"
+#include "daemon/iwireformat.h"
+#include "relay/relaysystem.h"
+
+namespace citronpick::daemon
+{
+
+//! Carries batches to upstreams of stages and gives back what nobody needs any more.
+class BatchRunner : public net::IUpstreamHandler
+{
+public:
+    BatchRunner(net::UpstreamClient &client, const IWireFormat &format, relay::RelaySystem &system,
+                IRelayHost &host);
+
+    void run(const relay::RunBatch &command);
+    void cancel(const relay::CancelBatch &command);
+    void release(const relay::ReleaseResults &command, model::TimePoint now);
+
+    //! Sends off the releases that have waited long enough.
+    void flush(model::TimePoint now);
+
+    void onHead(uint64_t call, const net::MessageHead &head) override;
+    void onBody(uint64_t call, std::string_view bytes) override;
+    void onEnd(uint64_t call) override;
+    void onFailure(uint64_t call, net::CallFailure failure) override;
+
+private:
+    struct Call {
+        relay::BatchId batch; //!< Zero for a release.
+        model::UpstreamId upstream;
+        size_t items = 0;
+        model::TimePoint startedAt;
+        relay::AnswerFacts facts;
+        std::string body;
+    };
+
+    void record(const Call &call, std::string_view outcome);
+
+    net::UpstreamClient &m_client;
+    const IWireFormat &m_format;
+    relay::RelaySystem &m_system;
+    IRelayHost &m_host;
+    absl::flat_hash_map<uint64_t, Call> m_calls;
+    absl::flat_hash_map<relay::BatchId, uint64_t> m_batches;
+    std::map<config::Endpoint, std::vector<relay::ResultHandle>> m_releases;
+    model::TimePoint m_nextFlush = model::TimePoint::max();
+};
+
+} // namespace citronpick::daemon
+
+#endif // CITRONPICK_DAEMON_INTERNAL_BATCHRUNNER_H
--- /dev/null
+++ b/src/daemon/internal/controlapi.cpp
@@ -0,0 +1,90 @@
+#include "daemon/internal/controlapi.h"
+
+namespace citronpick::daemon
+{
+
+namespace
+{
+
+constexpr uint16_t success = 200;
+constexpr uint16_t notFound = 404;
+constexpr uint16_t unavailable = 503;
+constexpr const char *metricsPath = "/metrics";
+
+} // namespace
+
+ControlApi::Listener::Listener(net::EventLoop &loop, ControlApi &api)
+    : server(loop, *this, {})
+    , m_api(api)
+{
+}
+
+void ControlApi::Listener::onRequest(uint64_t exchange, net::IncomingRequest request)
+{
+    m_api.answer(server, exchange, request.head);
+}
+
+void ControlApi::Listener::onCallerGone(uint64_t exchange)
+{
+    // Every request is answered as it arrives.
+    static_cast<void>(exchange);
+}
+
+ControlApi::ControlApi(net::EventLoop &loop, const RelayDaemon &daemon, const IWireFormat &format)
+    : m_daemon(daemon)
+    , m_format(format)
+    , m_readiness(loop, *this)
+    , m_directory(loop, *this)
+    , m_metrics(loop, *this)
+{
+}
+
+void ControlApi::listen(net::ListenSocket readiness, net::ListenSocket directory,
+                        net::ListenSocket metrics)
+{
+    m_readiness.server.listen(std::move(readiness));
+    m_directory.server.listen(std::move(directory));
+    m_metrics.server.listen(std::move(metrics));
+}
+
+void ControlApi::sweep(model::TimePoint now)
+{
+    for (Listener *listener : {&m_readiness, &m_directory, &m_metrics}) {
+        listener->server.sweep(now);
+    }
+}
+
+void ControlApi::answer(net::ExchangeServer &server, uint64_t exchange,
+                        const net::MessageHead &head)
+{
+    switch (m_format.controlCallOf(head)) {
+    case ControlCall::Readiness:
+        server.respond(exchange, m_daemon.isReady() ? success : unavailable, {}, {});
+        return;
+    case ControlCall::Entries:
+        answerEntries(server, exchange);
+        return;
+    case ControlCall::None:
+        break;
+    }
+    if (head.target == metricsPath) {
+        server.respond(exchange, success,
+                       {{.name = "content-type", .value = "text/plain; version=0.0.4"}},
+                       m_daemon.metricsPage());
+        return;
+    }
+    server.respond(exchange, notFound, {}, {});
+}
+
+void ControlApi::answerEntries(net::ExchangeServer &server, uint64_t exchange)
+{
+    const std::vector<config::Endpoint> entries = m_daemon.entries();
+    if (entries.empty()) {
+        server.respond(exchange, unavailable, {}, {});
+        return;
+    }
+    server.respond(exchange, success, {{.name = "content-type", .value = net::jsonType}},
+                   m_format.encodeEntries(entries, m_daemon.entryLifetime()));
+}
+
+} // namespace citronpick::daemon
--- /dev/null
+++ b/src/daemon/internal/controlapi.h
@@ -0,0 +1,48 @@
+#ifndef CITRONPICK_DAEMON_INTERNAL_CONTROLAPI_H
+#define CITRONPICK_DAEMON_INTERNAL_CONTROLAPI_H
+
+#include "daemon/relaydaemon.h"
+#include "net/exchangeserver.h"
+
+namespace citronpick::daemon
+{
+
+//! Answers whether the daemon is ready, which daemons callers may use, and its metrics.
+class ControlApi
+{
+public:
+    ControlApi(net::EventLoop &loop, const RelayDaemon &daemon, const IWireFormat &format);
+
+    void listen(net::ListenSocket readiness, net::ListenSocket directory,
+                net::ListenSocket metrics);
+    void sweep(model::TimePoint now);
+
+private:
+    //! Exchanges are numbered by listener, so each has an answering side of its own.
+    class Listener : public net::IExchangeHandler
+    {
+    public:
+        Listener(net::EventLoop &loop, ControlApi &api);
+
+        void onRequest(uint64_t exchange, net::IncomingRequest request) override;
+        void onCallerGone(uint64_t exchange) override;
+
+        net::ExchangeServer server;
+
+    private:
+        ControlApi &m_api;
+    };
+
+    void answer(net::ExchangeServer &server, uint64_t exchange, const net::MessageHead &head);
+    void answerEntries(net::ExchangeServer &server, uint64_t exchange);
+
+    const RelayDaemon &m_daemon;
+    const IWireFormat &m_format;
+    Listener m_readiness;
+    Listener m_directory;
+    Listener m_metrics;
+};
+
+} // namespace citronpick::daemon
+
+#endif // CITRONPICK_DAEMON_INTERNAL_CONTROLAPI_H
--- a/src/daemon/internal/daemon.cpp
+++ b/src/daemon/internal/daemon.cpp
@@ -1,14 +1,12 @@
 #include "daemon/daemon.h"
 
-#include <chrono>
-#include <random>
-
 #include <absl/strings/str_cat.h>
 
 #include "daemon/internal/adminapi.h"
 #include "daemon/internal/attemptrunner.h"
 #include "daemon/internal/callerapi.h"
 #include "daemon/internal/fleetapi.h"
+#include "daemon/internal/incarnation.h"
 #include "daemon/internal/platformreader.h"
 #include "model/overloaded.h"
 #include "observability/log.h"
@@ -27,22 +25,6 @@
 //! Time for the last answers to leave the process after everything has ended.
 constexpr model::Duration flushTime = model::milliseconds(300);
 
-int64_t wallMicroseconds()
-{
-    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count();
-}
-
-// A later start of the same daemon has to draw a higher number, without any state that lasts:
-// the time of day gives the order, the random part tells two starts in one moment apart.
-model::Incarnation drawIncarnation()
-{
-    std::random_device device;
-    constexpr uint64_t randomRange = 1000;
-    const auto milliseconds = static_cast<uint64_t>(wallMicroseconds()) / 1000;
-    return model::Incarnation(milliseconds * randomRange + device() % randomRange);
-}
-
 } // namespace
 
 Daemon::Daemon(net::EventLoop &loop, config::Settings settings)
@@ -71,6 +53,15 @@
     return options;
 }
 
+std::optional<config::OfferedFile> Daemon::configurationFile() const
+{
+    const auto text = m_core->revisions().text();
+    if (!text) {
+        return std::nullopt;
+    }
+    return config::OfferedFile {.revision = m_core->revisions().revision(), .text = *text};
+}
+
 absl::Status Daemon::start()
 {
     auto caller = net::ListenSocket::bind(m_settings.caller);
@@ -91,7 +82,13 @@
     m_attempts = std::make_unique<AttemptRunner>(m_client, *this, incarnation);
     m_callers = std::make_unique<CallerApi>(m_loop, m_settings, *m_core, *m_attempts, *this);
     m_admin = std::make_unique<AdminApi>(m_loop, m_settings, *m_core, m_timeline);
-    m_fleet = std::make_unique<FleetApi>(m_loop, m_client, m_settings, *m_core, *this, incarnation);
+    m_fleet = std::make_unique<FleetApi>(
+        m_loop, m_client,
+        FleetIdentity {.daemon = m_settings.daemon,
+                       .endpoint = m_settings.fleet,
+                       .key = m_settings.fleetKey,
+                       .incarnation = incarnation},
+        [this] { return configurationFile(); }, *this);
     m_platform = std::make_unique<PlatformReader>(m_client, m_settings, *this, incarnation.value());
     m_callers->listen(*std::move(caller));
     m_admin->listen(*std::move(admin));
--- /dev/null
+++ b/src/daemon/internal/exchangerunner.cpp
@@ -0,0 +1,292 @@
+#include "daemon/internal/exchangerunner.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include "model/abslview.h"
+#include "net/connectionheaders.h"
+
+namespace citronpick::daemon
+{
+
+namespace
+{
+
+//! A caller that reads slowly may leave this much unread before its upstream is read no further.
+constexpr size_t maxBufferedBytes = 256U << 10U;
+//! Beyond the deadline a call is ended by the relay system; this only catches what it forgot.
+constexpr model::Duration graceTime = model::seconds(5);
+
+relay::AttemptFailure failureOf(net::CallFailure failure)
+{
+    switch (failure) {
+    case net::CallFailure::NotSent:
+        return relay::AttemptFailure::NotSent;
+    case net::CallFailure::Broken:
+        return relay::AttemptFailure::Broken;
+    case net::CallFailure::Malformed:
+        return relay::AttemptFailure::Malformed;
+    case net::CallFailure::TimedOut:
+        return relay::AttemptFailure::TimedOut;
+    }
+    return relay::AttemptFailure::Broken;
+}
+
+uint16_t statusOf(relay::Refusal refusal)
+{
+    switch (refusal) {
+    case relay::Refusal::UnknownRoute:
+        return 404;
+    case relay::Refusal::UnknownKey:
+        return 401;
+    case relay::Refusal::BadRequest:
+        return 400;
+    case relay::Refusal::UpstreamFailed:
+        return 502;
+    case relay::Refusal::TimedOut:
+        return 504;
+    case relay::Refusal::NoConfiguration:
+    case relay::Refusal::Stopping:
+    case relay::Refusal::NoUpstream:
+    case relay::Refusal::UpstreamsFull:
+    case relay::Refusal::TooLate:
+    case relay::Refusal::StagesFailed:
+        return 503;
+    }
+    return 502;
+}
+
+} // namespace
+
+ExchangeRunner::ExchangeRunner(net::EventLoop &loop, net::UpstreamClient &client,
+                               const IWireFormat &format, relay::RelaySystem &system,
+                               IRelayHost &host, net::ExchangeLimits limits)
+    : m_server(loop, *this, limits)
+    , m_client(client)
+    , m_format(format)
+    , m_system(system)
+    , m_host(host)
+{
+}
+
+void ExchangeRunner::onRequest(uint64_t exchange, net::IncomingRequest request)
+{
+    const model::RequestId id(exchange);
+    relay::ArrivedRequest arrived = m_format.decodeRequest(request.head);
+    arrived.request = id;
+    arrived.startedAt = request.startedAt;
+    m_held[id] = {.request = std::move(request), .callerId = arrived.callerId};
+    m_system.arrive(std::move(arrived), net::EventLoop::now());
+    m_host.execute();
+}
+
+void ExchangeRunner::onCallerGone(uint64_t exchange)
+{
+    const model::RequestId id(exchange);
+    m_system.onCallerGone(id, net::EventLoop::now());
+    m_host.execute();
+    end(id);
+}
+
+void ExchangeRunner::onDrained(uint64_t exchange)
+{
+    const auto passing = m_passing.find(model::RequestId(exchange));
+    if (passing == m_passing.end() || m_server.buffered(exchange) > maxBufferedBytes / 2) {
+        return;
+    }
+    if (const Attempt *attempt = find(passing->second)) {
+        m_client.setPaused(attempt->call, false);
+    }
+}
+
+ExchangeRunner::Attempt *ExchangeRunner::find(model::AttemptId attempt)
+{
+    const auto it = m_attempts.find(attempt);
+    return it == m_attempts.end() ? nullptr : &it->second;
+}
+
+ExchangeRunner::Attempt *ExchangeRunner::attemptOf(uint64_t call, model::AttemptId &id)
+{
+    const auto it = m_calls.find(call);
+    if (it == m_calls.end()) {
+        return nullptr;
+    }
+    id = it->second;
+    return find(id);
+}
+
+void ExchangeRunner::start(const relay::StartAttempt &command)
+{
+    const auto held = m_held.find(command.request);
+    if (held == m_held.end()) {
+        return;
+    }
+    const net::IncomingRequest &request = held->second.request;
+    net::UpstreamCall call = m_format.encodeAttempt(request.head, request.body, command);
+    call.timeout = command.timeLeft + graceTime;
+    Attempt &attempt = m_attempts[command.attempt];
+    attempt.request = command.request;
+    attempt.splitsEvents = command.splitsEvents;
+    attempt.call = m_client.start(std::move(call), *this);
+    m_calls[attempt.call] = command.attempt;
+}
+
+void ExchangeRunner::forget(model::AttemptId id)
+{
+    const auto it = m_attempts.find(id);
+    if (it == m_attempts.end()) {
+        return;
+    }
+    m_calls.erase(it->second.call);
+    const auto passing = m_passing.find(it->second.request);
+    if (passing != m_passing.end() && passing->second == id) {
+        m_passing.erase(passing);
+    }
+    m_attempts.erase(it);
+}
+
+void ExchangeRunner::end(model::RequestId request)
+{
+    m_held.erase(request);
+    m_passing.erase(request);
+}
+
+void ExchangeRunner::cancel(const relay::CancelAttempt &command)
+{
+    if (const Attempt *attempt = find(command.attempt)) {
+        m_client.cancel(attempt->call);
+        forget(command.attempt);
+    }
+}
+
+void ExchangeRunner::onHead(uint64_t call, const net::MessageHead &head)
+{
+    model::AttemptId id;
+    Attempt *attempt = attemptOf(call, id);
+    if (!attempt) {
+        return;
+    }
+    attempt->head = head;
+    const auto held = m_held.find(attempt->request);
+    const model::CallerRequestId callerId
+        = held == m_held.end() ? model::CallerRequestId() : held->second.callerId;
+    m_system.onAttemptHead(id, m_format.decodeAnswer(head, callerId), net::EventLoop::now());
+    m_host.execute();
+}
+
+void ExchangeRunner::onBody(uint64_t call, std::string_view bytes)
+{
+    model::AttemptId id;
+    Attempt *attempt = attemptOf(call, id);
+    if (!attempt) {
+        return;
+    }
+    if (!attempt->isPassing) {
+        attempt->collected.append(bytes);
+        return;
+    }
+    write(*attempt, bytes);
+    if (m_server.buffered(attempt->request.value()) > maxBufferedBytes) {
+        m_client.setPaused(call, true);
+    }
+}
+
+void ExchangeRunner::write(Attempt &attempt, std::string_view bytes)
+{
+    const uint64_t exchange = attempt.request.value();
+    if (attempt.splitsEvents) {
+        m_server.write(exchange, attempt.splitter.feed(bytes));
+    } else {
+        m_server.write(exchange, bytes);
+    }
+}
+
+void ExchangeRunner::onEnd(uint64_t call)
+{
+    model::AttemptId id;
+    if (!attemptOf(call, id)) {
+        return;
+    }
+    m_system.onAttemptEnd(id, net::EventLoop::now());
+    m_host.execute();
+    forget(id);
+}
+
+void ExchangeRunner::onFailure(uint64_t call, net::CallFailure failure)
+{
+    model::AttemptId id;
+    const Attempt *attempt = attemptOf(call, id);
+    if (!attempt) {
+        return;
+    }
+    const std::string lastEvent = attempt->splitter.lastEvent();
+    forget(id);
+    m_system.onAttemptFailed(id, failureOf(failure), lastEvent, net::EventLoop::now());
+    m_host.execute();
+}
+
+void ExchangeRunner::passStream(const relay::PassStream &command)
+{
+    Attempt *attempt = find(command.attempt);
+    if (!attempt) {
+        return;
+    }
+    // A stream that another upstream may go on with has no length that is known.
+    const std::optional<uint64_t> length
+        = attempt->splitsEvents ? std::nullopt : attempt->head.contentLength;
+    m_server.begin(command.request.value(), attempt->head.status,
+                   net::withoutConnectionHeaders(attempt->head.headers), length);
+    continueStream({.request = command.request, .attempt = command.attempt});
+}
+
+void ExchangeRunner::continueStream(const relay::ContinueStream &command)
+{
+    Attempt *attempt = find(command.attempt);
+    if (!attempt) {
+        return;
+    }
+    attempt->isPassing = true;
+    m_passing[command.request] = command.attempt;
+    write(*attempt, std::exchange(attempt->collected, {}));
+}
+
+void ExchangeRunner::finishStream(const relay::FinishStream &command)
+{
+    const auto passing = m_passing.find(command.request);
+    const Attempt *attempt = passing == m_passing.end() ? nullptr : find(passing->second);
+    if (attempt && attempt->splitsEvents) {
+        m_server.write(command.request.value(), attempt->splitter.rest());
+    }
+    m_server.end(command.request.value());
+    end(command.request);
+}
+
+void ExchangeRunner::passAnswer(const relay::PassAnswer &command)
+{
+    if (const Attempt *attempt = find(command.attempt)) {
+        m_server.respond(command.request.value(), attempt->head.status,
+                         net::withoutConnectionHeaders(attempt->head.headers), attempt->collected);
+    }
+    end(command.request);
+}
+
+void ExchangeRunner::breakAnswer(const relay::BreakAnswer &command)
+{
+    m_server.abort(command.request.value());
+    end(command.request);
+}
+
+void ExchangeRunner::refuse(const relay::RefuseRequest &command)
+{
+    net::Headers headers {{.name = "content-type", .value = net::jsonType}};
+    if (command.retryAfter > model::Duration::zero()) {
+        headers.push_back({.name = "retry-after",
+                           .value = absl::StrFormat("%.2f", model::toSeconds(command.retryAfter))});
+    }
+    const std::string body
+        = absl::StrCat("{\"error\":\"", model::toAbsl(toString(command.refusal)), "\"}");
+    m_server.respond(command.request.value(), statusOf(command.refusal), headers, body);
+    end(command.request);
+}
+
+} // namespace citronpick::daemon
--- /dev/null
+++ b/src/daemon/internal/exchangerunner.h
@@ -0,0 +1,84 @@
+#ifndef CITRONPICK_DAEMON_INTERNAL_EXCHANGERUNNER_H
+#define CITRONPICK_DAEMON_INTERNAL_EXCHANGERUNNER_H
+
+#include <optional>
+#include <string>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "daemon/internal/eventsplitter.h"
+#include "daemon/internal/irelayhost.h"
+#include "daemon/iwireformat.h"
+#include "net/exchangeserver.h"
+#include "net/upstreamclient.h"
+#include "relay/relaysystem.h"
+
+namespace citronpick::daemon
+{
+
+//! Holds the bytes of requests and answers while the relay system decides about them.
+class ExchangeRunner : public net::IExchangeHandler, public net::IUpstreamHandler
+{
+public:
+    ExchangeRunner(net::EventLoop &loop, net::UpstreamClient &client, const IWireFormat &format,
+                   relay::RelaySystem &system, IRelayHost &host, net::ExchangeLimits limits);
+
+    net::ExchangeServer &server()
+    {
+        return m_server;
+    }
+
+    // Commands of the relay system
+    void start(const relay::StartAttempt &command);
+    void cancel(const relay::CancelAttempt &command);
+    void passStream(const relay::PassStream &command);
+    void continueStream(const relay::ContinueStream &command);
+    void finishStream(const relay::FinishStream &command);
+    void passAnswer(const relay::PassAnswer &command);
+    void breakAnswer(const relay::BreakAnswer &command);
+    void refuse(const relay::RefuseRequest &command);
+
+    void onRequest(uint64_t exchange, net::IncomingRequest request) override;
+    void onCallerGone(uint64_t exchange) override;
+    void onDrained(uint64_t exchange) override;
+
+    void onHead(uint64_t call, const net::MessageHead &head) override;
+    void onBody(uint64_t call, std::string_view bytes) override;
+    void onEnd(uint64_t call) override;
+    void onFailure(uint64_t call, net::CallFailure failure) override;
+
+private:
+    struct Held {
+        net::IncomingRequest request;
+        model::CallerRequestId callerId;
+    };
+    struct Attempt {
+        model::RequestId request;
+        uint64_t call = 0;
+        net::MessageHead head;
+        std::string collected; //!< What is not passed on yet.
+        bool isPassing = false;
+        bool splitsEvents = false;
+        EventSplitter splitter;
+    };
+
+    Attempt *find(model::AttemptId attempt);
+    Attempt *attemptOf(uint64_t call, model::AttemptId &id);
+    void write(Attempt &attempt, std::string_view bytes);
+    void forget(model::AttemptId attempt);
+    void end(model::RequestId request);
+
+    net::ExchangeServer m_server;
+    net::UpstreamClient &m_client;
+    const IWireFormat &m_format;
+    relay::RelaySystem &m_system;
+    IRelayHost &m_host;
+    absl::flat_hash_map<model::RequestId, Held> m_held;
+    absl::flat_hash_map<model::AttemptId, Attempt> m_attempts;
+    absl::flat_hash_map<uint64_t, model::AttemptId> m_calls;
+    absl::flat_hash_map<model::RequestId, model::AttemptId> m_passing;
+};
+
+} // namespace citronpick::daemon
+
+#endif // CITRONPICK_DAEMON_INTERNAL_EXCHANGERUNNER_H
--- a/src/daemon/internal/fleetapi.cpp
+++ b/src/daemon/internal/fleetapi.cpp
@@ -2,9 +2,9 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "documents/platformdocuments.h"
 #include "model/abslview.h"
 #include "net/fleetcodec.h"
-#include "platform/platformdocuments.h"
 
 namespace citronpick::daemon
 {
@@ -27,14 +27,14 @@
 
 } // namespace
 
-FleetApi::FleetApi(net::EventLoop &loop, net::HttpClient &client, const config::Settings &settings,
-                   const core::Core &core, IEventSink &sink, model::Incarnation incarnation)
-    : m_settings(settings)
-    , m_core(core)
+FleetApi::FleetApi(net::EventLoop &loop, net::HttpClient &client, FleetIdentity identity,
+                   ConfigurationSource configuration, IEventSink &sink)
+    : m_identity(std::move(identity))
+    , m_configuration(std::move(configuration))
     , m_sink(sink)
     , m_client(client)
     , m_server(loop, *this, {.maxBodyBytes = maxMessageBytes, .maxConnections = 2048})
-    , m_auth(settings.fleetKey, settings.daemon, incarnation)
+    , m_auth(m_identity.key, m_identity.daemon, m_identity.incarnation)
 {
 }
 
@@ -132,7 +132,7 @@
         ++m_rejected;
         return;
     }
-    auto file = platform::parseConfigurationAnswer(*answer.body);
+    auto file = documents::parseConfigurationAnswer(*answer.body);
     if (file.ok()) {
         m_sink.post(core::ConfigurationOffered {.file = *std::move(file), .isFromPeer = true});
     }
@@ -142,7 +142,7 @@
 {
     const net::Signature signature {.stamp = std::string(request.header(stampHeader)),
                                     .code = std::string(request.header(codeHeader))};
-    const std::string address = addressOf(m_settings.fleet, request.path());
+    const std::string address = addressOf(m_identity.endpoint, request.path());
     const absl::Status status = m_auth.check(signature, address, request.body());
     if (!status.ok()) {
         reject(request.number(), model::fromAbsl(status.message()));
@@ -165,16 +165,14 @@
 
 void FleetApi::sendFile(const net::HttpServerRequest &request)
 {
-    const auto text = m_core.revisions().text();
+    const std::optional<config::OfferedFile> file = m_configuration();
     const std::string stamp = m_stamps[request.number()];
     m_stamps.erase(request.number());
-    if (!text) {
+    if (!file) {
         reject(request.number(), "no configuration here");
         return;
     }
-    answerSigned(request.number(), stamp,
-                 platform::formatConfigurationAnswer(
-                     {.revision = m_core.revisions().revision(), .text = *text}));
+    answerSigned(request.number(), stamp, documents::formatConfigurationAnswer(*file));
 }
 
 void FleetApi::reject(uint64_t number, std::string_view why)
@@ -184,7 +182,7 @@
     if ((m_rejected & (m_rejected - 1)) == 0) {
         m_sink.record({.code = observability::EventCode::FleetMessageRejected,
                        .request = {},
-                       .subject = m_settings.daemon.text(),
+                       .subject = m_identity.daemon.text(),
                        .detail = absl::StrCat("why=", model::toAbsl(why), " total=", m_rejected)});
     }
     m_server.respond(number, 403, {}, nullptr);
--- a/src/daemon/internal/fleetapi.h
+++ b/src/daemon/internal/fleetapi.h
@@ -1,9 +1,12 @@
 #ifndef CITRONPICK_DAEMON_INTERNAL_FLEETAPI_H
 #define CITRONPICK_DAEMON_INTERNAL_FLEETAPI_H
 
+#include <functional>
+#include <optional>
+
+#include "config/revisionstore.h"
 #include "config/settings.h"
 #include "core/commands.h"
-#include "core/core.h"
 #include "daemon/ieventsink.h"
 #include "net/httpclient.h"
 #include "net/httpserver.h"
@@ -12,12 +15,23 @@
 namespace citronpick::daemon
 {
 
+//! Who this daemon is to the others.
+struct FleetIdentity {
+    model::DaemonId daemon;
+    config::Endpoint endpoint;
+    std::string key; //!< Shared by all daemons.
+    model::Incarnation incarnation;
+};
+
+//! The configuration file in force; empty when there is none.
+using ConfigurationSource = std::function<std::optional<config::OfferedFile>()>;
+
 //! Messages between daemons: JSON-RPC over HTTP, signed both ways.
 class FleetApi : public net::IHttpHandler
 {
 public:
-    FleetApi(net::EventLoop &loop, net::HttpClient &client, const config::Settings &settings,
-             const core::Core &core, IEventSink &sink, model::Incarnation incarnation);
+    FleetApi(net::EventLoop &loop, net::HttpClient &client, FleetIdentity identity,
+             ConfigurationSource configuration, IEventSink &sink);
 
     void listen(net::ListenSocket socket)
     {
@@ -46,8 +60,8 @@
     void answerSigned(uint64_t number, const std::string &stamp, std::string body);
     void reject(uint64_t number, std::string_view why);
 
-    const config::Settings &m_settings;
-    const core::Core &m_core;
+    FleetIdentity m_identity;
+    ConfigurationSource m_configuration;
     IEventSink &m_sink;
     net::HttpClient &m_client;
     net::HttpServer m_server;
--- a/src/daemon/internal/platformreader.cpp
+++ b/src/daemon/internal/platformreader.cpp
@@ -2,7 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 
-#include "platform/platformdocuments.h"
+#include "documents/platformdocuments.h"
 
 namespace citronpick::daemon
 {
@@ -73,7 +73,7 @@
         setReachable(true);
         return;
     }
-    auto file = platform::parseConfigurationAnswer(*answer.body);
+    auto file = documents::parseConfigurationAnswer(*answer.body);
     if (answer.status != success || !file.ok()) {
         m_watch.onFailed(now);
         setReachable(false);
@@ -105,7 +105,7 @@
 
 void PlatformReader::onListAnswer(const net::HttpAnswer &answer)
 {
-    auto list = platform::parseInstanceList(*answer.body);
+    auto list = documents::parseInstanceList(*answer.body);
     if (answer.status != success || !list.ok()) {
         m_list.onFailed(net::EventLoop::now());
         return;
--- a/src/daemon/internal/platformreader.h
+++ b/src/daemon/internal/platformreader.h
@@ -3,8 +3,8 @@
 
 #include "config/settings.h"
 #include "daemon/ieventsink.h"
+#include "documents/readschedule.h"
 #include "net/httpclient.h"
-#include "platform/readschedule.h"
 
 namespace citronpick::daemon
 {
@@ -29,8 +29,8 @@
     net::HttpClient &m_client;
     const config::Settings &m_settings;
     IEventSink &m_sink;
-    platform::ReadSchedule m_watch;
-    platform::ReadSchedule m_list;
+    documents::ReadSchedule m_watch;
+    documents::ReadSchedule m_list;
     bool m_hasRead = false;
 };
 
--- /dev/null
+++ b/src/daemon/internal/registryreader.cpp
@@ -0,0 +1,122 @@
+#include "daemon/internal/registryreader.h"
+
+#include "model/overloaded.h"
+
+namespace citronpick::daemon
+{
+
+namespace
+{
+
+//! The registry answers in milliseconds; longer than this it is not to be had.
+constexpr model::Duration readTimeout = model::milliseconds(900);
+constexpr model::Duration connectTimeout = model::milliseconds(400);
+constexpr uint16_t success = 200;
+constexpr uint16_t compacted = 410;
+
+} // namespace
+
+RegistryReader::RegistryReader(net::UpstreamClient &client, const IWireFormat &format,
+                               config::Endpoint registry, registry::FollowerOptions options,
+                               uint64_t seed, NewsHandler handler)
+    : m_client(client)
+    , m_format(format)
+    , m_registry(std::move(registry))
+    , m_prefix(options.prefix)
+    , m_follower(std::move(options), seed)
+    , m_handler(std::move(handler))
+{
+}
+
+void RegistryReader::run(model::TimePoint now)
+{
+    for (const registry::FollowerNews &news : m_follower.takeNews(now)) {
+        m_handler(news);
+    }
+    const std::optional<registry::FollowerCall> due = m_follower.takeCall(now);
+    if (!due) {
+        return;
+    }
+    m_status = 0;
+    m_body.clear();
+    net::UpstreamCall call = std::visit(
+        model::Overloaded {
+            [this](const registry::ReadPage &page) {
+                net::UpstreamCall read = m_format.encodeRead(m_registry, m_prefix, page.afterKey);
+                read.timeout = readTimeout;
+                return read;
+            },
+            [this](const registry::WatchChanges &watch) {
+                net::UpstreamCall wait
+                    = m_format.encodeWatch(m_registry, m_prefix, watch.afterRevision, watch.wait);
+                wait.timeout = watch.wait + readTimeout;
+                return wait;
+            },
+        },
+        *due);
+    m_isWatch = std::holds_alternative<registry::WatchChanges>(*due);
+    call.connectTimeout = connectTimeout;
+    m_call = m_client.start(std::move(call), *this);
+}
+
+void RegistryReader::onHead(uint64_t call, const net::MessageHead &head)
+{
+    if (call == m_call) {
+        m_status = head.status;
+    }
+}
+
+void RegistryReader::onBody(uint64_t call, std::string_view bytes)
+{
+    if (call == m_call) {
+        m_body.append(bytes);
+    }
+}
+
+void RegistryReader::onEnd(uint64_t call)
+{
+    if (call != m_call) {
+        return;
+    }
+    m_call = 0;
+    const model::TimePoint now = net::EventLoop::now();
+    if (m_status == success) {
+        takeAnswer(now);
+    } else {
+        m_follower.onError(m_status == compacted ? registry::CallError::Compacted
+                                                 : registry::CallError::Refused,
+                           now);
+    }
+    run(now);
+}
+
+void RegistryReader::takeAnswer(model::TimePoint now)
+{
+    if (m_isWatch) {
+        const auto changes = m_format.decodeChanges(m_body);
+        if (changes.ok()) {
+            m_follower.onChanges(*changes, now);
+            return;
+        }
+    } else {
+        const auto page = m_format.decodePage(m_body);
+        if (page.ok()) {
+            m_follower.onPage(*page, now);
+            return;
+        }
+    }
+    m_follower.onError(registry::CallError::Unreachable, now);
+}
+
+void RegistryReader::onFailure(uint64_t call, net::CallFailure)
+{
+    if (call != m_call) {
+        return;
+    }
+    m_call = 0;
+    const model::TimePoint now = net::EventLoop::now();
+    m_follower.onError(registry::CallError::Unreachable, now);
+    run(now);
+}
+
+} // namespace citronpick::daemon
--- /dev/null
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -0,0 +1,486 @@
+#include "daemon/relaydaemon.h"
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+
+#include "daemon/internal/batchrunner.h"
+#include "daemon/internal/controlapi.h"
+#include "daemon/internal/exchangerunner.h"
+#include "daemon/internal/fleetapi.h"
+#include "daemon/internal/incarnation.h"
+#include "daemon/internal/peerjobs.h"
+#include "daemon/internal/registryreader.h"
+#include "daemon/internal/relaymetrics.h"
+#include "model/abslview.h"
+#include "model/hash.h"
+#include "model/overloaded.h"
+#include "observability/log.h"
+
+namespace citronpick::daemon
+{
+
+using observability::EventCode;
+
+namespace
+{
+
+//! Time limits of connections are checked this often; they are hundreds of milliseconds and more.
+constexpr model::Duration sweepInterval = model::milliseconds(100);
+//! A peer's newer configuration is fetched at most this often.
+constexpr model::Duration fetchInterval = model::milliseconds(300);
+//! As many as callers take from one answer.
+constexpr size_t maxEntries = 64;
+//! Follows the fleet key, so that numbers used once are of one kind of message.
+constexpr const char *stageKeySuffix = ":stage";
+//! Time for the last answers to leave the process after everything has ended.
+constexpr model::Duration flushTime = model::milliseconds(200);
+
+} // namespace
+
+RelayDaemon::RelayDaemon(net::EventLoop &loop, config::RelaySettings settings,
+                         const IWireFormat &format)
+    : m_loop(loop)
+    , m_settings(std::move(settings))
+    , m_format(format)
+    , m_logLimiter(m_settings.maxLogLinesPerSecond)
+    , m_fleetClient(loop)
+    , m_client(loop)
+{
+}
+
+RelayDaemon::~RelayDaemon() = default;
+
+absl::Status RelayDaemon::start()
+{
+    const config::Endpoint stages {.host = m_settings.fleet.host, .port = m_settings.stagePort};
+    const config::Endpoint metrics {.host = m_settings.fleet.host, .port = m_settings.metricsPort};
+    auto callerSocket = net::ListenSocket::bind(m_settings.callers);
+    auto readinessSocket = net::ListenSocket::bind(m_settings.readiness);
+    auto directorySocket = net::ListenSocket::bind(m_settings.directory);
+    auto fleetSocket = net::ListenSocket::bind(m_settings.fleet);
+    auto stageSocket = net::ListenSocket::bind(stages);
+    auto metricsSocket = net::ListenSocket::bind(metrics);
+    for (const absl::Status &status :
+         {callerSocket.status(), readinessSocket.status(), directorySocket.status(),
+          fleetSocket.status(), stageSocket.status(), metricsSocket.status()}) {
+        if (!status.ok()) {
+            return status;
+        }
+    }
+    const model::Incarnation incarnation = drawIncarnation();
+    startParts(incarnation, net::EventLoop::now());
+    m_exchanges->server().listen(*std::move(callerSocket));
+    m_control->listen(*std::move(readinessSocket), *std::move(directorySocket),
+                      *std::move(metricsSocket));
+    m_fleetApi->listen(*std::move(fleetSocket));
+    m_peerJobs->listen(*std::move(stageSocket));
+    record({.code = EventCode::DaemonStarted,
+            .request = {},
+            .subject = m_settings.daemon.text(),
+            .detail = absl::StrCat("incarnation=", incarnation.value(),
+                                   " callers=", config::toText(m_settings.callers),
+                                   " registry=", config::toText(m_settings.registry),
+                                   " version=", CITRONPICK_VERSION)});
+    return absl::OkStatus();
+}
+
+void RelayDaemon::startParts(model::Incarnation incarnation, model::TimePoint now)
+{
+    const uint64_t seed = model::hash64(m_settings.daemon.text(), incarnation.value());
+    m_relay = std::make_unique<relay::RelaySystem>(
+        relay::RelayOptions {.daemon = m_settings.daemon,
+                             .zone = m_settings.zone,
+                             .retries = {.ratio = m_settings.retryRatio,
+                                         .slack = m_settings.retrySlack,
+                                         .window = m_settings.retryWindow},
+                             .seed = seed},
+        now);
+    fleet::FleetOptions fleetOptions;
+    fleetOptions.seeds = m_settings.seeds;
+    m_fleet
+        = std::make_unique<fleet::FleetSystem>(std::move(fleetOptions),
+                                               fleet::Member {.id = m_settings.daemon,
+                                                              .incarnation = incarnation,
+                                                              .state = fleet::MemberState::Joining,
+                                                              .zone = m_settings.zone,
+                                                              .fleet = m_settings.fleet,
+                                                              .caller = m_settings.callers},
+                                               seed);
+    m_fleetApi = std::make_unique<FleetApi>(
+        m_loop, m_fleetClient,
+        FleetIdentity {.daemon = m_settings.daemon,
+                       .endpoint = m_settings.fleet,
+                       .key = m_settings.fleetKey,
+                       .incarnation = incarnation},
+        [this] { return configurationFile(); }, *this);
+    m_stageAuth = std::make_unique<net::MessageAuth>(m_settings.fleetKey + stageKeySuffix,
+                                                     m_settings.daemon, incarnation);
+    m_exchanges = std::make_unique<ExchangeRunner>(
+        m_loop, m_client, m_format, *m_relay, *this,
+        net::ExchangeLimits {.maxConnections = m_settings.maxConnections});
+    m_batches = std::make_unique<BatchRunner>(m_client, m_format, *m_relay, *this);
+    m_peerJobs = std::make_unique<PeerJobs>(m_loop, m_client, *m_stageAuth, *m_relay, *this,
+                                            m_settings.stagePort);
+    m_control = std::make_unique<ControlApi>(m_loop, *this, m_format);
+    m_configurationReader = std::make_unique<RegistryReader>(
+        m_client, m_format, m_settings.registry,
+        registry::FollowerOptions {.prefix = m_format.configurationPrefix()}, seed,
+        [this](const registry::FollowerNews &news) { onConfigurationNews(news); });
+    m_upstreamReader = std::make_unique<RegistryReader>(
+        m_client, m_format, m_settings.registry,
+        registry::FollowerOptions {.prefix = m_format.upstreamPrefix()}, seed + 1,
+        [this](const registry::FollowerNews &news) { onUpstreamNews(news); });
+}
+
+model::Duration RelayDaemon::waitTime(model::TimePoint now) const
+{
+    model::TimePoint next = m_nextSweep;
+    const auto consider = [&next](std::optional<model::TimePoint> at) {
+        next = at ? std::min(next, *at) : next;
+    };
+    consider(m_relay->nextRun());
+    consider(m_configurationReader->follower().nextRun());
+    consider(m_upstreamReader->follower().nextRun());
+    constexpr model::Duration roundUp = model::milliseconds(1) - model::Duration(1);
+    return std::max(model::Duration::zero(), next - now + roundUp);
+}
+
+bool RelayDaemon::runOnce()
+{
+    m_loop.runOnce(waitTime(net::EventLoop::now()));
+    const model::TimePoint now = net::EventLoop::now();
+    m_configurationReader->run(now);
+    m_upstreamReader->run(now);
+    m_relay->run(now);
+    execute();
+    if (now >= m_nextSweep) {
+        m_nextSweep = now + sweepInterval;
+        m_exchanges->server().sweep(now);
+        m_control->sweep(now);
+        m_peerJobs->sweep(now);
+        m_client.sweep(now);
+        m_fleetClient.expire(now);
+        m_batches->flush(now);
+        runFleet(now);
+        checkReady(now);
+        checkDrain(now);
+        if (const uint64_t suppressed = m_logLimiter.takeSuppressed(now)) {
+            observability::writeLog(m_settings.daemon.text(),
+                                    {.code = EventCode::LinesSuppressed,
+                                     .request = {},
+                                     .subject = m_settings.daemon.text(),
+                                     .detail = absl::StrCat("count=", suppressed)});
+        }
+    }
+    // Writes that were begun outside the loop complete in its next turn.
+    m_loop.runOnce(model::Duration::zero());
+    return !m_isFinished;
+}
+
+void RelayDaemon::runFleet(model::TimePoint now)
+{
+    m_fleet->run(now);
+    for (fleet::FleetCommand &command : m_fleet->takeCommands()) {
+        std::visit(model::Overloaded {
+                       [this](const fleet::SendExchange &exchange) { m_fleetApi->send(exchange); },
+                       [this](const fleet::SendReply &reply) { m_fleetApi->reply(reply); },
+                       [this](const observability::Event &event) { record(event); },
+                   },
+                   command);
+    }
+    const fleet::FleetNews news = m_fleet->takeNews();
+    if (!news.newerConfigurations.empty() && now >= m_nextFetch) {
+        m_nextFetch = now + fetchInterval;
+        const fleet::NewerConfiguration &newer = news.newerConfigurations.back();
+        m_fleetApi->fetch({.from = newer.from, .revision = newer.revision});
+    }
+    refreshPeers(now);
+}
+
+void RelayDaemon::refreshPeers(model::TimePoint now)
+{
+    static_cast<void>(now);
+    std::vector<relay::PeerDaemon> peers;
+    for (const auto &[id, row] : m_fleet->members().rows()) {
+        if (row.member.isUsable() || id == m_settings.daemon) {
+            peers.push_back({.id = id, .address = config::toText(row.member.fleet)});
+        }
+    }
+    m_relay->setPeers(std::move(peers));
+}
+
+std::vector<config::Endpoint> RelayDaemon::entries() const
+{
+    std::vector<config::Endpoint> entries;
+    if (isReady()) {
+        entries.push_back(m_settings.callers);
+    }
+    for (const auto &[id, row] : m_fleet->members().rows()) {
+        if (id != m_settings.daemon && row.member.isUsable() && entries.size() < maxEntries) {
+            entries.push_back(row.member.caller);
+        }
+    }
+    return entries;
+}
+
+void RelayDaemon::post(core::Event event)
+{
+    const model::TimePoint now = net::EventLoop::now();
+    std::visit(model::Overloaded {
+                   [&](const core::FleetRequestReceived &received) {
+                       m_fleet->onRequest(received.exchange, received.message, now);
+                   },
+                   [&](const core::FleetReplyReceived &received) {
+                       m_fleet->onReply(received.exchange, received.message, now);
+                   },
+                   [&](const core::FleetExchangeFailed &failed) {
+                       m_fleet->onExchangeFailed(failed.exchange, now);
+                   },
+                   [&](const core::ConfigurationOffered &offered) {
+                       offerConfiguration(m_format.configurationPrefix(), offered.file.text,
+                                          "peer");
+                   },
+                   [](const auto &) {
+                       // The other events concern daemons that run pipelines themselves.
+                   },
+               },
+               event);
+    runFleet(now);
+}
+
+void RelayDaemon::record(const observability::Event &event)
+{
+    if (m_logLimiter.allows(net::EventLoop::now())) {
+        observability::writeLog(m_settings.daemon.text(), event);
+    }
+}
+
+std::optional<config::OfferedFile> RelayDaemon::configurationFile() const
+{
+    if (!m_relay->configuration()) {
+        return std::nullopt;
+    }
+    return config::OfferedFile {.revision = m_relay->configuration()->revision(),
+                                .text = m_configurationText};
+}
+
+void RelayDaemon::onRegistryNews(const registry::FollowerNews &news)
+{
+    const auto *reachable = std::get_if<registry::Reachable>(&news);
+    if (reachable) {
+        record({.code = reachable->isReachable ? EventCode::PlatformAvailable
+                                               : EventCode::PlatformUnavailable,
+                .request = {},
+                .subject = config::toText(m_settings.registry),
+                .detail = absl::StrCat("revision=", m_upstreamReader->follower().revision())});
+    }
+}
+
+void RelayDaemon::onConfigurationNews(const registry::FollowerNews &news)
+{
+    onRegistryNews(news);
+    const auto *changed = std::get_if<registry::KeyChanged>(&news);
+    // A configuration that is gone from the registry stays in force.
+    if (changed && changed->value) {
+        offerConfiguration(changed->key, *changed->value, "registry");
+    }
+}
+
+void RelayDaemon::offerConfiguration(const std::string &key, const std::string &text,
+                                     std::string_view source)
+{
+    auto content = m_format.decodeConfiguration(key, text);
+    if (!content.ok()) {
+        record({.code = EventCode::ConfigurationRejected,
+                .request = {},
+                .subject = key,
+                .detail = absl::StrCat("source=", model::toAbsl(source),
+                                       " why=", content.status().message())});
+        return;
+    }
+    const auto configuration
+        = std::make_shared<const relay::RelayConfiguration>(*std::move(content));
+    const model::Revision before
+        = m_relay->configuration() ? m_relay->configuration()->revision() : model::Revision();
+    if (!m_relay->setConfiguration(configuration)) {
+        return;
+    }
+    m_configurationText = text;
+    const relay::CallerBounds &bounds = configuration->content().bounds;
+    m_exchanges->server().setLimits({.maxHeadBytes = bounds.maxHeadBytes,
+                                     .maxBodyBytes = bounds.maxBodyBytes,
+                                     .headTimeout = bounds.headTimeout,
+                                     .idleTimeout = bounds.idleTimeout,
+                                     .maxConnections = m_settings.maxConnections});
+    m_fleet->setRevision(configuration->revision(), model::hash64(text));
+    record({.code = EventCode::ConfigurationAccepted,
+            .request = {},
+            .subject = absl::StrCat("revision-", configuration->revision().value()),
+            .detail = absl::StrCat("source=", model::toAbsl(source), " before=", before.value(),
+                                   " routes=", configuration->content().routes.size())});
+}
+
+void RelayDaemon::onUpstreamNews(const registry::FollowerNews &news)
+{
+    onRegistryNews(news);
+    const auto *changed = std::get_if<registry::KeyChanged>(&news);
+    if (!changed) {
+        return;
+    }
+    const model::UpstreamId id = m_format.upstreamOf(changed->key);
+    const std::string revision = absl::StrCat("revision=", changed->revision);
+    if (!changed->value) {
+        if (m_relay->upstreams().remove(id)) {
+            record({.code = EventCode::UpstreamRemoved,
+                    .request = {},
+                    .subject = id.text(),
+                    .detail = revision});
+        }
+        return;
+    }
+    const auto listing = m_format.decodeUpstream(changed->key, *changed->value);
+    if (!listing.ok()) {
+        m_relay->upstreams().remove(id);
+        record({.code = EventCode::ListingRejected,
+                .request = {},
+                .subject = id.text(),
+                .detail = absl::StrCat(revision, " why=", listing.status().message())});
+        return;
+    }
+    const relay::ListingChange change = m_relay->upstreams().apply(*listing);
+    if (change == relay::ListingChange::None || change == relay::ListingChange::Updated) {
+        return;
+    }
+    const EventCode code = change == relay::ListingChange::Added ? EventCode::UpstreamListed
+                           : change == relay::ListingChange::Restarted
+                               ? EventCode::UpstreamRestarted
+                               : EventCode::UpstreamLeaving;
+    record({.code = code,
+            .request = {},
+            .subject = id.text(),
+            .detail = absl::StrCat(revision, " pool=", listing->pool.text(),
+                                   " address=", config::toText(listing->address),
+                                   " zone=", listing->zone.text())});
+}
+
+void RelayDaemon::execute()
+{
+    if (m_isExecuting) {
+        return;
+    }
+    m_isExecuting = true;
+    for (std::vector<relay::RelayCommand> commands = m_relay->takeCommands(); !commands.empty();
+         commands = m_relay->takeCommands()) {
+        for (relay::RelayCommand &command : commands) {
+            execute(command);
+        }
+    }
+    m_isExecuting = false;
+}
+
+void RelayDaemon::execute(relay::RelayCommand &command)
+{
+    std::visit(model::Overloaded {
+                   [this](const relay::StartAttempt &start) { m_exchanges->start(start); },
+                   [this](const relay::CancelAttempt &cancel) { m_exchanges->cancel(cancel); },
+                   [this](const relay::PassStream &pass) { m_exchanges->passStream(pass); },
+                   [this](const relay::ContinueStream &pass) { m_exchanges->continueStream(pass); },
+                   [this](const relay::FinishStream &finish) { m_exchanges->finishStream(finish); },
+                   [this](const relay::PassAnswer &pass) { m_exchanges->passAnswer(pass); },
+                   [this](const relay::BreakAnswer &broken) { m_exchanges->breakAnswer(broken); },
+                   [this](const relay::RefuseRequest &refusal) { m_exchanges->refuse(refusal); },
+                   [this](const relay::RunBatch &batch) { m_batches->run(batch); },
+                   [this](const relay::CancelBatch &cancel) { m_batches->cancel(cancel); },
+                   [this](const relay::ForwardJob &forward) { m_peerJobs->forward(forward); },
+                   [this](const relay::CancelForward &cancel) { m_peerJobs->cancel(cancel); },
+                   [this](const relay::AnswerPeer &answer) { m_peerJobs->answer(answer); },
+                   [this](const relay::ReleaseResults &release) {
+                       m_batches->release(release, net::EventLoop::now());
+                   },
+                   [this](const observability::Event &event) { record(event); },
+               },
+               command);
+}
+
+bool RelayDaemon::isReady() const
+{
+    return !m_drainingSince && m_relay->configuration()
+           && m_upstreamReader->follower().isSynchronized();
+}
+
+void RelayDaemon::checkReady(model::TimePoint now)
+{
+    if (m_wasReady || !isReady()) {
+        return;
+    }
+    m_wasReady = true;
+    m_fleet->announceReady(now);
+    record({.code = EventCode::DaemonReady,
+            .request = {},
+            .subject = m_settings.daemon.text(),
+            .detail = absl::StrCat("revision=", m_relay->configuration()->revision().value(),
+                                   " upstreams=", m_relay->upstreams().size())});
+}
+
+void RelayDaemon::requestStop()
+{
+    if (m_drainingSince) {
+        m_isFinished = true;
+        return;
+    }
+    const model::TimePoint now = net::EventLoop::now();
+    m_drainingSince = now;
+    m_fleet->leave(now);
+    runFleet(now);
+    m_exchanges->server().closeAfterAnswers();
+    record({.code = EventCode::DrainStarted,
+            .request = {},
+            .subject = m_settings.daemon.text(),
+            .detail = absl::StrCat("requests=", m_relay->requestCount(),
+                                   " connections=", m_exchanges->server().connectionCount())});
+}
+
+void RelayDaemon::checkDrain(model::TimePoint now)
+{
+    if (!m_drainingSince) {
+        return;
+    }
+    const model::Duration since = now - *m_drainingSince;
+    const bool isIdle = m_relay->requestCount() == 0 && m_peerJobs->openExchanges() == 0;
+    const bool hasAccepted = since >= m_settings.drain.accept;
+    if (hasAccepted) {
+        m_exchanges->server().stopListening();
+    }
+    if (since >= m_settings.drain.limit
+        || (hasAccepted && isIdle && since >= m_settings.drain.accept + flushTime)) {
+        record({.code = isIdle ? EventCode::DrainComplete : EventCode::DrainCut,
+                .request = {},
+                .subject = m_settings.daemon.text(),
+                .detail = absl::StrCat("requests=", m_relay->requestCount())});
+        m_isFinished = true;
+    }
+}
+
+void RelayDaemon::reload(const config::RelaySettings &settings)
+{
+    m_settings.entryLifetime = settings.entryLifetime;
+    m_settings.drain = settings.drain;
+    m_settings.logLevel = settings.logLevel;
+    observability::openLog(settings.logLevel);
+    record({.code = EventCode::SettingsReloaded,
+            .request = {},
+            .subject = m_settings.daemon.text(),
+            .detail = absl::StrCat("seeds=", settings.seeds.size())});
+}
+
+std::string RelayDaemon::metricsPage() const
+{
+    return relayMetricsPage({.relay = *m_relay,
+                             .fleet = *m_fleet,
+                             .connections = m_exchanges->server().connectionCount(),
+                             .upstreamConnects = m_client.connectsStarted(),
+                             .suppressedLines = m_logLimiter.suppressedTotal()});
+}
+
+} // namespace citronpick::daemon
--- /dev/null
+++ b/src/daemon/internal/relaymetrics.cpp
@@ -0,0 +1,67 @@
+#include "daemon/internal/relaymetrics.h"
+
+#include <vector>
+
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+
+namespace citronpick::daemon
+{
+
+namespace
+{
+
+using prometheus::ClientMetric;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+MetricFamily family(const char *name, const char *help, MetricType type, double value)
+{
+    ClientMetric metric;
+    metric.counter.value = value;
+    metric.gauge.value = value;
+    return {.name = name, .help = help, .type = type, .metric = {metric}};
+}
+
+MetricFamily counter(const char *name, const char *help, uint64_t value)
+{
+    return family(name, help, MetricType::Counter, static_cast<double>(value));
+}
+
+MetricFamily gauge(const char *name, const char *help, uint64_t value)
+{
+    return family(name, help, MetricType::Gauge, static_cast<double>(value));
+}
+
+} // namespace
+
+std::string relayMetricsPage(const RelayMetricsSource &source)
+{
+    const relay::RelayCounters &counters = source.relay.counters();
+    const std::vector<MetricFamily> families {
+        counter("citronpick_relay_requests_total", "Requests that arrived", counters.arrived),
+        counter("citronpick_relay_answers_total", "Answers passed on whole", counters.passed),
+        counter("citronpick_relay_refusals_total", "Requests refused here", counters.refused),
+        counter("citronpick_relay_broken_total", "Answers broken off", counters.broken),
+        counter("citronpick_relay_abandoned_total", "Callers that left", counters.callersGone),
+        counter("citronpick_relay_attempts_total", "Sends to upstreams", counters.attempts),
+        counter("citronpick_relay_retries_total", "Sends once more", counters.retries),
+        counter("citronpick_relay_resumes_total", "Streams gone on with", counters.resumes),
+        counter("citronpick_relay_batches_total", "Batches started", counters.batches),
+        counter("citronpick_relay_pieces_total", "Pieces in batches", counters.batchedPieces),
+        counter("citronpick_relay_forwards_total", "Stages given to peers", counters.forwardedJobs),
+        counter("citronpick_relay_stage_restarts_total", "Requests whose stages ran again",
+                counters.stageRestarts),
+        counter("citronpick_upstream_connects_total", "Connections opened to upstreams",
+                source.upstreamConnects),
+        counter("citronpick_log_suppressed_total", "Log lines not written", source.suppressedLines),
+        gauge("citronpick_relay_open_requests", "Requests under way", source.relay.requestCount()),
+        gauge("citronpick_relay_connections", "Callers' connections", source.connections),
+        gauge("citronpick_relay_upstreams", "Upstreams listed", source.relay.upstreams().size()),
+        gauge("citronpick_fleet_members", "Daemons that are alive",
+              source.fleet.members().usableCount()),
+    };
+    return prometheus::TextSerializer().Serialize(families);
+}
+
+} // namespace citronpick::daemon
--- /dev/null
+++ b/src/daemon/internal/relaymetrics.h
@@ -0,0 +1,26 @@
+#ifndef CITRONPICK_DAEMON_INTERNAL_RELAYMETRICS_H
+#define CITRONPICK_DAEMON_INTERNAL_RELAYMETRICS_H
+
+#include <string>
+
+#include "fleet/fleetsystem.h"
+#include "relay/relaysystem.h"
+
+namespace citronpick::daemon
+{
+
+//! What the metrics page of a relaying daemon is made from.
+struct RelayMetricsSource {
+    const relay::RelaySystem &relay;
+    const fleet::FleetSystem &fleet;
+    size_t connections = 0;
+    uint64_t upstreamConnects = 0;
+    uint64_t suppressedLines = 0;
+};
+
+//! The page in the Prometheus text format.
+std::string relayMetricsPage(const RelayMetricsSource &source);
+
+} // namespace citronpick::daemon
+
+#endif // CITRONPICK_DAEMON_INTERNAL_RELAYMETRICS_H
--- /dev/null
+++ b/src/daemon/internal/stagejobcodec.cpp
@@ -0,0 +1,80 @@
+#include "daemon/internal/stagejobcodec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace citronpick::daemon
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+//! More than any deployment's stage has; a peer cannot make this daemon hold more.
+constexpr uint32_t maxPieces = 4096;
+
+} // namespace
+
+std::string encodeStageJob(const relay::StageJob &job, model::TimePoint now)
+{
+    return Json {{"pool", job.pool.text()},
+                 {"request", job.request.text()},
+                 {"stage", job.stage},
+                 {"pieces", job.pieceCount},
+                 {"key", job.key},
+                 {"inputs", job.inputs},
+                 {"priority", job.priority},
+                 {"dueUs", (job.due - now).count()},
+                 {"leftUs", (job.deadline - now).count()}}
+        .dump();
+}
+
+absl::StatusOr<relay::StageJob> decodeStageJob(std::string_view text, model::TimePoint now)
+{
+    const Json document = Json::parse(text, nullptr, false);
+    try {
+        relay::StageJob job {.pool = model::PoolId(document.at("pool")),
+                             .request = model::CallerRequestId(document.at("request")),
+                             .stage = document.at("stage"),
+                             .pieceCount = document.at("pieces"),
+                             .key = document.at("key"),
+                             .inputs = document.at("inputs"),
+                             .priority = document.at("priority"),
+                             .due = now + model::Duration(document.at("dueUs").get<int64_t>()),
+                             .deadline
+                             = now + model::Duration(document.at("leftUs").get<int64_t>())};
+        if (job.pieceCount == 0 || job.pieceCount > maxPieces) {
+            return absl::InvalidArgumentError("a stage without pieces, or with absurdly many");
+        }
+        return job;
+    } catch (const Json::exception &error) {
+        return absl::InvalidArgumentError(error.what());
+    }
+}
+
+std::string encodeJobResult(const relay::JobResult &result)
+{
+    return Json {{"failure", static_cast<int>(result.failure)},
+                 {"handles", result.handles},
+                 {"retryAfterUs", result.retryAfter.count()}}
+        .dump();
+}
+
+absl::StatusOr<relay::JobResult> decodeJobResult(std::string_view text)
+{
+    const Json document = Json::parse(text, nullptr, false);
+    try {
+        const int failure = document.at("failure");
+        if (failure < 0 || failure > static_cast<int>(relay::JobFailure::Failed)) {
+            return absl::InvalidArgumentError("an unknown failure");
+        }
+        return relay::JobResult {.failure = static_cast<relay::JobFailure>(failure),
+                                 .handles = document.at("handles"),
+                                 .retryAfter
+                                 = model::Duration(document.at("retryAfterUs").get<int64_t>())};
+    } catch (const Json::exception &error) {
+        return absl::InvalidArgumentError(error.what());
+    }
+}
+
+} // namespace citronpick::daemon
--- /dev/null
+++ b/src/daemon/iwireformat.h
@@ -0,0 +1,74 @@
+#ifndef CITRONPICK_DAEMON_IWIREFORMAT_H
+#define CITRONPICK_DAEMON_IWIREFORMAT_H
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <absl/status/statusor.h>
+
+#include "net/messageparser.h"
+#include "net/upstreamclient.h"
+#include "registry/registryitem.h"
+#include "relay/relaycommands.h"
+#include "relay/relayevents.h"
+
+namespace citronpick::daemon
+{
+
+//! What a caller may ask a daemon besides its requests.
+enum class ControlCall {
+    None,
+    Readiness,
+    Entries, //!< Which daemons to use.
+};
+
+//! Names, formats and calls of the deployment that a daemon runs in. Decides nothing.
+class IWireFormat
+{
+public:
+    virtual ~IWireFormat() = default;
+
+    // Callers
+    virtual ControlCall controlCallOf(const net::MessageHead &head) const = 0;
+    virtual std::string encodeEntries(const std::vector<config::Endpoint> &entries,
+                                      model::Duration lifetime) const = 0;
+    //! Everything but the number and the time, which the daemon gives.
+    virtual relay::ArrivedRequest decodeRequest(const net::MessageHead &head) const = 0;
+
+    // Upstreams
+    virtual net::UpstreamCall encodeAttempt(const net::MessageHead &head, const std::string &body,
+                                            const relay::StartAttempt &attempt) const = 0;
+    virtual relay::AnswerFacts decodeAnswer(const net::MessageHead &head,
+                                            const model::CallerRequestId &request) const = 0;
+    virtual net::UpstreamCall encodeBatch(const relay::RunBatch &batch) const = 0;
+    virtual absl::StatusOr<std::vector<relay::ItemOutcome>>
+    decodeBatch(std::string_view body) const = 0;
+    //! Empty for a handle that names no address.
+    virtual std::optional<config::Endpoint> makerOf(const relay::ResultHandle &handle) const = 0;
+    virtual net::UpstreamCall
+    encodeRelease(const config::Endpoint &maker,
+                  const std::vector<relay::ResultHandle> &handles) const = 0;
+
+    // Registry
+    virtual std::string upstreamPrefix() const = 0;
+    virtual std::string configurationPrefix() const = 0;
+    virtual net::UpstreamCall encodeRead(const config::Endpoint &to, const std::string &prefix,
+                                         const std::string &afterKey) const = 0;
+    virtual net::UpstreamCall encodeWatch(const config::Endpoint &to, const std::string &prefix,
+                                          uint64_t afterRevision, model::Duration wait) const = 0;
+    virtual absl::StatusOr<registry::RegistryPage> decodePage(std::string_view body) const = 0;
+    virtual absl::StatusOr<registry::RegistryChanges>
+    decodeChanges(std::string_view body) const = 0;
+    //! NotFound when the key is not the configuration's.
+    virtual absl::StatusOr<relay::ConfigurationContent>
+    decodeConfiguration(std::string_view key, std::string_view value) const = 0;
+    virtual absl::StatusOr<relay::UpstreamListing> decodeUpstream(std::string_view key,
+                                                                  std::string_view value) const = 0;
+    virtual model::UpstreamId upstreamOf(std::string_view key) const = 0;
+};
+
+} // namespace citronpick::daemon
+
+#endif // CITRONPICK_DAEMON_IWIREFORMAT_H
--- /dev/null
+++ b/src/daemon/relaydaemon.h
@@ -0,0 +1,112 @@
+#ifndef CITRONPICK_DAEMON_RELAYDAEMON_H
+#define CITRONPICK_DAEMON_RELAYDAEMON_H
+
+#include <memory>
+#include <optional>
+
+#include <absl/status/status.h>
+
+#include "config/relaysettings.h"
+#include "daemon/ieventsink.h"
+#include "daemon/internal/irelayhost.h"
+#include "daemon/iwireformat.h"
+#include "fleet/fleetsystem.h"
+#include "net/eventloop.h"
+#include "net/httpclient.h"
+#include "net/messageauth.h"
+#include "net/upstreamclient.h"
+#include "observability/loglimiter.h"
+#include "registry/registryfollower.h"
+#include "relay/relaysystem.h"
+
+namespace citronpick::daemon
+{
+
+class BatchRunner;
+class ControlApi;
+class ExchangeRunner;
+class FleetApi;
+class PeerJobs;
+class RegistryReader;
+
+/*!
+ * One daemon that relays requests by host and path.
+ *
+ * Its configuration and upstreams come from a registry that can only be read, the other daemons
+ * from the fleet exchange. Callers, upstreams and registry are spoken to in the given format.
+ */
+class RelayDaemon : public IEventSink, public IRelayHost
+{
+public:
+    RelayDaemon(net::EventLoop &loop, config::RelaySettings settings, const IWireFormat &format);
+    ~RelayDaemon() override;
+
+    //! Opens the listeners. Unavailable when an address cannot be had.
+    absl::Status start();
+
+    //! One turn of the loop; false when the daemon has nothing left to do.
+    bool runOnce();
+
+    //! Begins a planned stop; at the second call what is left is cut.
+    void requestStop();
+
+    //! Takes what may change while the daemon runs from settings that were read again.
+    void reload(const config::RelaySettings &settings);
+
+    bool isReady() const;
+
+    //! Daemons that callers may use, this one first while it is ready.
+    std::vector<config::Endpoint> entries() const;
+    model::Duration entryLifetime() const
+    {
+        return m_settings.entryLifetime;
+    }
+    std::string metricsPage() const;
+
+    void post(core::Event event) override;
+    void record(const observability::Event &event) override;
+    void execute() override;
+
+private:
+    std::optional<config::OfferedFile> configurationFile() const;
+    void startParts(model::Incarnation incarnation, model::TimePoint now);
+    void onRegistryNews(const registry::FollowerNews &news);
+    void onConfigurationNews(const registry::FollowerNews &news);
+    void offerConfiguration(const std::string &key, const std::string &text,
+                            std::string_view source);
+    void onUpstreamNews(const registry::FollowerNews &news);
+    void execute(relay::RelayCommand &command);
+    void runFleet(model::TimePoint now);
+    void refreshPeers(model::TimePoint now);
+    void checkReady(model::TimePoint now);
+    void checkDrain(model::TimePoint now);
+    model::Duration waitTime(model::TimePoint now) const;
+
+    net::EventLoop &m_loop;
+    config::RelaySettings m_settings;
+    const IWireFormat &m_format;
+    observability::LogLimiter m_logLimiter;
+    net::HttpClient m_fleetClient;
+    net::UpstreamClient m_client;
+    std::unique_ptr<relay::RelaySystem> m_relay;
+    std::unique_ptr<fleet::FleetSystem> m_fleet;
+    std::unique_ptr<net::MessageAuth> m_stageAuth;
+    std::unique_ptr<FleetApi> m_fleetApi;
+    std::unique_ptr<ExchangeRunner> m_exchanges;
+    std::unique_ptr<BatchRunner> m_batches;
+    std::unique_ptr<PeerJobs> m_peerJobs;
+    std::unique_ptr<ControlApi> m_control;
+    std::unique_ptr<RegistryReader> m_configurationReader;
+    std::unique_ptr<RegistryReader> m_upstreamReader;
+    std::string m_configurationText;
+    model::TimePoint m_nextSweep;
+    model::TimePoint m_nextFetch;
+    bool m_isExecuting = false;
+    bool m_wasReady = false;
+    std::optional<model::TimePoint> m_drainingSince;
+    bool m_isFinished = false;
+};
+
+} // namespace citronpick::daemon
+
+#endif // CITRONPICK_DAEMON_RELAYDAEMON_H
--- a/src/platform/internal/platformdocuments.cpp
+++ b/src/documents/internal/platformdocuments.cpp
@@ -1,8 +1,8 @@
-#include "platform/platformdocuments.h"
+#include "documents/platformdocuments.h"
 
 #include <nlohmann/json.hpp>
 
-namespace citronpick::platform
+namespace citronpick::documents
 {
 
 namespace
@@ -65,4 +65,4 @@
     return list;
 }
 
-} // namespace citronpick::platform
+} // namespace citronpick::documents
--- a/src/platform/internal/readschedule.cpp
+++ b/src/documents/internal/readschedule.cpp
@@ -1,8 +1,8 @@
-#include "platform/readschedule.h"
+#include "documents/readschedule.h"
 
 #include <algorithm>
 
-namespace citronpick::platform
+namespace citronpick::documents
 {
 
 ReadSchedule::ReadSchedule(ReadScheduleOptions options, uint64_t seed)
@@ -33,4 +33,4 @@
     m_next = now + model::scaled(longest, 0.1 + 0.9 * m_random.unit());
 }
 
-} // namespace citronpick::platform
+} // namespace citronpick::documents
--- a/src/platform/platformdocuments.h
+++ b/src/documents/platformdocuments.h
@@ -1,5 +1,5 @@
-#ifndef CITRONPICK_PLATFORM_PLATFORMDOCUMENTS_H
-#define CITRONPICK_PLATFORM_PLATFORMDOCUMENTS_H
+#ifndef CITRONPICK_DOCUMENTS_PLATFORMDOCUMENTS_H
+#define CITRONPICK_DOCUMENTS_PLATFORMDOCUMENTS_H
 
 #include <string_view>
 
@@ -8,7 +8,7 @@
 #include "config/revisionstore.h"
 #include "core/events.h"
 
-namespace citronpick::platform
+namespace citronpick::documents
 {
 
 //! What the platform's services answer, as JSON text. InvalidArgument for anything else.
@@ -18,6 +18,6 @@
 //! The same text as the configuration service answers; daemons hand files to each other in it.
 std::string formatConfigurationAnswer(const config::OfferedFile &file);
 
-} // namespace citronpick::platform
+} // namespace citronpick::documents
 
-#endif // CITRONPICK_PLATFORM_PLATFORMDOCUMENTS_H
+#endif // CITRONPICK_DOCUMENTS_PLATFORMDOCUMENTS_H
--- a/src/platform/readschedule.h
+++ b/src/documents/readschedule.h
@@ -1,5 +1,5 @@
-#ifndef CITRONPICK_PLATFORM_READSCHEDULE_H
-#define CITRONPICK_PLATFORM_READSCHEDULE_H
+#ifndef CITRONPICK_DOCUMENTS_READSCHEDULE_H
+#define CITRONPICK_DOCUMENTS_READSCHEDULE_H
 
 #include <compare>
 #include <cstdint>
@@ -7,7 +7,7 @@
 #include "model/random.h"
 #include "model/time.h"
 
-namespace citronpick::platform
+namespace citronpick::documents
 {
 
 struct ReadScheduleOptions {
@@ -50,6 +50,6 @@
     bool m_isReading = false;
 };
 
-} // namespace citronpick::platform
+} // namespace citronpick::documents
 
-#endif // CITRONPICK_PLATFORM_READSCHEDULE_H
+#endif // CITRONPICK_DOCUMENTS_READSCHEDULE_H
--- a/src/model/timerqueue.h
+++ b/src/model/timerqueue.h
@@ -36,6 +36,12 @@
         return timer;
     }
 
+    //! When the next timer is due; empty when there is none.
+    std::optional<TimePoint> earliest() const
+    {
+        return m_entries.empty() ? std::nullopt : std::optional(m_entries.front().at);
+    }
+
     //! Drops all timers that the condition names; costs as much as there are timers.
     template<typename Condition>
     void removeIf(Condition condition)
--- /dev/null
+++ b/src/net/internal/exchangeserver.cpp
@@ -0,0 +1,502 @@
+#include "net/exchangeserver.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/strings/str_cat.h>
+
+#include "net/internal/socketoptions.h"
+#include "net/statustext.h"
+
+namespace citronpick::net
+{
+
+namespace
+{
+
+//! Bytes of further requests that are kept while one is being answered.
+constexpr size_t maxPipelinedBytes = 64U << 10U;
+//! A caller that has been answered has this long to read it before its connection is reset.
+constexpr model::Duration lingerTime = model::seconds(2);
+
+} // namespace
+
+class ExchangeServer::Impl
+{
+public:
+    Impl(EventLoop &loop, IExchangeHandler &handler, ExchangeLimits limits)
+        : m_loop(loop)
+        , m_handler(handler)
+        , m_limits(limits)
+    {
+    }
+
+    ~Impl()
+    {
+        stopListening();
+        while (!m_connections.empty()) {
+            destroy(*m_connections.begin()->second);
+        }
+    }
+
+    struct Connection final : IMessageSink {
+        Connection(Impl &server, uint64_t number, h2o_socket_t *opened)
+            : owner(server)
+            , id(number)
+            , socket(opened)
+            , parser(MessageParser::Kind::Request, *this)
+        {
+        }
+
+        void onHead(MessageHead head) override
+        {
+            request.head = std::move(head);
+        }
+        void onBody(std::string_view bytes) override
+        {
+            request.body.append(bytes);
+        }
+        void onComplete() override
+        {
+        }
+
+        Impl &owner;
+        uint64_t id;
+        h2o_socket_t *socket;
+        MessageParser parser;
+        IncomingRequest request;
+        uint64_t exchange = 0; //!< Zero while no request is being answered.
+        std::string sending;
+        std::string queued;
+        bool isChunked = false;
+        bool isWriting = false;
+        bool isReadPaused = false;
+        bool closesAfterWrite = false;
+        bool isLingering = false;
+        bool wasContinued = false;
+        bool hadExchange = false;
+        model::TimePoint since; //!< Of the first byte of a request, or of the last answer.
+    };
+
+    void listen(ListenSocket socket)
+    {
+        m_listener = h2o_evloop_socket_create(m_loop.handle(), socket.release(),
+                                              H2O_SOCKET_FLAG_DONT_READ);
+        m_listener->data = this;
+        h2o_socket_read_start(m_listener, &Impl::onAccept);
+    }
+
+    void stopListening()
+    {
+        if (m_listener) {
+            h2o_socket_close(m_listener);
+            m_listener = nullptr;
+        }
+    }
+
+    static void onAccept(h2o_socket_t *listener, const char *error)
+    {
+        if (error) {
+            return;
+        }
+        Impl &self = *static_cast<Impl *>(listener->data);
+        constexpr int acceptsPerWakeup = 32;
+        for (int i = 0; i < acceptsPerWakeup; ++i) {
+            h2o_socket_t *socket = h2o_evloop_socket_accept(listener);
+            if (!socket) {
+                return;
+            }
+            self.open(socket);
+        }
+    }
+
+    void open(h2o_socket_t *socket)
+    {
+        if (m_connections.size() >= m_limits.maxConnections) {
+            h2o_socket_close(socket);
+            return;
+        }
+        internal::prepareSocket(socket);
+        const uint64_t id = ++m_lastConnection;
+        auto connection = std::make_unique<Connection>(*this, id, socket);
+        connection->since = EventLoop::now();
+        connection->parser.setMaxHeadBytes(m_limits.maxHeadBytes);
+        socket->data = connection.get();
+        h2o_socket_read_start(socket, &Impl::onRead);
+        m_connections.emplace(id, std::move(connection));
+    }
+
+    static void onRead(h2o_socket_t *socket, const char *error)
+    {
+        Connection &connection = *static_cast<Connection *>(socket->data);
+        connection.owner.readable(connection, error != nullptr);
+    }
+
+    void readable(Connection &connection, bool hasEnded)
+    {
+        if (connection.isLingering) {
+            h2o_buffer_consume(&connection.socket->input, connection.socket->input->size);
+            if (hasEnded) {
+                destroy(connection);
+            }
+            return;
+        }
+        if (hasEnded) {
+            destroy(connection);
+            return;
+        }
+        if (connection.exchange != 0) {
+            if (connection.socket->input->size > maxPipelinedBytes) {
+                connection.isReadPaused = true;
+                h2o_socket_read_stop(connection.socket);
+            }
+            return;
+        }
+        takeInput(connection);
+    }
+
+    void takeInput(Connection &connection)
+    {
+        h2o_buffer_t *&input = connection.socket->input;
+        if (connection.exchange != 0 || input->size == 0) {
+            return;
+        }
+        if (connection.parser.isAtStart()) {
+            connection.since = EventLoop::now();
+            connection.request.startedAt = connection.since;
+        }
+        const size_t taken = connection.parser.feed({input->bytes, input->size});
+        h2o_buffer_consume(&input, taken);
+        if (connection.parser.error() != ParseError::None) {
+            constexpr uint16_t badRequest = 400;
+            constexpr uint16_t headTooLarge = 431;
+            reject(connection, connection.parser.error() == ParseError::HeadTooLarge ? headTooLarge
+                                                                                     : badRequest);
+            return;
+        }
+        const MessageHead &head = connection.request.head;
+        const size_t length
+            = std::max<size_t>(head.contentLength.value_or(0), connection.request.body.size());
+        if (connection.parser.isHeadComplete() && length > m_limits.maxBodyBytes) {
+            constexpr uint16_t bodyTooLarge = 413;
+            reject(connection, bodyTooLarge);
+            return;
+        }
+        if (connection.parser.isComplete()) {
+            hand(connection);
+        } else if (connection.parser.isHeadComplete() && !connection.wasContinued
+                   && headerValue(head.headers, "expect") == "100-continue") {
+            connection.wasContinued = true;
+            connection.queued += "HTTP/1.1 100 Continue\r\n\r\n";
+            flush(connection);
+        }
+    }
+
+    void hand(Connection &connection)
+    {
+        connection.exchange = ++m_lastExchange;
+        connection.hadExchange = true;
+        m_exchanges[connection.exchange] = &connection;
+        connection.closesAfterWrite = !connection.request.head.keepsConnection || m_isClosing;
+        IncomingRequest request = std::move(connection.request);
+        connection.request = {};
+        connection.wasContinued = false;
+        m_handler.onRequest(connection.exchange, std::move(request));
+    }
+
+    void reject(Connection &connection, uint16_t status)
+    {
+        connection.exchange = ++m_lastExchange;
+        m_exchanges[connection.exchange] = &connection;
+        connection.closesAfterWrite = true;
+        respond(connection.exchange, status, {}, {});
+    }
+
+    Connection *find(uint64_t exchange) const
+    {
+        const auto it = m_exchanges.find(exchange);
+        return it == m_exchanges.end() ? nullptr : it->second;
+    }
+
+    void appendHead(Connection &connection, uint16_t status, const Headers &headers,
+                    std::optional<uint64_t> length)
+    {
+        connection.closesAfterWrite = connection.closesAfterWrite || m_isClosing;
+        absl::StrAppend(&connection.queued, "HTTP/1.1 ", status, " ",
+                        std::string(statusText(status)), "\r\n");
+        for (const Header &header : headers) {
+            appendHeader(connection.queued, header.name, header.value);
+        }
+        if (length) {
+            absl::StrAppend(&connection.queued, "content-length: ", *length, "\r\n");
+        } else {
+            connection.queued += "transfer-encoding: chunked\r\n";
+        }
+        if (connection.closesAfterWrite) {
+            connection.queued += "connection: close\r\n";
+        }
+        connection.queued += "\r\n";
+        connection.isChunked = !length;
+    }
+
+    void respond(uint64_t exchange, uint16_t status, const Headers &headers, std::string_view body)
+    {
+        Connection *connection = find(exchange);
+        if (!connection) {
+            return;
+        }
+        appendHead(*connection, status, headers, body.size());
+        connection->queued.append(body);
+        finish(*connection);
+    }
+
+    void begin(uint64_t exchange, uint16_t status, const Headers &headers,
+               std::optional<uint64_t> length)
+    {
+        if (Connection *connection = find(exchange)) {
+            appendHead(*connection, status, headers, length);
+            flush(*connection);
+        }
+    }
+
+    void write(uint64_t exchange, std::string_view bytes)
+    {
+        Connection *connection = find(exchange);
+        if (!connection || bytes.empty()) {
+            return;
+        }
+        if (connection->isChunked) {
+            absl::StrAppend(&connection->queued, absl::Hex(bytes.size()), "\r\n");
+            connection->queued.append(bytes).append("\r\n");
+        } else {
+            connection->queued.append(bytes);
+        }
+        flush(*connection);
+    }
+
+    void end(uint64_t exchange)
+    {
+        if (Connection *connection = find(exchange)) {
+            if (connection->isChunked) {
+                connection->queued += "0\r\n\r\n";
+            }
+            finish(*connection);
+        }
+    }
+
+    void abort(uint64_t exchange)
+    {
+        if (Connection *connection = find(exchange)) {
+            m_exchanges.erase(exchange);
+            connection->exchange = 0;
+            destroy(*connection);
+        }
+    }
+
+    void finish(Connection &connection)
+    {
+        m_exchanges.erase(connection.exchange);
+        connection.exchange = 0;
+        connection.parser.reset();
+        connection.since = EventLoop::now();
+        flush(connection);
+    }
+
+    void flush(Connection &connection)
+    {
+        if (connection.isWriting) {
+            return;
+        }
+        if (connection.queued.empty()) {
+            afterWrite(connection);
+            return;
+        }
+        connection.sending.swap(connection.queued);
+        connection.queued.clear();
+        connection.isWriting = true;
+        h2o_iovec_t buffer = h2o_iovec_init(connection.sending.data(), connection.sending.size());
+        h2o_socket_write(connection.socket, &buffer, 1, &Impl::onWritten);
+    }
+
+    static void onWritten(h2o_socket_t *socket, const char *error)
+    {
+        Connection &connection = *static_cast<Connection *>(socket->data);
+        connection.isWriting = false;
+        if (error) {
+            connection.owner.destroy(connection);
+            return;
+        }
+        Impl &self = connection.owner;
+        const uint64_t exchange = connection.exchange;
+        self.flush(connection);
+        if (exchange != 0 && self.m_exchanges.contains(exchange)) {
+            self.m_handler.onDrained(exchange);
+        }
+    }
+
+    // Called when all that was written has left.
+    void afterWrite(Connection &connection)
+    {
+        if (connection.exchange != 0 || connection.isLingering) {
+            return;
+        }
+        if (connection.closesAfterWrite) {
+            // Closing with unread bytes would reset the connection under the answer.
+            connection.isLingering = true;
+            connection.since = EventLoop::now();
+            h2o_buffer_consume(&connection.socket->input, connection.socket->input->size);
+            shutdown(h2o_socket_get_fd(connection.socket), SHUT_WR);
+            resumeReading(connection);
+            return;
+        }
+        resumeReading(connection);
+        takeInput(connection);
+    }
+
+    void resumeReading(Connection &connection)
+    {
+        if (connection.isReadPaused) {
+            connection.isReadPaused = false;
+            h2o_socket_read_start(connection.socket, &Impl::onRead);
+        }
+    }
+
+    void destroy(Connection &connection)
+    {
+        const uint64_t exchange = connection.exchange;
+        m_exchanges.erase(exchange);
+        const auto it = m_connections.find(connection.id);
+        const std::unique_ptr<Connection> owned = std::move(it->second);
+        m_connections.erase(it);
+        h2o_socket_close(owned->socket);
+        if (exchange != 0) {
+            m_handler.onCallerGone(exchange);
+        }
+    }
+
+    void sweep(model::TimePoint now)
+    {
+        std::vector<Connection *> overdue;
+        for (const auto &[id, connection] : m_connections) {
+            if (now >= connection->since + limitOf(*connection)) {
+                overdue.push_back(connection.get());
+            }
+        }
+        for (Connection *connection : overdue) {
+            const bool isReading = !connection->isLingering && connection->exchange == 0
+                                   && !connection->parser.isAtStart();
+            if (isReading) {
+                constexpr uint16_t requestTimeout = 408;
+                reject(*connection, requestTimeout);
+            } else {
+                destroy(*connection);
+            }
+        }
+    }
+
+    model::Duration limitOf(const Connection &connection) const
+    {
+        constexpr model::Duration never = model::seconds(86400);
+        if (connection.isLingering) {
+            return lingerTime;
+        }
+        if (connection.exchange != 0 || connection.isWriting) {
+            return never;
+        }
+        if (connection.parser.isAtStart()) {
+            return m_limits.idleTimeout;
+        }
+        // A body may take as long as an idle connection may stay silent.
+        return connection.parser.isHeadComplete() ? m_limits.idleTimeout : m_limits.headTimeout;
+    }
+
+    EventLoop &m_loop;
+    IExchangeHandler &m_handler;
+    ExchangeLimits m_limits;
+    h2o_socket_t *m_listener = nullptr;
+    absl::flat_hash_map<uint64_t, std::unique_ptr<Connection>> m_connections;
+    absl::flat_hash_map<uint64_t, Connection *> m_exchanges;
+    uint64_t m_lastConnection = 0;
+    uint64_t m_lastExchange = 0;
+    bool m_isClosing = false;
+};
+
+ExchangeServer::ExchangeServer(EventLoop &loop, IExchangeHandler &handler, ExchangeLimits limits)
+    : m_impl(std::make_unique<Impl>(loop, handler, limits))
+{
+}
+
+ExchangeServer::~ExchangeServer() = default;
+
+void ExchangeServer::listen(ListenSocket socket)
+{
+    m_impl->listen(std::move(socket));
+}
+
+void ExchangeServer::stopListening()
+{
+    m_impl->stopListening();
+}
+
+void ExchangeServer::setLimits(const ExchangeLimits &limits)
+{
+    m_impl->m_limits = limits;
+}
+
+void ExchangeServer::closeAfterAnswers()
+{
+    m_impl->m_isClosing = true;
+}
+
+void ExchangeServer::respond(uint64_t exchange, uint16_t status, const Headers &headers,
+                             std::string_view body)
+{
+    m_impl->respond(exchange, status, headers, body);
+}
+
+void ExchangeServer::begin(uint64_t exchange, uint16_t status, const Headers &headers,
+                           std::optional<uint64_t> length)
+{
+    m_impl->begin(exchange, status, headers, length);
+}
+
+void ExchangeServer::write(uint64_t exchange, std::string_view bytes)
+{
+    m_impl->write(exchange, bytes);
+}
+
+void ExchangeServer::end(uint64_t exchange)
+{
+    m_impl->end(exchange);
+}
+
+void ExchangeServer::abort(uint64_t exchange)
+{
+    m_impl->abort(exchange);
+}
+
+size_t ExchangeServer::buffered(uint64_t exchange) const
+{
+    const Impl::Connection *connection = m_impl->find(exchange);
+    return connection ? connection->queued.size() + connection->sending.size() : 0;
+}
+
+void ExchangeServer::sweep(model::TimePoint now)
+{
+    m_impl->sweep(now);
+}
+
+size_t ExchangeServer::connectionCount() const
+{
+    return m_impl->m_connections.size();
+}
+
+size_t ExchangeServer::exchangeCount() const
+{
+    return m_impl->m_exchanges.size();
+}
+
+} // namespace citronpick::net
--- /dev/null
+++ b/src/net/internal/messageparser.cpp
@@ -0,0 +1,241 @@
+#include "net/messageparser.h"
+
+#include <http_parser.h>
+
+#include <absl/strings/ascii.h>
+
+#include "model/abslview.h"
+
+namespace citronpick::net
+{
+
+namespace
+{
+
+constexpr size_t defaultMaxHeadBytes = 64U << 10U;
+
+} // namespace
+
+class MessageParser::Impl
+{
+public:
+    Impl(Kind kind, IMessageSink &sink)
+        : m_sink(sink)
+        , m_kind(kind)
+    {
+        http_parser_settings_init(&m_settings);
+        m_settings.on_message_begin = &Impl::onBegin;
+        m_settings.on_url = &Impl::onUrl;
+        m_settings.on_header_field = &Impl::onField;
+        m_settings.on_header_value = &Impl::onValue;
+        m_settings.on_headers_complete = &Impl::onHeadersComplete;
+        m_settings.on_body = &Impl::onBody;
+        m_settings.on_message_complete = &Impl::onMessageComplete;
+        reset();
+    }
+
+    void reset()
+    {
+        http_parser_init(&m_parser, m_kind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+        m_parser.data = this;
+        m_head = {};
+        m_lastWasValue = true;
+        m_headBytes = 0;
+        m_isStarted = false;
+        m_isHeadComplete = false;
+        m_isComplete = false;
+        m_error = ParseError::None;
+    }
+
+    size_t feed(std::string_view bytes)
+    {
+        if (m_isComplete || m_error != ParseError::None || bytes.empty()) {
+            return 0;
+        }
+        const bool wasHeadComplete = m_isHeadComplete;
+        const size_t taken
+            = http_parser_execute(&m_parser, &m_settings, bytes.data(), bytes.size());
+        const auto code = HTTP_PARSER_ERRNO(&m_parser);
+        if (m_isComplete) {
+            return taken;
+        }
+        if (!wasHeadComplete && !m_isHeadComplete) {
+            m_headBytes += taken;
+        }
+        if (m_error == ParseError::None && (code != HPE_OK || m_parser.upgrade)) {
+            m_error = ParseError::Malformed;
+        }
+        if (m_error == ParseError::None && !m_isHeadComplete && m_headBytes > m_maxHeadBytes) {
+            m_error = ParseError::HeadTooLarge;
+        }
+        return taken;
+    }
+
+    bool finish()
+    {
+        if (!m_isStarted || m_isComplete) {
+            return true;
+        }
+        http_parser_execute(&m_parser, &m_settings, nullptr, 0);
+        return m_isComplete;
+    }
+
+    IMessageSink &m_sink;
+    Kind m_kind;
+    http_parser m_parser {};
+    http_parser_settings m_settings {};
+    MessageHead m_head;
+    bool m_lastWasValue = true;
+    bool m_expectsNoBody = false;
+    size_t m_headBytes = 0;
+    size_t m_maxHeadBytes = defaultMaxHeadBytes;
+    bool m_isStarted = false;
+    bool m_isHeadComplete = false;
+    bool m_isComplete = false;
+    ParseError m_error = ParseError::None;
+
+private:
+    static Impl &self(http_parser *parser)
+    {
+        return *static_cast<Impl *>(parser->data);
+    }
+
+    static int onBegin(http_parser *parser)
+    {
+        self(parser).m_isStarted = true;
+        return 0;
+    }
+
+    static int onUrl(http_parser *parser, const char *at, size_t length)
+    {
+        self(parser).m_head.target.append(at, length);
+        return 0;
+    }
+
+    static int onField(http_parser *parser, const char *at, size_t length)
+    {
+        Impl &impl = self(parser);
+        if (impl.m_lastWasValue) {
+            impl.m_head.headers.emplace_back();
+            impl.m_lastWasValue = false;
+        }
+        impl.m_head.headers.back().name.append(at, length);
+        return 0;
+    }
+
+    static int onValue(http_parser *parser, const char *at, size_t length)
+    {
+        Impl &impl = self(parser);
+        // Trailers of a chunked body are dropped: they concern one connection only.
+        if (impl.m_head.headers.empty()) {
+            return 0;
+        }
+        impl.m_head.headers.back().value.append(at, length);
+        impl.m_lastWasValue = true;
+        return 0;
+    }
+
+    static int onHeadersComplete(http_parser *parser)
+    {
+        constexpr int hasNoBody = 1;
+        Impl &impl = self(parser);
+        for (Header &header : impl.m_head.headers) {
+            absl::AsciiStrToLower(&header.name);
+        }
+        if (impl.m_kind == Kind::Request) {
+            impl.m_head.method = http_method_str(static_cast<http_method>(parser->method));
+        } else {
+            impl.m_head.status = static_cast<uint16_t>(parser->status_code);
+        }
+        impl.m_head.isChunked = (parser->flags & F_CHUNKED) != 0;
+        if ((parser->flags & F_CONTENTLENGTH) != 0 && !impl.m_head.isChunked) {
+            impl.m_head.contentLength = parser->content_length;
+        }
+        impl.m_head.keepsConnection = http_should_keep_alive(parser) != 0;
+        const bool isInterim = impl.m_kind == Kind::Response && parser->status_code < 200;
+        if (!isInterim) {
+            impl.m_isHeadComplete = true;
+            impl.m_sink.onHead(std::move(impl.m_head));
+        }
+        impl.m_head = {};
+        impl.m_lastWasValue = true;
+        return impl.m_expectsNoBody ? hasNoBody : 0;
+    }
+
+    static int onBody(http_parser *parser, const char *at, size_t length)
+    {
+        self(parser).m_sink.onBody({at, length});
+        return 0;
+    }
+
+    static int onMessageComplete(http_parser *parser)
+    {
+        Impl &impl = self(parser);
+        if (!impl.m_isHeadComplete) {
+            return 0; // An interim response; the final one follows.
+        }
+        impl.m_isComplete = true;
+        http_parser_pause(parser, 1);
+        impl.m_sink.onComplete();
+        return 0;
+    }
+};
+
+MessageParser::MessageParser(Kind kind, IMessageSink &sink)
+    : m_impl(std::make_unique<Impl>(kind, sink))
+{
+}
+
+MessageParser::~MessageParser() = default;
+
+size_t MessageParser::feed(std::string_view bytes)
+{
+    return m_impl->feed(bytes);
+}
+
+bool MessageParser::finish()
+{
+    return m_impl->finish();
+}
+
+void MessageParser::reset()
+{
+    m_impl->reset();
+}
+
+void MessageParser::setMaxHeadBytes(size_t bytes)
+{
+    m_impl->m_maxHeadBytes = bytes;
+}
+
+void MessageParser::setExpectsNoBody(bool isExpected)
+{
+    m_impl->m_expectsNoBody = isExpected;
+}
+
+ParseError MessageParser::error() const
+{
+    return m_impl->m_error;
+}
+
+bool MessageParser::isComplete() const
+{
+    return m_impl->m_isComplete;
+}
+
+bool MessageParser::isHeadComplete() const
+{
+    return m_impl->m_isHeadComplete;
+}
+
+bool MessageParser::isAtStart() const
+{
+    return !m_impl->m_isStarted;
+}
+
+void appendHeader(std::string &out, std::string_view name, std::string_view value)
+{
+    out.append(name).append(": ").append(value).append("\r\n");
+}
+
+} // namespace citronpick::net
--- /dev/null
+++ b/src/net/internal/upstreamclient.cpp
@@ -0,0 +1,519 @@
+#include "net/upstreamclient.h"
+
+#include <arpa/inet.h>
+#include <charconv>
+#include <map>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/strings/str_cat.h>
+
+#include "net/internal/socketoptions.h"
+
+namespace citronpick::net
+{
+
+namespace
+{
+
+//! Without a stated time, shorter than servers commonly keep idle connections.
+constexpr model::Duration defaultIdleTime = model::seconds(4);
+//! Taken off a stated time, for the way there and timers that fire late.
+constexpr model::Duration idleMargin = model::milliseconds(700);
+//! Enough for the calls that one daemon has open at one server at a time.
+constexpr size_t maxIdlePerEndpoint = 8;
+
+model::Duration idleTimeOf(const Headers &headers)
+{
+    const std::string value = headerValue(headers, "keep-alive");
+    const size_t at = value.find("timeout=");
+    if (at == std::string::npos) {
+        return defaultIdleTime;
+    }
+    constexpr size_t nameLength = 8;
+    int64_t stated = 0;
+    const char *begin = value.data() + at + nameLength;
+    const auto result = std::from_chars(begin, value.data() + value.size(), stated);
+    if (result.ec != std::errc() || stated < 0) {
+        return defaultIdleTime;
+    }
+    return std::min(defaultIdleTime, model::seconds(stated) - idleMargin);
+}
+
+} // namespace
+
+std::string_view toString(CallFailure failure)
+{
+    switch (failure) {
+    case CallFailure::NotSent:
+        return "not-sent";
+    case CallFailure::Broken:
+        return "broken";
+    case CallFailure::Malformed:
+        return "malformed";
+    case CallFailure::TimedOut:
+        return "timed-out";
+    }
+    return "broken";
+}
+
+class UpstreamClient::Impl
+{
+public:
+    explicit Impl(EventLoop &loop)
+        : m_loop(loop)
+    {
+    }
+
+    ~Impl()
+    {
+        while (!m_connections.empty()) {
+            close(*m_connections.begin()->second);
+        }
+    }
+
+    struct Connection final : IMessageSink {
+        Connection(Impl &client, uint64_t number, config::Endpoint endpoint)
+            : owner(client)
+            , id(number)
+            , to(std::move(endpoint))
+            , parser(MessageParser::Kind::Response, *this)
+        {
+        }
+
+        void onHead(MessageHead head) override
+        {
+            keepsConnection = head.keepsConnection;
+            idleTime = idleTimeOf(head.headers);
+            isStray = !echoName.empty() && headerValue(head.headers, echoName) != echoValue
+                      && !headerValue(head.headers, echoName).empty();
+            if (!isStray) {
+                handler->onHead(call, head);
+            }
+        }
+        void onBody(std::string_view bytes) override
+        {
+            if (!isStray && call != 0) {
+                handler->onBody(call, bytes);
+            }
+        }
+        void onComplete() override
+        {
+        }
+
+        Impl &owner;
+        uint64_t id;
+        config::Endpoint to;
+        h2o_socket_t *socket = nullptr;
+        MessageParser parser;
+        uint64_t call = 0; //!< Zero while idle.
+        IUpstreamHandler *handler = nullptr;
+        std::string echoName;
+        std::string echoValue;
+        std::string sending;
+        bool isConnected = false;
+        bool isWriting = false;
+        bool isStray = false; //!< The answer under way belongs to an earlier request.
+        bool wasStray = false;
+        bool keepsConnection = false;
+        bool isInCallback = false;
+        bool isDoomed = false; //!< Cancelled from within its own callback.
+        bool isPaused = false;
+        model::Duration idleTime {};
+        model::TimePoint connectBy;
+        model::TimePoint endBy;
+        model::TimePoint idleUntil;
+    };
+
+    uint64_t start(UpstreamCall call, IUpstreamHandler &handler)
+    {
+        const uint64_t number = ++m_lastCall;
+        const model::TimePoint now = EventLoop::now();
+        Connection *connection = call.needsFreshConnection ? nullptr : takeIdle(call.to, now);
+        const bool isNew = connection == nullptr;
+        if (isNew) {
+            auto created = std::make_unique<Connection>(*this, ++m_lastConnection, call.to);
+            connection = created.get();
+            m_connections.emplace(connection->id, std::move(created));
+        }
+        connection->call = number;
+        connection->handler = &handler;
+        connection->echoName = std::move(call.echoName);
+        connection->echoValue = std::move(call.echoValue);
+        connection->connectBy = now + call.connectTimeout;
+        connection->endBy = now + call.timeout;
+        connection->parser.reset();
+        connection->parser.setExpectsNoBody(call.method == "HEAD");
+        connection->sending = serialize(call);
+        m_calls[number] = connection;
+        if (isNew) {
+            connect(*connection);
+        } else {
+            send(*connection);
+        }
+        return number;
+    }
+
+    static std::string serialize(const UpstreamCall &call)
+    {
+        std::string text;
+        constexpr size_t headEstimate = 512;
+        text.reserve(headEstimate + call.body.size());
+        absl::StrAppend(&text, call.method, " ", call.target, " HTTP/1.1\r\n");
+        bool hasHost = false;
+        for (const Header &header : call.headers) {
+            hasHost = hasHost || header.name == "host";
+            appendHeader(text, header.name, header.value);
+        }
+        if (!hasHost) {
+            absl::StrAppend(&text, "host: ", call.to.host, ":", call.to.port, "\r\n");
+        }
+        if (call.hasBody) {
+            absl::StrAppend(&text, "content-length: ", call.body.size(), "\r\n");
+        }
+        text += "\r\n";
+        text += call.body;
+        return text;
+    }
+
+    Connection *takeIdle(const config::Endpoint &to, model::TimePoint now)
+    {
+        const auto it = m_idle.find(to);
+        if (it == m_idle.end()) {
+            return nullptr;
+        }
+        while (!it->second.empty()) {
+            Connection *connection = it->second.back();
+            it->second.pop_back();
+            --m_idleCount;
+            if (now < connection->idleUntil) {
+                return connection;
+            }
+            close(*connection);
+        }
+        return nullptr;
+    }
+
+    void connect(Connection &connection)
+    {
+        ++m_connectsStarted;
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(connection.to.port);
+        const bool isNumber
+            = inet_pton(AF_INET, connection.to.host.c_str(), &address.sin_addr) == 1;
+        if (isNumber) {
+            connection.socket
+                = h2o_socket_connect(m_loop.handle(), reinterpret_cast<sockaddr *>(&address),
+                                     sizeof(address), &Impl::onConnect);
+        }
+        if (!connection.socket) {
+            // Reported by the next sweep, as callbacks never come from within start().
+            connection.connectBy = model::TimePoint::min();
+            return;
+        }
+        connection.socket->data = &connection;
+    }
+
+    static void onConnect(h2o_socket_t *socket, const char *error)
+    {
+        Connection &connection = *static_cast<Connection *>(socket->data);
+        if (error) {
+            connection.owner.fail(connection, CallFailure::NotSent);
+            return;
+        }
+        connection.isConnected = true;
+        internal::prepareSocket(socket);
+        connection.owner.send(connection);
+        if (!connection.isPaused) {
+            h2o_socket_read_start(socket, &Impl::onRead);
+        }
+    }
+
+    void send(Connection &connection)
+    {
+        connection.isWriting = true;
+        h2o_iovec_t buffer = h2o_iovec_init(connection.sending.data(), connection.sending.size());
+        h2o_socket_write(connection.socket, &buffer, 1, &Impl::onWritten);
+    }
+
+    static void onWritten(h2o_socket_t *socket, const char *error)
+    {
+        Connection &connection = *static_cast<Connection *>(socket->data);
+        connection.isWriting = false;
+        if (error) {
+            connection.owner.fail(connection, CallFailure::Broken);
+            return;
+        }
+        connection.sending.clear();
+        // An answer may come before its request has left in full.
+        if (connection.parser.isComplete()) {
+            connection.owner.complete(connection);
+        }
+    }
+
+    static void onRead(h2o_socket_t *socket, const char *error)
+    {
+        Connection &connection = *static_cast<Connection *>(socket->data);
+        connection.owner.readable(connection, error);
+    }
+
+    void readable(Connection &connection, const char *error)
+    {
+        if (connection.call == 0) {
+            // An idle connection has nothing to say: it ended, or sends what nobody asked for.
+            dropIdle(connection);
+            return;
+        }
+        if (!takeInput(connection)) {
+            return;
+        }
+        if (connection.parser.isComplete()) {
+            if (!connection.isWriting) {
+                complete(connection);
+            }
+            return;
+        }
+        if (error) {
+            ended(connection, error);
+        }
+    }
+
+    //! False when the connection is gone.
+    bool takeInput(Connection &connection)
+    {
+        h2o_buffer_t *&input = connection.socket->input;
+        while (input->size != 0 && !connection.parser.isComplete()) {
+            connection.isInCallback = true;
+            const size_t taken = connection.parser.feed({input->bytes, input->size});
+            connection.isInCallback = false;
+            if (connection.isDoomed) {
+                close(connection);
+                return false;
+            }
+            h2o_buffer_consume(&input, taken);
+            if (connection.parser.error() != ParseError::None) {
+                fail(connection, CallFailure::Malformed);
+                return false;
+            }
+            if (connection.parser.isComplete() && connection.isStray) {
+                connection.parser.reset();
+                connection.isStray = false;
+                connection.wasStray = true;
+            } else if (taken == 0) {
+                break;
+            }
+        }
+        return true;
+    }
+
+    void ended(Connection &connection, const char *error)
+    {
+        const bool isOrderly = error == h2o_socket_error_closed;
+        const bool isWhole = isOrderly && connection.parser.isHeadComplete() && !connection.isStray
+                             && finishParser(connection);
+        if (connection.isDoomed) {
+            close(connection);
+            return;
+        }
+        if (!isWhole) {
+            fail(connection, CallFailure::Broken);
+            return;
+        }
+        connection.keepsConnection = false;
+        complete(connection);
+    }
+
+    static bool finishParser(Connection &connection)
+    {
+        connection.isInCallback = true;
+        const bool isWhole = connection.parser.finish();
+        connection.isInCallback = false;
+        return isWhole;
+    }
+
+    void complete(Connection &connection)
+    {
+        const uint64_t call = connection.call;
+        IUpstreamHandler *handler = connection.handler;
+        m_calls.erase(call);
+        connection.call = 0;
+        const bool isReusable = connection.keepsConnection && !connection.wasStray
+                                && connection.socket->input->size == 0
+                                && connection.idleTime > model::Duration::zero();
+        if (isReusable) {
+            keep(connection);
+        } else {
+            close(connection);
+        }
+        handler->onEnd(call);
+    }
+
+    void keep(Connection &connection)
+    {
+        std::vector<Connection *> &idle = m_idle[connection.to];
+        if (idle.size() >= maxIdlePerEndpoint) {
+            close(connection);
+            return;
+        }
+        connection.idleUntil = EventLoop::now() + connection.idleTime;
+        if (connection.isPaused) {
+            connection.isPaused = false;
+            h2o_socket_read_start(connection.socket, &Impl::onRead);
+        }
+        idle.push_back(&connection);
+        ++m_idleCount;
+    }
+
+    void dropIdle(Connection &connection)
+    {
+        const auto it = m_idle.find(connection.to);
+        if (it != m_idle.end()) {
+            m_idleCount -= std::erase(it->second, &connection);
+            if (it->second.empty()) {
+                m_idle.erase(it);
+            }
+        }
+        close(connection);
+    }
+
+    void fail(Connection &connection, CallFailure failure)
+    {
+        const uint64_t call = connection.call;
+        IUpstreamHandler *handler = connection.handler;
+        if (call == 0) {
+            dropIdle(connection);
+            return;
+        }
+        m_calls.erase(call);
+        close(connection);
+        handler->onFailure(call, failure);
+    }
+
+    void close(Connection &connection)
+    {
+        const auto it = m_connections.find(connection.id);
+        const std::unique_ptr<Connection> owned = std::move(it->second);
+        m_connections.erase(it);
+        if (owned->socket) {
+            h2o_socket_close(owned->socket);
+        }
+    }
+
+    void cancel(uint64_t call)
+    {
+        const auto it = m_calls.find(call);
+        if (it == m_calls.end()) {
+            return;
+        }
+        Connection &connection = *it->second;
+        m_calls.erase(it);
+        connection.call = 0;
+        if (connection.isInCallback) {
+            connection.isDoomed = true;
+            return;
+        }
+        close(connection);
+    }
+
+    void setPaused(uint64_t call, bool isPaused)
+    {
+        const auto it = m_calls.find(call);
+        if (it == m_calls.end() || it->second->isPaused == isPaused) {
+            return;
+        }
+        Connection &connection = *it->second;
+        connection.isPaused = isPaused;
+        if (!connection.isConnected) {
+            return;
+        }
+        if (isPaused) {
+            h2o_socket_read_stop(connection.socket);
+        } else {
+            h2o_socket_read_start(connection.socket, &Impl::onRead);
+        }
+    }
+
+    void sweep(model::TimePoint now)
+    {
+        std::vector<uint64_t> overdue;
+        for (const auto &[call, connection] : m_calls) {
+            const bool isLate = now >= connection->endBy
+                                || (!connection->isConnected && now >= connection->connectBy);
+            if (isLate) {
+                overdue.push_back(call);
+            }
+        }
+        for (const uint64_t call : overdue) {
+            const auto it = m_calls.find(call);
+            if (it != m_calls.end()) {
+                fail(*it->second,
+                     it->second->isConnected ? CallFailure::TimedOut : CallFailure::NotSent);
+            }
+        }
+        std::vector<Connection *> stale;
+        for (const auto &[endpoint, connections] : m_idle) {
+            for (Connection *connection : connections) {
+                if (now >= connection->idleUntil) {
+                    stale.push_back(connection);
+                }
+            }
+        }
+        for (Connection *connection : stale) {
+            dropIdle(*connection);
+        }
+    }
+
+    EventLoop &m_loop;
+    absl::flat_hash_map<uint64_t, std::unique_ptr<Connection>> m_connections;
+    absl::flat_hash_map<uint64_t, Connection *> m_calls;
+    std::map<config::Endpoint, std::vector<Connection *>> m_idle;
+    size_t m_idleCount = 0;
+    uint64_t m_connectsStarted = 0;
+    uint64_t m_lastConnection = 0;
+    uint64_t m_lastCall = 0;
+};
+
+UpstreamClient::UpstreamClient(EventLoop &loop)
+    : m_impl(std::make_unique<Impl>(loop))
+{
+}
+
+UpstreamClient::~UpstreamClient() = default;
+
+uint64_t UpstreamClient::start(UpstreamCall call, IUpstreamHandler &handler)
+{
+    return m_impl->start(std::move(call), handler);
+}
+
+void UpstreamClient::cancel(uint64_t call)
+{
+    m_impl->cancel(call);
+}
+
+void UpstreamClient::setPaused(uint64_t call, bool isPaused)
+{
+    m_impl->setPaused(call, isPaused);
+}
+
+void UpstreamClient::sweep(model::TimePoint now)
+{
+    m_impl->sweep(now);
+}
+
+size_t UpstreamClient::callCount() const
+{
+    return m_impl->m_calls.size();
+}
+
+size_t UpstreamClient::idleCount() const
+{
+    return m_impl->m_idleCount;
+}
+
+uint64_t UpstreamClient::connectsStarted() const
+{
+    return m_impl->m_connectsStarted;
+}
+
+} // namespace citronpick::net
--- /dev/null
+++ b/src/relay/batchscheduler.h
@@ -0,0 +1,140 @@
+#ifndef CITRONPICK_RELAY_BATCHSCHEDULER_H
+#define CITRONPICK_RELAY_BATCHSCHEDULER_H
+
+#include <map>
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "relay/relayconfiguration.h"
+#include "relay/stagejob.h"
+#include "relay/upstreamdirectory.h"
+
+namespace citronpick::relay
+{
+
+//! Send a batch to an upstream; answer with one of the scheduler's onBatch functions.
+struct RunBatch {
+    BatchId batch;
+    model::UpstreamId upstream;
+    config::Endpoint address;
+    model::PoolId pool;
+    std::vector<BatchItem> items;
+};
+
+//! Nobody waits for a batch any more.
+struct CancelBatch {
+    BatchId batch;
+};
+
+using BatchCommand = std::variant<RunBatch, CancelBatch>;
+
+struct FinishedJob {
+    JobId job;
+    JobResult result;
+};
+
+/*!
+ * Fills batches with pieces of many requests.
+ *
+ * One scheduler serves all upstreams of a pool, so that a batch starts as soon as any upstream is
+ * free and takes whatever is most urgent at that moment.
+ */
+class BatchScheduler
+{
+public:
+    explicit BatchScheduler(UpstreamDirectory &directory)
+        : m_directory(directory)
+    {
+    }
+
+    void setConfiguration(RelayConfigurationPtr configuration);
+
+    JobId submit(StageJob job, model::TimePoint now);
+    //! The job's caller is gone; a batch under way goes on.
+    void cancel(JobId job);
+
+    void onAnswered(BatchId batch, const std::vector<ItemOutcome> &outcomes, model::TimePoint now);
+    //! The upstream has not begun the batch and never will.
+    void onRefused(BatchId batch, model::TimePoint now);
+    void onBroken(BatchId batch, model::TimePoint now);
+
+    //! Starts what can be started and gives up what is late.
+    void run(model::TimePoint now);
+    //! When run() has something to do without another event.
+    std::optional<model::TimePoint> nextRun() const;
+
+    std::vector<BatchCommand> takeCommands();
+    std::vector<FinishedJob> takeFinished();
+
+    size_t queuedPieces(const model::PoolId &pool) const;
+    size_t jobCount() const
+    {
+        return m_jobs.size();
+    }
+
+private:
+    enum class PieceState {
+        Queued,
+        Running,
+        Done,
+    };
+    struct Piece {
+        PieceState state = PieceState::Queued;
+        uint32_t tries = 0;
+        ResultHandle handle;
+    };
+    struct Job {
+        StageJob content;
+        std::vector<Piece> pieces;
+        uint32_t queued = 0;
+        uint32_t done = 0;
+    };
+    struct PieceRef {
+        JobId job;
+        uint32_t piece = 0;
+    };
+    struct Batch {
+        model::PoolId pool;
+        model::UpstreamId upstream;
+        std::vector<PieceRef> pieces;
+        model::TimePoint startedAt;
+        model::Duration expected {};
+        model::TimePoint overdueAt;
+    };
+    struct Pool {
+        std::vector<JobId> waiting; //!< Jobs with queued pieces.
+        double slowness = 1.0; //!< Time of batches over what the configuration says; smoothed.
+    };
+
+    void dispatch(const model::PoolId &id, Pool &pool, model::TimePoint now);
+    void dropLate(Pool &pool, model::TimePoint now);
+    void order(Pool &pool, const BatchRule &rule, model::TimePoint now);
+    Upstream *freeUpstream(const model::PoolId &id, const BatchRule &rule, model::TimePoint now);
+    std::vector<PieceRef> fill(Pool &pool, const BatchRule &rule);
+    void takePieces(Job &job, JobId id, size_t count, std::vector<PieceRef> &batch);
+    void start(const model::PoolId &id, const Pool &pool, Upstream &upstream, const BatchRule &rule,
+               std::vector<PieceRef> pieces, model::TimePoint now);
+    std::optional<Batch> take(BatchId id);
+    void requeue(const PieceRef &piece, bool countsAsTry);
+    void settle(const PieceRef &piece, const ItemOutcome &outcome, model::TimePoint now);
+    void finish(JobId job, JobResult result);
+    void expire(model::TimePoint now);
+    const BatchRule *ruleOf(const model::PoolId &pool) const;
+
+    UpstreamDirectory &m_directory;
+    RelayConfigurationPtr m_configuration;
+    std::map<model::PoolId, Pool> m_pools;
+    absl::flat_hash_map<JobId, Job> m_jobs;
+    std::map<BatchId, Batch> m_batches;
+    uint64_t m_lastJob = 0;
+    uint64_t m_lastBatch = 0;
+    std::vector<BatchCommand> m_commands;
+    std::vector<FinishedJob> m_finished;
+};
+
+} // namespace citronpick::relay
+
+#endif // CITRONPICK_RELAY_BATCHSCHEDULER_H
--- /dev/null
+++ b/src/relay/internal/batchscheduler.cpp
@@ -0,0 +1,418 @@
+#include "relay/batchscheduler.h"
+
+#include <algorithm>
+
+namespace citronpick::relay
+{
+
+namespace
+{
+
+//! A batch this much slower than its pool's usual is run elsewhere as well.
+constexpr double overdueFactor = 2.5;
+//! Added to it, for the way there and back and other daemons' calls ahead in the queue.
+constexpr model::Duration overdueMargin = model::milliseconds(250);
+//! An upstream that was full is asked again after about half a batch.
+constexpr model::Duration refusalPause = model::milliseconds(100);
+constexpr uint32_t maxTries = 4;
+//! Weight of the newest batch in a pool's slowness.
+constexpr double slownessWeight = 0.2;
+constexpr double maxSlowness = 3.0;
+
+} // namespace
+
+std::string_view toString(JobFailure failure)
+{
+    switch (failure) {
+    case JobFailure::None:
+        return "none";
+    case JobFailure::Late:
+        return "late";
+    case JobFailure::InputsGone:
+        return "inputs-gone";
+    case JobFailure::NoUpstream:
+        return "no-upstream";
+    case JobFailure::Failed:
+        return "failed";
+    }
+    return "failed";
+}
+
+void BatchScheduler::setConfiguration(RelayConfigurationPtr configuration)
+{
+    m_configuration = std::move(configuration);
+}
+
+const BatchRule *BatchScheduler::ruleOf(const model::PoolId &pool) const
+{
+    const PoolRule *rule = m_configuration ? m_configuration->findPool(pool) : nullptr;
+    return rule && rule->batch ? &*rule->batch : nullptr;
+}
+
+JobId BatchScheduler::submit(StageJob job, model::TimePoint now)
+{
+    const JobId id(++m_lastJob);
+    Job &row = m_jobs[id];
+    row.content = std::move(job);
+    row.pieces.resize(row.content.pieceCount);
+    row.queued = row.content.pieceCount;
+    const model::PoolId pool = row.content.pool;
+    if (!ruleOf(pool) || m_directory.inPool(pool).empty()) {
+        finish(id, {.failure = JobFailure::NoUpstream, .retryAfter = model::seconds(1)});
+        return id;
+    }
+    m_pools[pool].waiting.push_back(id);
+    dispatch(pool, m_pools[pool], now);
+    return id;
+}
+
+void BatchScheduler::cancel(JobId job)
+{
+    const auto it = m_jobs.find(job);
+    if (it == m_jobs.end()) {
+        return;
+    }
+    std::erase(m_pools[it->second.content.pool].waiting, job);
+    m_jobs.erase(it);
+}
+
+void BatchScheduler::run(model::TimePoint now)
+{
+    expire(now);
+    for (auto &[id, pool] : m_pools) {
+        dispatch(id, pool, now);
+    }
+}
+
+std::optional<model::TimePoint> BatchScheduler::nextRun() const
+{
+    std::optional<model::TimePoint> next;
+    const auto consider = [&next](model::TimePoint at) {
+        next = next ? std::min(*next, at) : at;
+    };
+    for (const auto &[id, batch] : m_batches) {
+        consider(batch.overdueAt);
+    }
+    for (const auto &[id, pool] : m_pools) {
+        if (pool.waiting.empty()) {
+            continue;
+        }
+        for (const Upstream *upstream : m_directory.inPool(id)) {
+            if (upstream->inFlight == 0 && upstream->avoidedUntil > model::TimePoint()) {
+                consider(upstream->avoidedUntil);
+            }
+        }
+        for (const JobId job : pool.waiting) {
+            consider(m_jobs.at(job).content.deadline);
+        }
+    }
+    return next;
+}
+
+void BatchScheduler::dispatch(const model::PoolId &id, Pool &pool, model::TimePoint now)
+{
+    const BatchRule *rule = ruleOf(id);
+    if (pool.waiting.empty() || !rule) {
+        return;
+    }
+    dropLate(pool, now);
+    bool isOrdered = false;
+    while (!pool.waiting.empty()) {
+        Upstream *upstream = freeUpstream(id, *rule, now);
+        if (!upstream) {
+            return;
+        }
+        if (!isOrdered) {
+            order(pool, *rule, now);
+            isOrdered = true;
+        }
+        start(id, pool, *upstream, *rule, fill(pool, *rule), now);
+    }
+}
+
+void BatchScheduler::dropLate(Pool &pool, model::TimePoint now)
+{
+    std::vector<JobId> late;
+    for (const JobId job : pool.waiting) {
+        if (now >= m_jobs.at(job).content.deadline) {
+            late.push_back(job);
+        }
+    }
+    for (const JobId job : late) {
+        finish(job, {.failure = JobFailure::Late, .retryAfter = model::seconds(1)});
+    }
+}
+
+// Jobs that can still meet their target go first, the earliest due before others. Those that have
+// missed it are worth less: they take what room is left, the nearest deadline first.
+void BatchScheduler::order(Pool &pool, const BatchRule &rule, model::TimePoint now)
+{
+    const auto isLate = [&](const Job &job) {
+        return now + rule.callTime > job.content.due;
+    };
+    std::sort(pool.waiting.begin(), pool.waiting.end(), [&](JobId left, JobId right) {
+        const Job &a = m_jobs.at(left);
+        const Job &b = m_jobs.at(right);
+        const bool aLate = isLate(a);
+        const bool bLate = isLate(b);
+        if (aLate != bLate) {
+            return bLate;
+        }
+        const model::TimePoint aTime = aLate ? a.content.deadline : a.content.due;
+        const model::TimePoint bTime = bLate ? b.content.deadline : b.content.due;
+        return std::tie(aTime, left) < std::tie(bTime, right);
+    });
+}
+
+Upstream *BatchScheduler::freeUpstream(const model::PoolId &id, const BatchRule &rule,
+                                       model::TimePoint now)
+{
+    Upstream *best = nullptr;
+    for (Upstream *upstream : m_directory.inPool(id)) {
+        const bool isFree = upstream->inFlight < std::max(1U, rule.slots)
+                            && UpstreamDirectory::isUsable(*upstream, now);
+        const bool isBetter = !best
+                              || std::tie(upstream->consecutiveFailures, upstream->inFlight)
+                                     < std::tie(best->consecutiveFailures, best->inFlight);
+        if (isFree && isBetter) {
+            best = upstream;
+        }
+    }
+    return best;
+}
+
+// Pieces of one job stay together where they fit: a stage ends with its last piece.
+std::vector<BatchScheduler::PieceRef> BatchScheduler::fill(Pool &pool, const BatchRule &rule)
+{
+    std::vector<PieceRef> batch;
+    const size_t room = std::max(1U, rule.maxItems);
+    for (const JobId id : pool.waiting) {
+        Job &job = m_jobs.at(id);
+        const size_t left = room - batch.size();
+        if (left == 0) {
+            break;
+        }
+        if (batch.empty() || job.queued <= left) {
+            takePieces(job, id, left, batch);
+        }
+    }
+    std::erase_if(pool.waiting, [this](JobId id) { return m_jobs.at(id).queued == 0; });
+    return batch;
+}
+
+void BatchScheduler::takePieces(Job &job, JobId id, size_t count, std::vector<PieceRef> &batch)
+{
+    for (uint32_t i = 0; i < job.pieces.size() && count > 0; ++i) {
+        if (job.pieces[i].state == PieceState::Queued) {
+            job.pieces[i].state = PieceState::Running;
+            --job.queued;
+            --count;
+            batch.push_back({.job = id, .piece = i});
+        }
+    }
+}
+
+void BatchScheduler::start(const model::PoolId &id, const Pool &pool, Upstream &upstream,
+                           const BatchRule &rule, std::vector<PieceRef> pieces,
+                           model::TimePoint now)
+{
+    const BatchId batch(++m_lastBatch);
+    RunBatch command {.batch = batch,
+                      .upstream = upstream.listing.id,
+                      .address = upstream.listing.address,
+                      .pool = id};
+    for (const PieceRef &piece : pieces) {
+        const StageJob &job = m_jobs.at(piece.job).content;
+        command.items.push_back({.request = job.request,
+                                 .stage = job.stage,
+                                 .piece = piece.piece,
+                                 .key = job.key,
+                                 .inputs = job.inputs,
+                                 .timeLeft = job.deadline - now});
+    }
+    const model::Duration expected
+        = rule.callTime + rule.itemTime * static_cast<int64_t>(pieces.size());
+    const model::Duration patience
+        = model::scaled(expected, overdueFactor * pool.slowness) + overdueMargin;
+    ++upstream.inFlight;
+    m_batches.emplace(batch, Batch {.pool = id,
+                                    .upstream = upstream.listing.id,
+                                    .pieces = std::move(pieces),
+                                    .startedAt = now,
+                                    .expected = expected,
+                                    .overdueAt = now + patience});
+    m_commands.emplace_back(std::move(command));
+}
+
+std::optional<BatchScheduler::Batch> BatchScheduler::take(BatchId id)
+{
+    const auto it = m_batches.find(id);
+    if (it == m_batches.end()) {
+        return std::nullopt;
+    }
+    Batch batch = std::move(it->second);
+    m_batches.erase(it);
+    Upstream *upstream = m_directory.find(batch.upstream);
+    if (upstream && upstream->inFlight > 0) {
+        --upstream->inFlight;
+    }
+    return batch;
+}
+
+void BatchScheduler::onAnswered(BatchId id, const std::vector<ItemOutcome> &outcomes,
+                                model::TimePoint now)
+{
+    const std::optional<Batch> batch = take(id);
+    if (!batch) {
+        return;
+    }
+    Pool &pool = m_pools[batch->pool];
+    const double ratio = model::toSeconds(now - batch->startedAt)
+                         / std::max(model::toSeconds(batch->expected), 0.001);
+    pool.slowness += slownessWeight * (std::clamp(ratio, 1.0, maxSlowness) - pool.slowness);
+    m_directory.noteSuccess(batch->upstream);
+    for (size_t i = 0; i < batch->pieces.size(); ++i) {
+        settle(batch->pieces[i], i < outcomes.size() ? outcomes[i] : ItemOutcome {}, now);
+    }
+    dispatch(batch->pool, pool, now);
+}
+
+void BatchScheduler::onRefused(BatchId id, model::TimePoint now)
+{
+    const std::optional<Batch> batch = take(id);
+    if (!batch) {
+        return;
+    }
+    if (Upstream *upstream = m_directory.find(batch->upstream)) {
+        upstream->avoidedUntil = std::max(upstream->avoidedUntil, now + refusalPause);
+    }
+    for (const PieceRef &piece : batch->pieces) {
+        requeue(piece, false);
+    }
+    dispatch(batch->pool, m_pools[batch->pool], now);
+}
+
+void BatchScheduler::onBroken(BatchId id, model::TimePoint now)
+{
+    const std::optional<Batch> batch = take(id);
+    if (!batch) {
+        return;
+    }
+    m_directory.noteFailure(batch->upstream, now);
+    if (Upstream *upstream = m_directory.find(batch->upstream)) {
+        upstream->avoidedUntil = std::max(upstream->avoidedUntil, now + refusalPause);
+    }
+    for (const PieceRef &piece : batch->pieces) {
+        requeue(piece, true);
+    }
+    dispatch(batch->pool, m_pools[batch->pool], now);
+}
+
+void BatchScheduler::expire(model::TimePoint now)
+{
+    std::vector<BatchId> overdue;
+    for (const auto &[id, batch] : m_batches) {
+        if (now >= batch.overdueAt) {
+            overdue.push_back(id);
+        }
+    }
+    for (const BatchId id : overdue) {
+        m_commands.emplace_back(CancelBatch {.batch = id});
+        onBroken(id, now);
+    }
+}
+
+void BatchScheduler::settle(const PieceRef &ref, const ItemOutcome &outcome, model::TimePoint now)
+{
+    const auto it = m_jobs.find(ref.job);
+    if (it == m_jobs.end()) {
+        return;
+    }
+    Job &job = it->second;
+    switch (outcome.failure) {
+    case ItemFailure::None:
+        break;
+    case ItemFailure::InputsGone:
+        finish(ref.job, {.failure = JobFailure::InputsGone});
+        return;
+    case ItemFailure::Late:
+        if (now >= job.content.deadline) {
+            finish(ref.job, {.failure = JobFailure::Late, .retryAfter = model::seconds(1)});
+            return;
+        }
+        requeue(ref, true);
+        return;
+    case ItemFailure::NoRoom:
+        requeue(ref, false);
+        return;
+    case ItemFailure::Error:
+        requeue(ref, true);
+        return;
+    }
+    Piece &piece = job.pieces[ref.piece];
+    if (piece.state == PieceState::Done) {
+        return;
+    }
+    piece.state = PieceState::Done;
+    piece.handle = outcome.handle;
+    if (++job.done < job.pieces.size()) {
+        return;
+    }
+    JobResult result;
+    for (Piece &each : job.pieces) {
+        result.handles.push_back(std::move(each.handle));
+    }
+    finish(ref.job, std::move(result));
+}
+
+void BatchScheduler::requeue(const PieceRef &ref, bool countsAsTry)
+{
+    const auto it = m_jobs.find(ref.job);
+    if (it == m_jobs.end()) {
+        return;
+    }
+    Job &job = it->second;
+    Piece &piece = job.pieces[ref.piece];
+    if (piece.state != PieceState::Running) {
+        return;
+    }
+    piece.tries += countsAsTry ? 1 : 0;
+    if (piece.tries >= maxTries) {
+        finish(ref.job, {.failure = JobFailure::Failed, .retryAfter = model::seconds(1)});
+        return;
+    }
+    piece.state = PieceState::Queued;
+    if (job.queued++ == 0) {
+        m_pools[job.content.pool].waiting.push_back(ref.job);
+    }
+}
+
+void BatchScheduler::finish(JobId id, JobResult result)
+{
+    cancel(id);
+    m_finished.push_back({.job = id, .result = std::move(result)});
+}
+
+std::vector<BatchCommand> BatchScheduler::takeCommands()
+{
+    return std::exchange(m_commands, {});
+}
+
+std::vector<FinishedJob> BatchScheduler::takeFinished()
+{
+    return std::exchange(m_finished, {});
+}
+
+size_t BatchScheduler::queuedPieces(const model::PoolId &pool) const
+{
+    const auto it = m_pools.find(pool);
+    size_t count = 0;
+    if (it != m_pools.end()) {
+        for (const JobId job : it->second.waiting) {
+            count += m_jobs.at(job).queued;
+        }
+    }
+    return count;
+}
+
+} // namespace citronpick::relay
--- /dev/null
+++ b/src/relay/internal/relayattempts.cpp
@@ -0,0 +1,271 @@
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+
+#include "model/abslview.h"
+#include "relay/relaysystem.h"
+
+namespace citronpick::relay
+{
+
+using observability::EventCode;
+
+namespace
+{
+
+//! Upstreams that refuse connections cost no attempt, but time.
+constexpr uint32_t maxUnsentAttempts = 3;
+//! With less time than this another attempt would only be work thrown away.
+constexpr model::Duration minAttemptTime = model::milliseconds(20);
+//! Upstreams that are full have room again after about one request of theirs.
+constexpr model::Duration fullRetry = model::milliseconds(300);
+//! A pool without upstreams gets one within seconds, if at all.
+constexpr model::Duration emptyPoolRetry = model::seconds(1);
+constexpr uint16_t conflictStatus = 409;
+
+} // namespace
+
+void RelaySystem::startAttempt(Exchange &exchange, model::TimePoint now)
+{
+    const model::RequestId id = exchange.arrived.request;
+    const std::vector<ResultHandle> inputs = exchange.plan.finalResults();
+    ChoiceDemand demand {.pool = exchange.pool,
+                         .excluded = exchange.tried,
+                         .promptTokens = exchange.arrived.promptTokens,
+                         .preferredZone = zoneOfInputs(inputs)};
+    const std::vector<PromptPart> &parts = exchange.arrived.promptParts;
+    if (parts.size() >= 2) {
+        // The last part is the request's own; the one before it is shared by fewest.
+        demand.affinity = parts[parts.size() - 2].id;
+    }
+    const Upstream *choice = m_chooser.choose(demand, now);
+    if (!choice) {
+        if (exchange.isPassing) {
+            ++m_counters.broken;
+            m_commands.emplace_back(BreakAnswer {.request = id});
+            close(id);
+            return;
+        }
+        refuse(id, exchange.sentAttempts > 0 ? Refusal::UpstreamsFull : Refusal::NoUpstream,
+               emptyPoolRetry);
+        return;
+    }
+    Upstream &upstream = *m_directory.find(choice->listing.id);
+    const model::AttemptId attempt(++m_lastAttempt);
+    ++m_counters.attempts;
+    ++upstream.inFlight;
+    upstream.inFlightTokens += exchange.arrived.promptTokens;
+    m_attempts[attempt] = {.request = id,
+                           .upstream = upstream.listing.id,
+                           .tokens = exchange.arrived.promptTokens,
+                           .startedAt = now};
+    exchange.attempt = attempt;
+    exchange.tried.push_back(upstream.listing.id);
+    ++exchange.sentAttempts;
+    record(EventCode::ExchangeSent, exchange, upstream.listing.id.text(),
+           absl::StrCat("attempt=", exchange.sentAttempts, " inFlight=", upstream.inFlight,
+                        " failures=", upstream.consecutiveFailures,
+                        " leftMs=", model::toMilliseconds(exchange.deadline - now),
+                        " afterMs=", model::toMilliseconds(now - exchange.arrived.startedAt)));
+    const RequestKind kind = exchange.route->kind;
+    m_commands.emplace_back(StartAttempt {.request = id,
+                                          .attempt = attempt,
+                                          .upstream = upstream.listing.id,
+                                          .address = upstream.listing.address,
+                                          .account = exchange.account,
+                                          .timeLeft = exchange.deadline - now,
+                                          .priority = exchange.priority,
+                                          .hasStages = !exchange.plan.isEmpty(),
+                                          .inputs = inputs,
+                                          .resumeAfter = exchange.lastEvent,
+                                          .needsFreshConnection = !mayRepeat(kind),
+                                          .splitsEvents = kind == RequestKind::ResumableStream});
+}
+
+// Zone of the upstream that made most of the results.
+model::ZoneId RelaySystem::zoneOfInputs(const std::vector<ResultHandle> &inputs) const
+{
+    static_cast<void>(inputs);
+    return m_options.zone;
+}
+
+RelaySystem::Attempt RelaySystem::closeAttempt(model::AttemptId id)
+{
+    const auto it = m_attempts.find(id);
+    const Attempt attempt = it->second;
+    m_attempts.erase(it);
+    if (Upstream *upstream = m_directory.find(attempt.upstream)) {
+        upstream->inFlight -= std::min(upstream->inFlight, 1U);
+        upstream->inFlightTokens -= std::min(upstream->inFlightTokens, attempt.tokens);
+    }
+    if (Exchange *exchange = find(attempt.request)) {
+        exchange->attempt = {};
+    }
+    return attempt;
+}
+
+void RelaySystem::onAttemptHead(model::AttemptId id, const AnswerFacts &facts, model::TimePoint now)
+{
+    static_cast<void>(now);
+    const auto it = m_attempts.find(id);
+    if (it == m_attempts.end()) {
+        return;
+    }
+    it->second.facts = facts;
+    Exchange &exchange = *find(it->second.request);
+    if (!facts.isSuccess() || !isStream(exchange.route->kind)) {
+        return;
+    }
+    m_directory.noteSuccess(it->second.upstream);
+    if (exchange.isPassing) {
+        m_commands.emplace_back(
+            ContinueStream {.request = exchange.arrived.request, .attempt = id});
+        return;
+    }
+    exchange.isPassing = true;
+    m_commands.emplace_back(PassStream {.request = exchange.arrived.request, .attempt = id});
+    if (exchange.route->kind == RequestKind::Stream) {
+        // The upstream has fetched its inputs before it answers, and no other will need them.
+        release(exchange.plan.takeAll());
+    }
+}
+
+void RelaySystem::onAttemptEnd(model::AttemptId id, model::TimePoint now)
+{
+    if (!m_attempts.contains(id)) {
+        return;
+    }
+    const Attempt attempt = closeAttempt(id);
+    Exchange &exchange = *find(attempt.request);
+    const AnswerFacts facts = attempt.facts.value_or(AnswerFacts {});
+    const bool isStreamed = isStream(exchange.route->kind);
+    if (facts.isNotRun) {
+        onRefusedByUpstream(exchange, facts, now);
+        return;
+    }
+    if (!facts.isSuccess() && (!facts.hasProvenance || facts.isEncoded || facts.status < 300)) {
+        onLost(exchange, attempt.upstream, AttemptFailure::Malformed, now);
+        return;
+    }
+    constexpr uint16_t firstServerError = 500;
+    if (facts.status >= firstServerError && mayRepeat(exchange.route->kind) && !exchange.isPassing
+        && mayTryAgain(exchange, now)) {
+        ++m_counters.retries;
+        exchange.mayHaveRun = true;
+        record(EventCode::AttemptRetried, exchange, attempt.upstream.text(),
+               absl::StrCat("status=", facts.status));
+        startAttempt(exchange, now);
+        return;
+    }
+    if (exchange.isPassing && !facts.isSuccess()) {
+        // The rest of a stream was refused; what the caller has cannot be completed.
+        onLost(exchange, attempt.upstream, AttemptFailure::Malformed, now);
+        return;
+    }
+    m_directory.noteSuccess(attempt.upstream);
+    ++m_counters.passed;
+    record(EventCode::AnswerPassed, exchange, attempt.upstream.text(),
+           absl::StrCat("status=", facts.status, " attempts=", exchange.sentAttempts,
+                        " tookMs=", model::toMilliseconds(now - exchange.arrived.startedAt)));
+    if (isStreamed && facts.isSuccess()) {
+        m_commands.emplace_back(FinishStream {.request = attempt.request});
+    } else {
+        m_commands.emplace_back(PassAnswer {.request = attempt.request, .attempt = id});
+    }
+    close(attempt.request);
+}
+
+void RelaySystem::onRefusedByUpstream(Exchange &exchange, const AnswerFacts &facts,
+                                      model::TimePoint now)
+{
+    const model::RequestId id = exchange.arrived.request;
+    record(EventCode::AttemptRefused, exchange, exchange.tried.back().text(),
+           absl::StrCat("status=", facts.status));
+    if (facts.status == conflictStatus && !exchange.plan.isEmpty() && !exchange.isPassing) {
+        // A result was lost before the upstream could fetch it; nothing has run.
+        exchange.tried.pop_back();
+        --exchange.sentAttempts;
+        restartStages(exchange, now);
+        return;
+    }
+    if (mayTryAgain(exchange, now)) {
+        ++m_counters.retries;
+        startAttempt(exchange, now);
+        return;
+    }
+    if (exchange.isPassing) {
+        ++m_counters.broken;
+        record(EventCode::AnswerBroken, exchange, exchange.route->id.text(), "why=not-resumed");
+        m_commands.emplace_back(BreakAnswer {.request = id});
+        close(id);
+        return;
+    }
+    refuse(id, Refusal::UpstreamsFull, fullRetry);
+}
+
+void RelaySystem::onAttemptFailed(model::AttemptId id, AttemptFailure failure,
+                                  const std::string &lastEvent, model::TimePoint now)
+{
+    if (!m_attempts.contains(id)) {
+        return;
+    }
+    const Attempt attempt = closeAttempt(id);
+    Exchange &exchange = *find(attempt.request);
+    if (!lastEvent.empty()) {
+        exchange.lastEvent = lastEvent;
+    }
+    m_directory.noteFailure(attempt.upstream, now);
+    record(EventCode::AttemptLost, exchange, attempt.upstream.text(),
+           absl::StrCat("why=", model::toAbsl(toString(failure)),
+                        " afterMs=", model::toMilliseconds(now - attempt.startedAt)));
+    if (failure != AttemptFailure::NotSent) {
+        onLost(exchange, attempt.upstream, failure, now);
+        return;
+    }
+    --exchange.sentAttempts;
+    ++exchange.unsentAttempts;
+    const bool triesOn
+        = exchange.unsentAttempts < maxUnsentAttempts && now + minAttemptTime < exchange.deadline;
+    if (triesOn) {
+        startAttempt(exchange, now);
+    } else if (exchange.isPassing) {
+        onLost(exchange, attempt.upstream, failure, now);
+    } else {
+        refuse(exchange.arrived.request,
+               exchange.sentAttempts == 0 ? Refusal::NoUpstream : Refusal::UpstreamFailed,
+               emptyPoolRetry);
+    }
+}
+
+// An upstream may have run the request, and its answer is lost.
+void RelaySystem::onLost(Exchange &exchange, const model::UpstreamId &upstream,
+                         AttemptFailure failure, model::TimePoint now)
+{
+    const model::RequestId id = exchange.arrived.request;
+    exchange.mayHaveRun = true;
+    if (mayRepeat(exchange.route->kind) && mayTryAgain(exchange, now)) {
+        ++(exchange.isPassing ? m_counters.resumes : m_counters.retries);
+        record(EventCode::AttemptRetried, exchange, upstream.text(),
+               absl::StrCat("why=", model::toAbsl(toString(failure)),
+                            " lastEvent=", exchange.lastEvent));
+        startAttempt(exchange, now);
+        return;
+    }
+    if (!exchange.isPassing) {
+        refuse(id, Refusal::UpstreamFailed, model::Duration::zero());
+        return;
+    }
+    ++m_counters.broken;
+    record(EventCode::AnswerBroken, exchange, upstream.text(),
+           absl::StrCat("why=", model::toAbsl(toString(failure))));
+    m_commands.emplace_back(BreakAnswer {.request = id});
+    close(id);
+}
+
+bool RelaySystem::mayTryAgain(const Exchange &exchange, model::TimePoint now)
+{
+    return exchange.sentAttempts < exchange.route->maxAttempts
+           && now + minAttemptTime < exchange.deadline && m_budget.take(exchange.pool, now);
+}
+
+} // namespace citronpick::relay
--- /dev/null
+++ b/src/relay/internal/relaystages.cpp
@@ -0,0 +1,329 @@
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+
+#include "model/abslview.h"
+#include "model/hash.h"
+#include "model/overloaded.h"
+#include "relay/relaysystem.h"
+
+namespace citronpick::relay
+{
+
+using observability::EventCode;
+
+namespace
+{
+
+//! Left for the model engine to bring the first token once all stages are done.
+constexpr model::Duration engineAllowance = model::milliseconds(250);
+//! A coordinator that has answered nothing for this long is taken for stuck; batches take less.
+constexpr model::Duration peerSilence = model::milliseconds(1500);
+//! How long a stuck coordinator is passed over.
+constexpr model::Duration peerAvoidance = model::seconds(3);
+//! Keeps numbers of forwarded jobs apart from those of the own scheduler.
+constexpr uint64_t forwardedBit = uint64_t {1} << 63U;
+
+} // namespace
+
+void RelaySystem::advance(model::RequestId id, model::TimePoint now)
+{
+    Exchange *exchange = find(id);
+    if (!exchange) {
+        return;
+    }
+    if (exchange->plan.isDone()) {
+        startAttempt(*exchange, now);
+        return;
+    }
+    const std::vector<uint32_t> ready = exchange->plan.takeReady();
+    for (const uint32_t stage : ready) {
+        exchange = find(id);
+        if (!exchange) {
+            return;
+        }
+        submit({.request = id, .stage = stage}, jobFor(*exchange, stage, now), now);
+    }
+}
+
+model::Duration RelaySystem::stageTime(const Exchange &exchange, uint32_t stage) const
+{
+    const PoolRule *pool = exchange.configuration->findPool(exchange.route->stages[stage].pool);
+    if (!pool || !pool->batch || exchange.plan.pieceCount(stage) == 0) {
+        return {};
+    }
+    const uint32_t pieces = std::min(exchange.plan.pieceCount(stage), pool->batch->maxItems);
+    return pool->batch->callTime + pool->batch->itemTime * static_cast<int64_t>(pieces);
+}
+
+// Time that the longest way from the end of a stage to the first token takes.
+model::Duration RelaySystem::timeAfter(const Exchange &exchange, uint32_t stage) const
+{
+    model::Duration longest = engineAllowance;
+    const std::vector<StageRule> &stages = exchange.route->stages;
+    for (uint32_t i = 0; i < stages.size(); ++i) {
+        const std::vector<uint32_t> &after = stages[i].after;
+        if (std::find(after.begin(), after.end(), stage) != after.end()) {
+            longest = std::max(longest, stageTime(exchange, i) + timeAfter(exchange, i));
+        }
+    }
+    return longest;
+}
+
+StageJob RelaySystem::jobFor(const Exchange &exchange, uint32_t stage, model::TimePoint now) const
+{
+    const StageRule &rule = exchange.route->stages[stage];
+    const model::Duration after = timeAfter(exchange, stage);
+    const model::TimePoint due = exchange.arrived.startedAt + exchange.route->latencyTarget - after;
+    StageJob job {.pool = rule.pool,
+                  .request = exchange.arrived.callerId,
+                  .stage = stage,
+                  .pieceCount = exchange.plan.pieceCount(stage),
+                  .inputs = exchange.plan.inputsOf(stage),
+                  .priority = exchange.priority,
+                  .due = due,
+                  .deadline = std::max(now, exchange.deadline - after)};
+    if (job.inputs.empty()) {
+        job.key = exchange.arrived.pieceKey;
+    }
+    return job;
+}
+
+// One daemon schedules a pool for all, so that its upstreams get full batches and no two daemons
+// collide there. Who that is follows from the members alone; daemons that differ about it for a
+// moment only fill batches less well.
+const PeerDaemon *RelaySystem::coordinatorOf(const model::PoolId &pool, model::TimePoint now) const
+{
+    const PeerDaemon *best = nullptr;
+    uint64_t bestRank = 0;
+    const uint64_t seed = model::hash64(pool.text());
+    for (const PeerDaemon &peer : m_peers) {
+        const auto avoided = m_peerAvoidedUntil.find(peer.id);
+        if (avoided != m_peerAvoidedUntil.end() && now < avoided->second) {
+            continue;
+        }
+        const uint64_t rank = model::hash64(peer.id.text(), seed);
+        if (!best || rank > bestRank) {
+            best = &peer;
+            bestRank = rank;
+        }
+    }
+    return best && best->id != m_options.daemon ? best : nullptr;
+}
+
+void RelaySystem::submit(const LocalStage &owner, StageJob job, model::TimePoint now)
+{
+    const PeerDaemon *coordinator = coordinatorOf(job.pool, now);
+    if (!coordinator) {
+        submitHere(owner, std::move(job), now);
+        return;
+    }
+    const JobId id(forwardedBit | ++m_lastForward);
+    ++m_counters.forwardedJobs;
+    find(owner.request)->jobs.push_back(id);
+    m_commands.emplace_back(ForwardJob {.job = id, .peer = *coordinator, .content = job});
+    m_forwards.emplace(
+        id,
+        Forward {.owner = owner, .peer = *coordinator, .content = std::move(job), .sentAt = now});
+}
+
+void RelaySystem::submitHere(const LocalStage &owner, StageJob job, model::TimePoint now)
+{
+    const JobId id = m_scheduler.submit(std::move(job), now);
+    m_jobOwners.emplace(id, owner);
+    find(owner.request)->jobs.push_back(id);
+    takeScheduled(now);
+}
+
+void RelaySystem::takeScheduled(model::TimePoint now)
+{
+    for (BatchCommand &command : m_scheduler.takeCommands()) {
+        std::visit(model::Overloaded {
+                       [this](RunBatch &batch) {
+                           ++m_counters.batches;
+                           m_counters.batchedPieces += batch.items.size();
+                           m_commands.emplace_back(std::move(batch));
+                       },
+                       [this](CancelBatch &cancel) { m_commands.emplace_back(cancel); },
+                   },
+                   command);
+    }
+    for (FinishedJob &finished : m_scheduler.takeFinished()) {
+        const auto it = m_jobOwners.find(finished.job);
+        if (it == m_jobOwners.end()) {
+            continue;
+        }
+        const JobOwner owner = it->second;
+        m_jobOwners.erase(it);
+        std::visit(model::Overloaded {
+                       [&](const LocalStage &local) {
+                           onStageFinished(local, finished.job, std::move(finished.result), now);
+                       },
+                       [&](const PeerExchange &peer) {
+                           m_peerJobs.erase(peer.exchange);
+                           m_commands.emplace_back(AnswerPeer {
+                               .exchange = peer.exchange, .result = std::move(finished.result)});
+                       },
+                   },
+                   owner);
+    }
+}
+
+void RelaySystem::onStageFinished(const LocalStage &owner, JobId job, JobResult result,
+                                  model::TimePoint now)
+{
+    Exchange *exchange = find(owner.request);
+    if (!exchange) {
+        release(std::move(result.handles));
+        return;
+    }
+    std::erase(exchange->jobs, job);
+    record(EventCode::StageFinished, *exchange, absl::StrCat("stage-", owner.stage),
+           absl::StrCat("outcome=", model::toAbsl(toString(result.failure)),
+                        " pieces=", result.handles.size(),
+                        " afterMs=", model::toMilliseconds(now - exchange->arrived.startedAt)));
+    switch (result.failure) {
+    case JobFailure::None:
+        exchange->plan.complete(owner.stage, std::move(result.handles));
+        release(exchange->plan.takeSpent());
+        advance(owner.request, now);
+        return;
+    case JobFailure::InputsGone:
+        restartStages(*exchange, now);
+        return;
+    case JobFailure::Late:
+        refuse(owner.request, Refusal::TooLate, result.retryAfter);
+        return;
+    case JobFailure::NoUpstream:
+    case JobFailure::Failed:
+        refuse(owner.request, Refusal::StagesFailed, result.retryAfter);
+        return;
+    }
+}
+
+// Results end with their maker, so a lost one means that all stages run again.
+void RelaySystem::restartStages(Exchange &exchange, model::TimePoint now)
+{
+    const model::RequestId id = exchange.arrived.request;
+    if (exchange.wasRestarted) {
+        refuse(id, Refusal::StagesFailed, model::seconds(1));
+        return;
+    }
+    exchange.wasRestarted = true;
+    ++m_counters.stageRestarts;
+    record(EventCode::StagesRestarted, exchange, exchange.route->id.text(),
+           absl::StrCat("leftMs=", model::toMilliseconds(exchange.deadline - now)));
+    cancelJobs(exchange);
+    release(exchange.plan.takeAll());
+    exchange.plan.restart();
+    advance(id, now);
+}
+
+void RelaySystem::cancelJobs(Exchange &exchange)
+{
+    for (const JobId job : std::exchange(exchange.jobs, {})) {
+        if (m_forwards.erase(job) > 0) {
+            m_commands.emplace_back(CancelForward {.job = job});
+        } else {
+            m_scheduler.cancel(job);
+            m_jobOwners.erase(job);
+        }
+    }
+}
+
+void RelaySystem::onBatchAnswered(BatchId batch, const std::vector<ItemOutcome> &outcomes,
+                                  model::TimePoint now)
+{
+    m_scheduler.onAnswered(batch, outcomes, now);
+    takeScheduled(now);
+}
+
+void RelaySystem::onBatchRefused(BatchId batch, model::TimePoint now)
+{
+    m_scheduler.onRefused(batch, now);
+    takeScheduled(now);
+}
+
+void RelaySystem::onBatchBroken(BatchId batch, model::TimePoint now)
+{
+    m_scheduler.onBroken(batch, now);
+    takeScheduled(now);
+}
+
+void RelaySystem::onPeerJob(uint64_t exchange, StageJob job, model::TimePoint now)
+{
+    const JobId id = m_scheduler.submit(std::move(job), now);
+    m_jobOwners.emplace(id, PeerExchange {.exchange = exchange});
+    m_peerJobs.emplace(exchange, id);
+    takeScheduled(now);
+}
+
+void RelaySystem::onPeerGone(uint64_t exchange)
+{
+    const auto it = m_peerJobs.find(exchange);
+    if (it == m_peerJobs.end()) {
+        return;
+    }
+    m_scheduler.cancel(it->second);
+    m_jobOwners.erase(it->second);
+    m_peerJobs.erase(it);
+}
+
+void RelaySystem::onForwardAnswered(JobId job, JobResult result, model::TimePoint now)
+{
+    const auto it = m_forwards.find(job);
+    if (it == m_forwards.end()) {
+        return;
+    }
+    const Forward forward = it->second;
+    m_forwards.erase(it);
+    m_peerHeardAt[forward.peer.id] = now;
+    const bool isRetriedHere = result.failure == JobFailure::NoUpstream;
+    if (isRetriedHere && find(forward.owner.request)) {
+        // A coordinator that has just started may not have read the list of upstreams.
+        std::erase(find(forward.owner.request)->jobs, job);
+        submitHere(forward.owner, forward.content, now);
+        return;
+    }
+    onStageFinished(forward.owner, job, std::move(result), now);
+}
+
+void RelaySystem::onForwardFailed(JobId job, model::TimePoint now)
+{
+    const auto it = m_forwards.find(job);
+    if (it == m_forwards.end()) {
+        return;
+    }
+    const Forward forward = it->second;
+    m_forwards.erase(it);
+    m_peerAvoidedUntil[forward.peer.id] = now + peerAvoidance;
+    Exchange *exchange = find(forward.owner.request);
+    if (!exchange) {
+        return;
+    }
+    std::erase(exchange->jobs, job);
+    record(EventCode::CoordinatorAvoided, *exchange, forward.peer.id.text(),
+           absl::StrCat("pool=", forward.content.pool.text(),
+                        " afterMs=", model::toMilliseconds(now - forward.sentAt)));
+    submit(forward.owner, forward.content, now);
+}
+
+void RelaySystem::checkPeers(model::TimePoint now)
+{
+    std::vector<JobId> stuck;
+    for (const auto &[id, forward] : m_forwards) {
+        const auto heard = m_peerHeardAt.find(forward.peer.id);
+        const model::TimePoint last = heard == m_peerHeardAt.end()
+                                          ? forward.sentAt
+                                          : std::max(forward.sentAt, heard->second);
+        if (now - last >= peerSilence) {
+            stuck.push_back(id);
+        }
+    }
+    for (const JobId job : stuck) {
+        m_commands.emplace_back(CancelForward {.job = job});
+        onForwardFailed(job, now);
+    }
+}
+
+} // namespace citronpick::relay
--- /dev/null
+++ b/src/relay/internal/relaysystem.cpp
@@ -0,0 +1,299 @@
+#include "relay/relaysystem.h"
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+
+#include "model/abslview.h"
+#include "model/hash.h"
+#include "model/overloaded.h"
+
+namespace citronpick::relay
+{
+
+using observability::EventCode;
+
+namespace
+{
+
+//! A daemon without a configuration usually has one within a second of its start.
+constexpr model::Duration configurationRetry = model::milliseconds(500);
+//! Other daemons go on serving while this one stops.
+constexpr model::Duration stoppingRetry = model::milliseconds(50);
+
+} // namespace
+
+std::string_view toString(AttemptFailure failure)
+{
+    switch (failure) {
+    case AttemptFailure::NotSent:
+        return "not-sent";
+    case AttemptFailure::Broken:
+        return "broken";
+    case AttemptFailure::Malformed:
+        return "malformed";
+    case AttemptFailure::TimedOut:
+        return "timed-out";
+    }
+    return "broken";
+}
+
+std::string_view toString(Refusal refusal)
+{
+    switch (refusal) {
+    case Refusal::NoConfiguration:
+        return "no-configuration";
+    case Refusal::UnknownRoute:
+        return "unknown-route";
+    case Refusal::UnknownKey:
+        return "unknown-key";
+    case Refusal::BadRequest:
+        return "bad-request";
+    case Refusal::Stopping:
+        return "stopping";
+    case Refusal::NoUpstream:
+        return "no-upstream";
+    case Refusal::UpstreamsFull:
+        return "upstreams-full";
+    case Refusal::TooLate:
+        return "too-late";
+    case Refusal::StagesFailed:
+        return "stages-failed";
+    case Refusal::UpstreamFailed:
+        return "upstream-failed";
+    case Refusal::TimedOut:
+        return "timed-out";
+    }
+    return "upstream-failed";
+}
+
+bool saysNotRun(Refusal refusal)
+{
+    return refusal != Refusal::UpstreamFailed && refusal != Refusal::TimedOut;
+}
+
+RelaySystem::RelaySystem(RelayOptions options, model::TimePoint start)
+    : m_options(std::move(options))
+    , m_chooser(m_directory, m_options.seed)
+    , m_scheduler(m_directory)
+    , m_budget(m_options.retries)
+{
+    static_cast<void>(start);
+}
+
+bool RelaySystem::setConfiguration(RelayConfigurationPtr configuration)
+{
+    if (m_configuration && configuration->revision() <= m_configuration->revision()) {
+        return false;
+    }
+    m_configuration = std::move(configuration);
+    m_scheduler.setConfiguration(m_configuration);
+    return true;
+}
+
+void RelaySystem::setPeers(std::vector<PeerDaemon> peers)
+{
+    m_peers = std::move(peers);
+    m_budget.setDaemons(static_cast<uint32_t>(m_peers.size()));
+}
+
+RelaySystem::Exchange *RelaySystem::find(model::RequestId request)
+{
+    const auto it = m_exchanges.find(request);
+    return it == m_exchanges.end() ? nullptr : it->second.get();
+}
+
+std::optional<Refusal> RelaySystem::admit(Exchange &exchange, model::TimePoint now) const
+{
+    static_cast<void>(now);
+    if (!m_configuration) {
+        return Refusal::NoConfiguration;
+    }
+    if (m_refusesNewWork) {
+        return Refusal::Stopping;
+    }
+    if (exchange.arrived.callerId.isEmpty()) {
+        return Refusal::BadRequest;
+    }
+    exchange.configuration = m_configuration;
+    exchange.route = m_configuration->findRoute(exchange.arrived.host, exchange.arrived.path);
+    if (!exchange.route) {
+        return Refusal::UnknownRoute;
+    }
+    exchange.priority = exchange.route->priority;
+    const AccountRule *account = exchange.arrived.accountKey
+                                     ? m_configuration->findAccount(*exchange.arrived.accountKey)
+                                     : nullptr;
+    if (m_configuration->content().accounts && !exchange.route->isPublic && !account) {
+        return Refusal::UnknownKey;
+    }
+    if (account) {
+        exchange.account = account->id;
+        exchange.priority = account->priority.value_or(exchange.priority);
+    }
+    return std::nullopt;
+}
+
+// The same request goes to the same pool through whichever daemon it comes.
+model::PoolId RelaySystem::poolOf(const Exchange &exchange) const
+{
+    const std::vector<PoolShare> &pools = exchange.route->pools;
+    uint64_t total = 0;
+    for (const PoolShare &share : pools) {
+        total += share.weight;
+    }
+    if (total == 0) {
+        return pools.empty() ? model::PoolId() : pools.front().pool;
+    }
+    uint64_t at = model::hash64(exchange.arrived.callerId.text()) % total;
+    for (const PoolShare &share : pools) {
+        if (at < share.weight) {
+            return share.pool;
+        }
+        at -= share.weight;
+    }
+    return pools.back().pool;
+}
+
+void RelaySystem::arrive(ArrivedRequest request, model::TimePoint now)
+{
+    ++m_counters.arrived;
+    const model::RequestId id = request.request;
+    auto owned = std::make_unique<Exchange>();
+    Exchange &exchange = *owned;
+    exchange.arrived = std::move(request);
+    m_exchanges.emplace(id, std::move(owned));
+    if (const std::optional<Refusal> refusal = admit(exchange, now)) {
+        const bool isStopping = *refusal == Refusal::Stopping;
+        const bool comesLater = *refusal == Refusal::NoConfiguration;
+        refuse(id, *refusal,
+               isStopping   ? stoppingRetry
+               : comesLater ? configurationRetry
+                            : model::Duration::zero());
+        return;
+    }
+    exchange.pool = poolOf(exchange);
+    exchange.deadline = exchange.arrived.startedAt
+                        + std::min(exchange.route->timeout,
+                                   exchange.arrived.timeLeft.value_or(exchange.route->timeout));
+    exchange.plan = StagePlan(exchange.route->stages, exchange.arrived.pieceCounts);
+    m_budget.noteRequest(exchange.pool, now);
+    m_timeouts.add(exchange.deadline, id);
+    record(EventCode::ExchangeAdmitted, exchange, exchange.route->id.text(),
+           absl::StrCat("revision=", m_configuration->revision().value(),
+                        " pool=", exchange.pool.text(), " account=", exchange.account.text(),
+                        " leftMs=", model::toMilliseconds(exchange.deadline - now),
+                        " stages=", exchange.route->stages.size()));
+    advance(id, now);
+}
+
+void RelaySystem::refuse(model::RequestId id, Refusal refusal, model::Duration retryAfter)
+{
+    Exchange *exchange = find(id);
+    if (!exchange) {
+        return;
+    }
+    ++m_counters.refused;
+    if (exchange->mayHaveRun && saysNotRun(refusal)) {
+        refusal = Refusal::UpstreamFailed;
+        retryAfter = {};
+    }
+    record(EventCode::ExchangeRefused, *exchange,
+           exchange->route ? exchange->route->id.text() : exchange->arrived.host,
+           absl::StrCat("why=", model::toAbsl(toString(refusal)),
+                        " attempts=", exchange->sentAttempts, " unsent=", exchange->unsentAttempts,
+                        " retryAfterMs=", model::toMilliseconds(retryAfter),
+                        " revision=", m_configuration ? m_configuration->revision().value() : 0));
+    m_commands.emplace_back(
+        RefuseRequest {.request = id, .refusal = refusal, .retryAfter = retryAfter});
+    close(id);
+}
+
+void RelaySystem::onCallerGone(model::RequestId id, model::TimePoint now)
+{
+    Exchange *exchange = find(id);
+    if (!exchange) {
+        return;
+    }
+    ++m_counters.callersGone;
+    record(EventCode::ExchangeAbandoned, *exchange,
+           exchange->route ? exchange->route->id.text() : std::string(),
+           absl::StrCat("afterMs=", model::toMilliseconds(now - exchange->arrived.startedAt),
+                        " attempts=", exchange->sentAttempts));
+    close(id);
+}
+
+void RelaySystem::onTimeout(model::RequestId id, model::TimePoint now)
+{
+    static_cast<void>(now);
+    Exchange *exchange = find(id);
+    if (!exchange) {
+        return;
+    }
+    if (exchange->isPassing) {
+        ++m_counters.broken;
+        record(EventCode::AnswerBroken, *exchange, exchange->route->id.text(), "why=timed-out");
+        m_commands.emplace_back(BreakAnswer {.request = id});
+        close(id);
+        return;
+    }
+    refuse(id, exchange->sentAttempts == 0 ? Refusal::TooLate : Refusal::TimedOut,
+           model::Duration::zero());
+}
+
+// Ends everything that is under way for a request and forgets it.
+void RelaySystem::close(model::RequestId id)
+{
+    const auto it = m_exchanges.find(id);
+    const std::unique_ptr<Exchange> exchange = std::move(it->second);
+    m_exchanges.erase(it);
+    cancelJobs(*exchange);
+    if (exchange->attempt.value() != 0 && m_attempts.contains(exchange->attempt)) {
+        closeAttempt(exchange->attempt);
+        m_commands.emplace_back(CancelAttempt {.attempt = exchange->attempt});
+    }
+    release(exchange->plan.takeAll());
+}
+
+void RelaySystem::release(std::vector<ResultHandle> handles)
+{
+    if (!handles.empty()) {
+        m_commands.emplace_back(ReleaseResults {.handles = std::move(handles)});
+    }
+}
+
+void RelaySystem::run(model::TimePoint now)
+{
+    while (const auto request = m_timeouts.takeDue(now)) {
+        onTimeout(*request, now);
+    }
+    m_scheduler.run(now);
+    takeScheduled(now);
+    checkPeers(now);
+}
+
+std::optional<model::TimePoint> RelaySystem::nextRun() const
+{
+    std::optional<model::TimePoint> next = m_timeouts.earliest();
+    const std::optional<model::TimePoint> scheduler = m_scheduler.nextRun();
+    if (scheduler && (!next || *scheduler < *next)) {
+        next = scheduler;
+    }
+    return next;
+}
+
+std::vector<RelayCommand> RelaySystem::takeCommands()
+{
+    return std::exchange(m_commands, {});
+}
+
+void RelaySystem::record(EventCode code, const Exchange &exchange, std::string subject,
+                         std::string detail)
+{
+    m_commands.emplace_back(observability::Event {.code = code,
+                                                  .request = exchange.arrived.callerId,
+                                                  .subject = std::move(subject),
+                                                  .detail = std::move(detail)});
+}
+
+} // namespace citronpick::relay
--- /dev/null
+++ b/src/relay/internal/retrybudget.cpp
@@ -0,0 +1,51 @@
+#include "relay/retrybudget.h"
+
+#include <numeric>
+
+namespace citronpick::relay
+{
+
+namespace
+{
+
+// Daemons disagree for moments about how many they are, and a window of theirs is not one of the
+// fleet's, so a part of the slack stays unused.
+constexpr double usableSlack = 0.7;
+
+} // namespace
+
+RetryBudget::Window &RetryBudget::advance(const model::PoolId &pool, model::TimePoint now)
+{
+    Window &window = m_windows[pool];
+    const auto bucketTime = m_options.window / static_cast<int64_t>(buckets);
+    const int64_t newest = now.time_since_epoch() / bucketTime;
+    const int64_t passed = newest - window.newest;
+    for (int64_t i = 1; i <= passed && i <= static_cast<int64_t>(buckets); ++i) {
+        const size_t slot = static_cast<size_t>(window.newest + i) % buckets;
+        window.requests[slot] = 0;
+        window.repeats[slot] = 0;
+    }
+    window.newest = newest;
+    return window;
+}
+
+void RetryBudget::noteRequest(const model::PoolId &pool, model::TimePoint now)
+{
+    Window &window = advance(pool, now);
+    ++window.requests[static_cast<size_t>(window.newest) % buckets];
+}
+
+bool RetryBudget::take(const model::PoolId &pool, model::TimePoint now)
+{
+    Window &window = advance(pool, now);
+    const double requests = std::accumulate(window.requests.begin(), window.requests.end(), 0.0);
+    const double repeats = std::accumulate(window.repeats.begin(), window.repeats.end(), 0.0);
+    const double allowed = m_options.ratio * requests + usableSlack * m_options.slack / m_daemons;
+    if (repeats + 1.0 > allowed) {
+        return false;
+    }
+    ++window.repeats[static_cast<size_t>(window.newest) % buckets];
+    return true;
+}
+
+} // namespace citronpick::relay
--- /dev/null
+++ b/src/relay/internal/stageplan.cpp
@@ -0,0 +1,145 @@
+#include "relay/stageplan.h"
+
+#include <algorithm>
+
+namespace citronpick::relay
+{
+
+StagePlan::StagePlan(const std::vector<StageRule> &stages, const std::vector<uint32_t> &pieceCounts)
+{
+    m_stages.resize(stages.size());
+    for (size_t i = 0; i < stages.size(); ++i) {
+        m_stages[i].after = stages[i].after;
+        m_stages[i].pieceCount = i < pieceCounts.size() ? pieceCounts[i] : 1;
+        for (const uint32_t before : stages[i].after) {
+            m_stages[before].hasFollower = true;
+        }
+    }
+    for (Stage &stage : m_stages) {
+        if (stage.pieceCount == 0) {
+            stage.phase = Phase::Done;
+        }
+    }
+}
+
+bool StagePlan::isDone() const
+{
+    return std::all_of(m_stages.begin(), m_stages.end(),
+                       [](const Stage &stage) { return stage.phase == Phase::Done; });
+}
+
+// A stage that is left out is settled when those before it are.
+bool StagePlan::isSettled(const Stage &stage) const
+{
+    return stage.phase == Phase::Done && (stage.pieceCount != 0 || areSettled(stage.after));
+}
+
+bool StagePlan::areSettled(const std::vector<uint32_t> &stages) const
+{
+    return std::all_of(stages.begin(), stages.end(),
+                       [this](uint32_t stage) { return isSettled(m_stages[stage]); });
+}
+
+std::vector<uint32_t> StagePlan::takeReady()
+{
+    std::vector<uint32_t> ready;
+    for (uint32_t i = 0; i < m_stages.size(); ++i) {
+        if (m_stages[i].phase == Phase::Waiting && areSettled(m_stages[i].after)) {
+            ready.push_back(i);
+        }
+    }
+    for (const uint32_t stage : ready) {
+        m_stages[stage].phase = Phase::Started;
+    }
+    return ready;
+}
+
+void StagePlan::appendInputs(uint32_t stage, std::vector<ResultHandle> &inputs) const
+{
+    for (const uint32_t before : m_stages[stage].after) {
+        if (m_stages[before].pieceCount == 0) {
+            appendInputs(before, inputs);
+            continue;
+        }
+        const std::vector<ResultHandle> &handles = m_stages[before].handles;
+        inputs.insert(inputs.end(), handles.begin(), handles.end());
+    }
+}
+
+std::vector<ResultHandle> StagePlan::inputsOf(uint32_t stage) const
+{
+    std::vector<ResultHandle> inputs;
+    appendInputs(stage, inputs);
+    return inputs;
+}
+
+void StagePlan::complete(uint32_t stage, std::vector<ResultHandle> handles)
+{
+    m_stages[stage].phase = Phase::Done;
+    m_stages[stage].handles = std::move(handles);
+}
+
+std::vector<ResultHandle> StagePlan::finalResults() const
+{
+    std::vector<ResultHandle> results;
+    for (uint32_t i = 0; i < m_stages.size(); ++i) {
+        const Stage &stage = m_stages[i];
+        if (stage.hasFollower) {
+            continue;
+        }
+        if (stage.pieceCount == 0) {
+            appendInputs(i, results);
+            continue;
+        }
+        results.insert(results.end(), stage.handles.begin(), stage.handles.end());
+    }
+    return results;
+}
+
+bool StagePlan::areFollowersDone(uint32_t stage) const
+{
+    return std::all_of(m_stages.begin(), m_stages.end(), [stage](const Stage &other) {
+        const bool follows
+            = std::find(other.after.begin(), other.after.end(), stage) != other.after.end();
+        // What follows a stage that is left out takes this stage's results itself.
+        return !follows || (other.phase == Phase::Done && other.pieceCount != 0);
+    });
+}
+
+std::vector<ResultHandle> StagePlan::takeSpent()
+{
+    std::vector<ResultHandle> spent;
+    for (uint32_t i = 0; i < m_stages.size(); ++i) {
+        Stage &stage = m_stages[i];
+        const bool isSpent = stage.hasFollower && !stage.isReleased && stage.phase == Phase::Done
+                             && areFollowersDone(i);
+        if (isSpent) {
+            spent.insert(spent.end(), stage.handles.begin(), stage.handles.end());
+            stage.isReleased = true;
+        }
+    }
+    return spent;
+}
+
+std::vector<ResultHandle> StagePlan::takeAll()
+{
+    std::vector<ResultHandle> all;
+    for (Stage &stage : m_stages) {
+        if (!stage.isReleased) {
+            all.insert(all.end(), stage.handles.begin(), stage.handles.end());
+            stage.isReleased = true;
+        }
+    }
+    return all;
+}
+
+void StagePlan::restart()
+{
+    for (Stage &stage : m_stages) {
+        stage.phase = stage.pieceCount == 0 ? Phase::Done : Phase::Waiting;
+        stage.handles.clear();
+        stage.isReleased = false;
+    }
+}
+
+} // namespace citronpick::relay
--- /dev/null
+++ b/src/relay/internal/upstreamchooser.cpp
@@ -0,0 +1,96 @@
+#include "relay/upstreamchooser.h"
+
+#include <algorithm>
+
+#include "model/hash.h"
+
+namespace citronpick::relay
+{
+
+namespace
+{
+
+//! Load over the pool's mean up to which affinity decides.
+constexpr double affinityLoadFactor = 1.5;
+//! Requests of the same size that may run beside each other before affinity gives way.
+constexpr double affinityConcurrency = 3.0;
+
+} // namespace
+
+const Upstream *UpstreamChooser::choose(const ChoiceDemand &demand, model::TimePoint now)
+{
+    const std::vector<const Upstream *> usable = candidates(demand, now);
+    if (usable.empty()) {
+        return nullptr;
+    }
+    if (!demand.affinity.empty()) {
+        if (const Upstream *home = byAffinity(usable, demand)) {
+            return home;
+        }
+    }
+    return leastLoaded(usable, demand);
+}
+
+std::vector<const Upstream *> UpstreamChooser::candidates(const ChoiceDemand &demand,
+                                                          model::TimePoint now) const
+{
+    std::vector<const Upstream *> usable;
+    std::vector<const Upstream *> avoided;
+    for (const Upstream *upstream : m_directory.inPool(demand.pool)) {
+        const bool isExcluded
+            = std::find(demand.excluded.begin(), demand.excluded.end(), upstream->listing.id)
+              != demand.excluded.end();
+        if (isExcluded || upstream->listing.isLeaving) {
+            continue;
+        }
+        (UpstreamDirectory::isUsable(*upstream, now) ? usable : avoided).push_back(upstream);
+    }
+    // When all have failed lately it is the load or the own path: refusing all would be worse.
+    return usable.empty() ? avoided : usable;
+}
+
+const Upstream *UpstreamChooser::byAffinity(const std::vector<const Upstream *> &candidates,
+                                            const ChoiceDemand &demand)
+{
+    double total = 0.0;
+    for (const Upstream *upstream : candidates) {
+        total += static_cast<double>(upstream->inFlightTokens);
+    }
+    const double mean = total / static_cast<double>(candidates.size());
+    const double limit = affinityLoadFactor * mean
+                         + affinityConcurrency * static_cast<double>(demand.promptTokens);
+    const Upstream *best = nullptr;
+    uint64_t bestRank = 0;
+    for (const Upstream *upstream : candidates) {
+        const auto load = static_cast<double>(upstream->inFlightTokens + demand.promptTokens);
+        const uint64_t rank
+            = model::hash64(upstream->listing.id.text(), model::hash64(demand.affinity));
+        if (load <= limit && (!best || rank > bestRank)) {
+            best = upstream;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+const Upstream *UpstreamChooser::leastLoaded(const std::vector<const Upstream *> &candidates,
+                                             const ChoiceDemand &demand)
+{
+    const Upstream *best = nullptr;
+    double bestLoad = 0.0;
+    const uint32_t offset = m_random.below(static_cast<uint32_t>(candidates.size()));
+    for (size_t i = 0; i < candidates.size(); ++i) {
+        const Upstream *upstream = candidates[(i + offset) % candidates.size()];
+        // Half a request decides between equals only.
+        const double distance = upstream->listing.zone == demand.preferredZone ? 0.0 : 0.5;
+        const double slots = std::max(1U, upstream->listing.slots);
+        const double load = (upstream->inFlight + distance) / slots;
+        if (!best || load < bestLoad) {
+            best = upstream;
+            bestLoad = load;
+        }
+    }
+    return best;
+}
+
+} // namespace citronpick::relay
--- /dev/null
+++ b/src/relay/internal/upstreamdirectory.cpp
@@ -0,0 +1,135 @@
+#include "relay/upstreamdirectory.h"
+
+#include <algorithm>
+
+namespace citronpick::relay
+{
+
+namespace
+{
+
+//! One failure may be the request's or the connection's; two in a row are the upstream's.
+constexpr uint32_t failuresToAvoid = 2;
+//! First pause after repeated failures; doubles with each further one.
+constexpr model::Duration firstAvoidance = model::milliseconds(500);
+//! An upstream that restarts is back after some seconds and must not wait much longer.
+constexpr model::Duration maxAvoidance = model::seconds(4);
+constexpr uint32_t maxDoublings = 3;
+
+} // namespace
+
+ListingChange UpstreamDirectory::apply(const UpstreamListing &listing)
+{
+    Upstream *known = find(listing.id);
+    if (!known) {
+        auto row = std::make_unique<Upstream>();
+        row->listing = listing;
+        insertIntoPool(*row);
+        m_rows.emplace(listing.id, std::move(row));
+        return ListingChange::Added;
+    }
+    if (known->listing == listing) {
+        return ListingChange::None;
+    }
+    const UpstreamListing before = known->listing;
+    eraseFromPool(*known);
+    known->listing = listing;
+    insertIntoPool(*known);
+    if (before.incarnation != listing.incarnation || before.address != listing.address) {
+        known->consecutiveFailures = 0;
+        known->avoidedUntil = {};
+        known->isOnTrial = false;
+        return ListingChange::Restarted;
+    }
+    return !before.isLeaving && listing.isLeaving ? ListingChange::BeganLeaving
+                                                  : ListingChange::Updated;
+}
+
+bool UpstreamDirectory::remove(const model::UpstreamId &id)
+{
+    const auto it = m_rows.find(id);
+    if (it == m_rows.end()) {
+        return false;
+    }
+    eraseFromPool(*it->second);
+    m_rows.erase(it);
+    return true;
+}
+
+Upstream *UpstreamDirectory::find(const model::UpstreamId &id)
+{
+    const auto it = m_rows.find(id);
+    return it == m_rows.end() ? nullptr : it->second.get();
+}
+
+const Upstream *UpstreamDirectory::find(const model::UpstreamId &id) const
+{
+    const auto it = m_rows.find(id);
+    return it == m_rows.end() ? nullptr : it->second.get();
+}
+
+const std::vector<Upstream *> &UpstreamDirectory::inPool(const model::PoolId &pool) const
+{
+    static const std::vector<Upstream *> none;
+    const auto it = m_pools.find(pool);
+    return it == m_pools.end() ? none : it->second;
+}
+
+std::vector<model::UpstreamId> UpstreamDirectory::ids() const
+{
+    std::vector<model::UpstreamId> result;
+    for (const auto &[id, row] : m_rows) {
+        result.push_back(id);
+    }
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
+void UpstreamDirectory::noteFailure(const model::UpstreamId &id, model::TimePoint now)
+{
+    Upstream *upstream = find(id);
+    if (!upstream) {
+        return;
+    }
+    ++upstream->consecutiveFailures;
+    if (upstream->consecutiveFailures < failuresToAvoid && !upstream->isOnTrial) {
+        return;
+    }
+    const uint32_t doublings = std::min(upstream->consecutiveFailures - 1, maxDoublings);
+    upstream->avoidedUntil = now + std::min(maxAvoidance, firstAvoidance * (1U << doublings));
+    upstream->isOnTrial = true;
+}
+
+void UpstreamDirectory::noteSuccess(const model::UpstreamId &id)
+{
+    if (Upstream *upstream = find(id)) {
+        upstream->consecutiveFailures = 0;
+        upstream->isOnTrial = false;
+        upstream->avoidedUntil = {};
+    }
+}
+
+bool UpstreamDirectory::isUsable(const Upstream &upstream, model::TimePoint now)
+{
+    if (upstream.listing.isLeaving || now < upstream.avoidedUntil) {
+        return false;
+    }
+    return !upstream.isOnTrial || upstream.inFlight == 0;
+}
+
+void UpstreamDirectory::insertIntoPool(Upstream &upstream)
+{
+    std::vector<Upstream *> &pool = m_pools[upstream.listing.pool];
+    const auto at = std::lower_bound(pool.begin(), pool.end(), &upstream,
+                                     [](const Upstream *left, const Upstream *right) {
+                                         return left->listing.id < right->listing.id;
+                                     });
+    pool.insert(at, &upstream);
+}
+
+void UpstreamDirectory::eraseFromPool(const Upstream &upstream)
+{
+    std::erase(m_pools[upstream.listing.pool], &upstream);
+}
+
+} // namespace citronpick::relay
