--- /dev/null
+++ b/src/relay/relaysystem.h
@@ -0,0 +1,224 @@
+#ifndef CITRONPICK_RELAY_RELAYSYSTEM_H
+#define CITRONPICK_RELAY_RELAYSYSTEM_H
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "model/timerqueue.h"
+#include "relay/batchscheduler.h"
+#include "relay/relaycommands.h"
+#include "relay/relayconfiguration.h"
+#include "relay/relayevents.h"
+#include "relay/retrybudget.h"
+#include "relay/stageplan.h"
+#include "relay/upstreamchooser.h"
+#include "relay/upstreamdirectory.h"
+
+namespace citronpick::relay
+{
+
+struct RelayOptions {
+    model::DaemonId daemon;
+    model::ZoneId zone;
+    RetryBudgetOptions retries;
+    uint64_t seed = 1;
+};
+
+//! Counts since the start of the daemon.
+struct RelayCounters {
+    uint64_t arrived = 0;
+    uint64_t passed = 0;
+    uint64_t refused = 0;
+    uint64_t broken = 0;
+    uint64_t callersGone = 0;
+    uint64_t attempts = 0;
+    uint64_t retries = 0;
+    uint64_t resumes = 0;
+    uint64_t batches = 0;
+    uint64_t batchedPieces = 0;
+    uint64_t forwardedJobs = 0;
+    uint64_t stageRestarts = 0;
+};
+
+/*!
+ * Takes requests through a transparent exchange: route, account, stages, upstream, answer.
+ *
+ * All decisions and no input or output: events come in as calls with the time at which they are
+ * handled, what is to be done comes out as commands, in order.
+ */
+class RelaySystem
+{
+public:
+    RelaySystem(RelayOptions options, model::TimePoint start);
+
+    //! An older or equal revision is ignored; true when it was put in force.
+    bool setConfiguration(RelayConfigurationPtr configuration);
+    const RelayConfigurationPtr &configuration() const
+    {
+        return m_configuration;
+    }
+    UpstreamDirectory &upstreams()
+    {
+        return m_directory;
+    }
+    const UpstreamDirectory &upstreams() const
+    {
+        return m_directory;
+    }
+    //! Daemons alive, this one included.
+    void setPeers(std::vector<PeerDaemon> peers);
+    //! From here on nothing new is taken in.
+    void refuseNewWork()
+    {
+        m_refusesNewWork = true;
+    }
+
+    void arrive(ArrivedRequest request, model::TimePoint now);
+    void onCallerGone(model::RequestId request, model::TimePoint now);
+
+    void onAttemptHead(model::AttemptId attempt, const AnswerFacts &facts, model::TimePoint now);
+    //! The answer was read to its end.
+    void onAttemptEnd(model::AttemptId attempt, model::TimePoint now);
+    //! \a lastEvent is the id of the last whole event that was passed on.
+    void onAttemptFailed(model::AttemptId attempt, AttemptFailure failure,
+                         const std::string &lastEvent, model::TimePoint now);
+
+    void onBatchAnswered(BatchId batch, const std::vector<ItemOutcome> &outcomes,
+                         model::TimePoint now);
+    void onBatchRefused(BatchId batch, model::TimePoint now);
+    void onBatchBroken(BatchId batch, model::TimePoint now);
+
+    //! A peer wants a stage run; the answer goes out under the exchange's number.
+    void onPeerJob(uint64_t exchange, StageJob job, model::TimePoint now);
+    void onPeerGone(uint64_t exchange);
+    void onForwardAnswered(JobId job, JobResult result, model::TimePoint now);
+    void onForwardFailed(JobId job, model::TimePoint now);
+
+    //! Runs what has become due.
+    void run(model::TimePoint now);
+    //! When run() is due next.
+    std::optional<model::TimePoint> nextRun() const;
+
+    std::vector<RelayCommand> takeCommands();
+
+    size_t requestCount() const
+    {
+        return m_exchanges.size();
+    }
+    const RelayCounters &counters() const
+    {
+        return m_counters;
+    }
+    const BatchScheduler &scheduler() const
+    {
+        return m_scheduler;
+    }
+
+private:
+    struct Exchange {
+        ArrivedRequest arrived;
+        RelayConfigurationPtr configuration; //!< In force at arrival.
+        const RouteRule *route = nullptr;
+        model::AccountId account;
+        uint32_t priority = 0;
+        model::PoolId pool;
+        model::TimePoint deadline; //!< Of the caller or the route, whichever comes first.
+        StagePlan plan;
+        std::vector<JobId> jobs; //!< Under way, here or at peers.
+        bool wasRestarted = false;
+        model::AttemptId attempt; //!< Under way; zero for none.
+        uint32_t sentAttempts = 0; //!< That an upstream may have got.
+        uint32_t unsentAttempts = 0;
+        std::vector<model::UpstreamId> tried;
+        bool isPassing = false; //!< The caller has the head of an answer.
+        bool mayHaveRun = false; //!< An upstream may have begun it.
+        std::string lastEvent;
+    };
+    struct Attempt {
+        model::RequestId request;
+        model::UpstreamId upstream;
+        uint64_t tokens = 0;
+        model::TimePoint startedAt;
+        std::optional<AnswerFacts> facts;
+    };
+    //! Who waits for a stage.
+    struct LocalStage {
+        model::RequestId request;
+        uint32_t stage = 0;
+    };
+    struct PeerExchange {
+        uint64_t exchange = 0;
+    };
+    using JobOwner = std::variant<LocalStage, PeerExchange>;
+    struct Forward {
+        LocalStage owner;
+        PeerDaemon peer;
+        StageJob content;
+        model::TimePoint sentAt;
+    };
+
+    // Arrival
+    std::optional<Refusal> admit(Exchange &exchange, model::TimePoint now) const;
+    model::PoolId poolOf(const Exchange &exchange) const;
+    void refuse(model::RequestId request, Refusal refusal, model::Duration retryAfter);
+    void onTimeout(model::RequestId request, model::TimePoint now);
+
+    // Stages
+    void advance(model::RequestId request, model::TimePoint now);
+    StageJob jobFor(const Exchange &exchange, uint32_t stage, model::TimePoint now) const;
+    void submit(const LocalStage &owner, StageJob job, model::TimePoint now);
+    void submitHere(const LocalStage &owner, StageJob job, model::TimePoint now);
+    const PeerDaemon *coordinatorOf(const model::PoolId &pool, model::TimePoint now) const;
+    void onStageFinished(const LocalStage &owner, JobId job, JobResult result,
+                         model::TimePoint now);
+    void restartStages(Exchange &exchange, model::TimePoint now);
+    void takeScheduled(model::TimePoint now);
+    void cancelJobs(Exchange &exchange);
+    void checkPeers(model::TimePoint now);
+    model::Duration stageTime(const Exchange &exchange, uint32_t stage) const;
+    model::Duration timeAfter(const Exchange &exchange, uint32_t stage) const;
+
+    // Attempts
+    void startAttempt(Exchange &exchange, model::TimePoint now);
+    model::ZoneId zoneOfInputs(const std::vector<ResultHandle> &inputs) const;
+    Attempt closeAttempt(model::AttemptId id);
+    void onRefusedByUpstream(Exchange &exchange, const AnswerFacts &facts, model::TimePoint now);
+    void onLost(Exchange &exchange, const model::UpstreamId &upstream, AttemptFailure failure,
+                model::TimePoint now);
+    bool mayTryAgain(const Exchange &exchange, model::TimePoint now);
+    void release(std::vector<ResultHandle> handles);
+    void close(model::RequestId request);
+
+    Exchange *find(model::RequestId request);
+    void record(observability::EventCode code, const Exchange &exchange, std::string subject,
+                std::string detail);
+
+    RelayOptions m_options;
+    RelayConfigurationPtr m_configuration;
+    UpstreamDirectory m_directory;
+    UpstreamChooser m_chooser;
+    BatchScheduler m_scheduler;
+    RetryBudget m_budget;
+    std::vector<PeerDaemon> m_peers;
+    absl::flat_hash_map<model::DaemonId, model::TimePoint> m_peerHeardAt;
+    absl::flat_hash_map<model::DaemonId, model::TimePoint> m_peerAvoidedUntil;
+    absl::flat_hash_map<model::RequestId, std::unique_ptr<Exchange>> m_exchanges;
+    absl::flat_hash_map<model::AttemptId, Attempt> m_attempts;
+    absl::flat_hash_map<JobId, JobOwner> m_jobOwners; //!< Of jobs in this daemon's scheduler.
+    absl::flat_hash_map<JobId, Forward> m_forwards;
+    absl::flat_hash_map<uint64_t, JobId> m_peerJobs;
+    model::TimerQueue<model::RequestId> m_timeouts;
+    std::vector<RelayCommand> m_commands;
+    RelayCounters m_counters;
+    uint64_t m_lastAttempt = 0;
+    uint64_t m_lastForward = 0;
+    bool m_refusesNewWork = false;
+};
+
+} // namespace citronpick::relay
+
+#endif // CITRONPICK_RELAY_RELAYSYSTEM_H
--- /dev/null
+++ b/src/relay/stagejob.h
@@ -0,0 +1,84 @@
+#ifndef CITRONPICK_RELAY_STAGEJOB_H
+#define CITRONPICK_RELAY_STAGEJOB_H
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "model/ids.h"
+#include "model/time.h"
+#include "relay/stageplan.h"
+
+namespace citronpick::relay
+{
+
+//! One stage of one request, given to a scheduler.
+using JobId = model::Number<struct JobTag>;
+//! One call to an upstream of a stage.
+using BatchId = model::Number<struct BatchTag>;
+
+//! All pieces of one stage of one request.
+struct StageJob {
+    model::PoolId pool;
+    model::CallerRequestId request;
+    uint32_t stage = 0;
+    uint32_t pieceCount = 1;
+    std::string key; //!< What a stage without inputs works on.
+    std::vector<ResultHandle> inputs;
+    uint32_t priority = 0;
+    model::TimePoint due; //!< When it should be finished for its request to meet its target.
+    model::TimePoint deadline; //!< After this its results are of no use.
+
+    friend bool operator==(const StageJob &, const StageJob &) = default;
+};
+
+//! Why a job made nothing.
+enum class JobFailure {
+    None,
+    Late, //!< It cannot be finished before its deadline.
+    InputsGone, //!< A result that it takes does not exist any more.
+    NoUpstream,
+    Failed, //!< Upstreams failed it again and again.
+};
+
+std::string_view toString(JobFailure failure);
+
+struct JobResult {
+    JobFailure failure = JobFailure::None;
+    std::vector<ResultHandle> handles; //!< One a piece, in order.
+    model::Duration retryAfter {}; //!< For a job that failed: when there is room again.
+
+    friend bool operator==(const JobResult &, const JobResult &) = default;
+};
+
+//! One piece in a batch.
+struct BatchItem {
+    model::CallerRequestId request;
+    uint32_t stage = 0;
+    uint32_t piece = 0;
+    std::string key;
+    std::vector<ResultHandle> inputs;
+    model::Duration timeLeft {};
+
+    friend bool operator==(const BatchItem &, const BatchItem &) = default;
+};
+
+//! Why a piece of a batch has no result.
+enum class ItemFailure {
+    None,
+    Late,
+    InputsGone,
+    NoRoom,
+    Error,
+};
+
+struct ItemOutcome {
+    ItemFailure failure = ItemFailure::Error;
+    ResultHandle handle;
+
+    friend bool operator==(const ItemOutcome &, const ItemOutcome &) = default;
+};
+
+} // namespace citronpick::relay
+
+#endif // CITRONPICK_RELAY_STAGEJOB_H
--- a/tests/standins/platformstandin.cpp
+++ b/tests/standins/platformstandin.cpp
@@ -2,7 +2,7 @@
 
 #include <cstdlib>
 
-#include "platform/platformdocuments.h"
+#include "documents/platformdocuments.h"
 
 namespace citronpick::standins
 {
@@ -77,7 +77,7 @@
 void PlatformStandIn::sendFile(uint64_t number)
 {
     m_server.respond(number, 200, {{.name = "content-type", .value = net::jsonType}},
-                     model::makeBody(platform::formatConfigurationAnswer(
+                     model::makeBody(documents::formatConfigurationAnswer(
                          {.revision = model::Revision(m_revision), .text = m_text})));
 }
 
