Scheduler: upstreams without room pause, expired inputs fail at once, results near their use

Change: a pause of 300 ms for an upstream without room; results of cancelled or failed jobs are given back; jobs carry when their inputs expire; bulky results are made in the zone of the engine that will most likely take them.

--- a/src/daemon/internal/stagejobcodec.cpp
+++ b/src/daemon/internal/stagejobcodec.cpp
@@ -17,16 +17,20 @@
 
 std::string encodeStageJob(const relay::StageJob &job, model::TimePoint now)
 {
-    return Json {{"pool", job.pool.text()},
-                 {"request", job.request.text()},
-                 {"stage", job.stage},
-                 {"pieces", job.pieceCount},
-                 {"key", job.key},
-                 {"inputs", job.inputs},
-                 {"priority", job.priority},
-                 {"dueUs", (job.due - now).count()},
-                 {"leftUs", (job.deadline - now).count()}}
-        .dump();
+    Json document {{"pool", job.pool.text()},
+                   {"request", job.request.text()},
+                   {"stage", job.stage},
+                   {"pieces", job.pieceCount},
+                   {"key", job.key},
+                   {"inputs", job.inputs},
+                   {"priority", job.priority},
+                   {"dueUs", (job.due - now).count()},
+                   {"leftUs", (job.deadline - now).count()},
+                   {"zone", job.preferredZone.text()}};
+    if (job.inputsUntil != model::TimePoint::max()) {
+        document["inputsLeftUs"] = (job.inputsUntil - now).count();
+    }
+    return document.dump();
 }
 
 absl::StatusOr<relay::StageJob> decodeStageJob(std::string_view text, model::TimePoint now)
@@ -42,7 +46,11 @@
                              .priority = document.at("priority"),
                              .due = now + model::Duration(document.at("dueUs").get<int64_t>()),
                              .deadline
-                             = now + model::Duration(document.at("leftUs").get<int64_t>())};
+                             = now + model::Duration(document.at("leftUs").get<int64_t>()),
+                             .preferredZone = model::ZoneId(document.at("zone"))};
+        if (document.contains("inputsLeftUs")) {
+            job.inputsUntil = now + model::Duration(document.at("inputsLeftUs").get<int64_t>());
+        }
         if (job.pieceCount == 0 || job.pieceCount > maxPieces) {
             return absl::InvalidArgumentError("a stage without pieces, or with absurdly many");
         }
--- a/src/relay/batchscheduler.h
+++ b/src/relay/batchscheduler.h
@@ -1,6 +1,7 @@
 #ifndef CITRONPICK_RELAY_BATCHSCHEDULER_H
 #define CITRONPICK_RELAY_BATCHSCHEDULER_H
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <variant>
@@ -68,6 +69,8 @@
 
     std::vector<BatchCommand> takeCommands();
     std::vector<FinishedJob> takeFinished();
+    //! Results of jobs that were cancelled or failed: nobody will take them.
+    std::vector<ResultHandle> takeAbandoned();
 
     size_t queuedPieces(const model::PoolId &pool) const;
     size_t jobCount() const
@@ -91,6 +94,13 @@
         std::vector<Piece> pieces;
         uint32_t queued = 0;
         uint32_t done = 0;
+        model::TimePoint resultsUntil = model::TimePoint::max(); //!< Of pieces that are done.
+
+        //! When what it takes or has made begins to expire.
+        model::TimePoint expiresAt() const
+        {
+            return std::min(content.inputsUntil, resultsUntil);
+        }
     };
     struct PieceRef {
         JobId job;
@@ -112,8 +122,11 @@
     void dispatch(const model::PoolId &id, Pool &pool, model::TimePoint now);
     void dropLate(Pool &pool, model::TimePoint now);
     void order(Pool &pool, const BatchRule &rule, model::TimePoint now);
-    Upstream *freeUpstream(const model::PoolId &id, const BatchRule &rule, model::TimePoint now);
-    std::vector<PieceRef> fill(Pool &pool, const BatchRule &rule);
+    Upstream *freeUpstream(const model::PoolId &id, const BatchRule &rule,
+                           const model::ZoneId &zone, model::TimePoint now);
+    std::vector<PieceRef> fill(Pool &pool, const BatchRule &rule, const model::ZoneId &zone);
+    void fillFrom(Pool &pool, const BatchRule &rule, const model::ZoneId *zone,
+                  std::vector<PieceRef> &batch);
     void takePieces(Job &job, JobId id, size_t count, std::vector<PieceRef> &batch);
     void start(const model::PoolId &id, const Pool &pool, Upstream &upstream, const BatchRule &rule,
                std::vector<PieceRef> pieces, model::TimePoint now);
@@ -133,6 +146,7 @@
     uint64_t m_lastBatch = 0;
     std::vector<BatchCommand> m_commands;
     std::vector<FinishedJob> m_finished;
+    std::vector<ResultHandle> m_abandoned;
 };
 
 } // namespace citronpick::relay
--- a/src/relay/internal/batchscheduler.cpp
+++ b/src/relay/internal/batchscheduler.cpp
@@ -14,6 +14,8 @@
 constexpr model::Duration overdueMargin = model::milliseconds(250);
 //! An upstream that was full is asked again after about half a batch.
 constexpr model::Duration refusalPause = model::milliseconds(100);
+//! An upstream without room for results gets some as those it holds are fetched.
+constexpr model::Duration fullPause = model::milliseconds(300);
 constexpr uint32_t maxTries = 4;
 //! Weight of the newest batch in a pool's slowness.
 constexpr double slownessWeight = 0.2;
@@ -73,6 +75,11 @@
         return;
     }
     std::erase(m_pools[it->second.content.pool].waiting, job);
+    for (Piece &piece : it->second.pieces) {
+        if (piece.state == PieceState::Done && !piece.handle.empty()) {
+            m_abandoned.push_back(std::move(piece.handle));
+        }
+    }
     m_jobs.erase(it);
 }
 
@@ -103,7 +110,7 @@
             }
         }
         for (const JobId job : pool.waiting) {
-            consider(m_jobs.at(job).content.deadline);
+            consider(std::min(m_jobs.at(job).content.deadline, m_jobs.at(job).expiresAt()));
         }
     }
     return next;
@@ -117,39 +124,47 @@
     }
     dropLate(pool, now);
     bool isOrdered = false;
-    while (!pool.waiting.empty()) {
-        Upstream *upstream = freeUpstream(id, *rule, now);
-        if (!upstream) {
-            return;
-        }
+    while (!pool.waiting.empty() && freeUpstream(id, *rule, {}, now)) {
         if (!isOrdered) {
             order(pool, *rule, now);
             isOrdered = true;
         }
-        start(id, pool, *upstream, *rule, fill(pool, *rule), now);
+        const model::ZoneId zone = m_jobs.at(pool.waiting.front()).content.preferredZone;
+        Upstream &upstream = *freeUpstream(id, *rule, zone, now);
+        start(id, pool, upstream, *rule, fill(pool, *rule, upstream.listing.zone), now);
     }
 }
 
 void BatchScheduler::dropLate(Pool &pool, model::TimePoint now)
 {
     std::vector<JobId> late;
+    std::vector<JobId> expired;
     for (const JobId job : pool.waiting) {
         if (now >= m_jobs.at(job).content.deadline) {
             late.push_back(job);
+        } else if (now >= m_jobs.at(job).expiresAt()) {
+            expired.push_back(job);
         }
     }
+    for (const JobId job : expired) {
+        finish(job, {.failure = JobFailure::InputsGone});
+    }
     for (const JobId job : late) {
         finish(job, {.failure = JobFailure::Late, .retryAfter = model::seconds(1)});
     }
 }
 
 // Jobs that can still meet their target go first, the earliest due before others. Those that have
-// missed it are worth less: they take what room is left, the nearest deadline first.
+// missed it are worth less: they take what room is left, the nearest deadline first. Results that
+// would expire before they are used count as a deadline.
 void BatchScheduler::order(Pool &pool, const BatchRule &rule, model::TimePoint now)
 {
     const auto isLate = [&](const Job &job) {
         return now + rule.callTime > job.content.due;
     };
+    const auto lastMoment = [](const Job &job) {
+        return std::min(job.content.deadline, job.expiresAt());
+    };
     std::sort(pool.waiting.begin(), pool.waiting.end(), [&](JobId left, JobId right) {
         const Job &a = m_jobs.at(left);
         const Job &b = m_jobs.at(right);
@@ -158,46 +173,59 @@
         if (aLate != bLate) {
             return bLate;
         }
-        const model::TimePoint aTime = aLate ? a.content.deadline : a.content.due;
-        const model::TimePoint bTime = bLate ? b.content.deadline : b.content.due;
+        const model::TimePoint aTime = aLate ? lastMoment(a) : a.content.due;
+        const model::TimePoint bTime = bLate ? lastMoment(b) : b.content.due;
         return std::tie(aTime, left) < std::tie(bTime, right);
     });
 }
 
+// A free upstream, of the zone if there is one there.
 Upstream *BatchScheduler::freeUpstream(const model::PoolId &id, const BatchRule &rule,
-                                       model::TimePoint now)
+                                       const model::ZoneId &zone, model::TimePoint now)
 {
     Upstream *best = nullptr;
     for (Upstream *upstream : m_directory.inPool(id)) {
         const bool isFree = upstream->inFlight < std::max(1U, rule.slots)
                             && UpstreamDirectory::isUsable(*upstream, now);
-        const bool isBetter = !best
-                              || std::tie(upstream->consecutiveFailures, upstream->inFlight)
-                                     < std::tie(best->consecutiveFailures, best->inFlight);
-        if (isFree && isBetter) {
+        const auto rank = [&zone](const Upstream &each) {
+            return std::tuple(each.consecutiveFailures, each.listing.zone != zone, each.inFlight);
+        };
+        if (isFree && (!best || rank(*upstream) < rank(*best))) {
             best = upstream;
         }
     }
     return best;
 }
 
-// Pieces of one job stay together where they fit: a stage ends with its last piece.
-std::vector<BatchScheduler::PieceRef> BatchScheduler::fill(Pool &pool, const BatchRule &rule)
+// The most urgent job goes whatever its zone; what fits beside it comes from jobs whose results are
+// wanted in the same zone before others.
+std::vector<BatchScheduler::PieceRef> BatchScheduler::fill(Pool &pool, const BatchRule &rule,
+                                                           const model::ZoneId &zone)
 {
     std::vector<PieceRef> batch;
-    const size_t room = std::max(1U, rule.maxItems);
+    const JobId first = pool.waiting.front();
+    takePieces(m_jobs.at(first), first, std::max(1U, rule.maxItems), batch);
+    fillFrom(pool, rule, &zone, batch);
+    fillFrom(pool, rule, nullptr, batch);
+    std::erase_if(pool.waiting, [this](JobId id) { return m_jobs.at(id).queued == 0; });
+    return batch;
+}
+
+// Pieces of one job stay together where they fit: a stage ends with its last piece.
+void BatchScheduler::fillFrom(Pool &pool, const BatchRule &rule, const model::ZoneId *zone,
+                              std::vector<PieceRef> &batch)
+{
     for (const JobId id : pool.waiting) {
         Job &job = m_jobs.at(id);
-        const size_t left = room - batch.size();
+        const size_t left = std::max(1U, rule.maxItems) - batch.size();
         if (left == 0) {
-            break;
+            return;
         }
-        if (batch.empty() || job.queued <= left) {
+        const model::ZoneId &wanted = job.content.preferredZone;
+        if (job.queued <= left && (!zone || wanted.isEmpty() || wanted == *zone)) {
             takePieces(job, id, left, batch);
         }
     }
-    std::erase_if(pool.waiting, [this](JobId id) { return m_jobs.at(id).queued == 0; });
-    return batch;
 }
 
 void BatchScheduler::takePieces(Job &job, JobId id, size_t count, std::vector<PieceRef> &batch)
@@ -271,6 +299,13 @@
                          / std::max(model::toSeconds(batch->expected), 0.001);
     pool.slowness += slownessWeight * (std::clamp(ratio, 1.0, maxSlowness) - pool.slowness);
     m_directory.noteSuccess(batch->upstream);
+    const bool isFull = std::any_of(outcomes.begin(), outcomes.end(), [](const ItemOutcome &each) {
+        return each.failure == ItemFailure::NoRoom;
+    });
+    if (Upstream *upstream = m_directory.find(batch->upstream); upstream && isFull) {
+        // Room comes back as results are fetched, given back or expire.
+        upstream->avoidedUntil = std::max(upstream->avoidedUntil, now + fullPause);
+    }
     for (size_t i = 0; i < batch->pieces.size(); ++i) {
         settle(batch->pieces[i], i < outcomes.size() ? outcomes[i] : ItemOutcome {}, now);
     }
@@ -326,6 +361,9 @@
 {
     const auto it = m_jobs.find(ref.job);
     if (it == m_jobs.end()) {
+        if (outcome.failure == ItemFailure::None) {
+            m_abandoned.push_back(outcome.handle);
+        }
         return;
     }
     Job &job = it->second;
@@ -355,12 +393,16 @@
     }
     piece.state = PieceState::Done;
     piece.handle = outcome.handle;
+    const BatchRule *rule = ruleOf(job.content.pool);
+    if (rule && rule->resultLifetime > model::Duration::zero()) {
+        job.resultsUntil = std::min(job.resultsUntil, now + rule->resultLifetime);
+    }
     if (++job.done < job.pieces.size()) {
         return;
     }
     JobResult result;
     for (Piece &each : job.pieces) {
-        result.handles.push_back(std::move(each.handle));
+        result.handles.push_back(std::exchange(each.handle, {}));
     }
     finish(ref.job, std::move(result));
 }
@@ -403,6 +445,11 @@
     return std::exchange(m_finished, {});
 }
 
+std::vector<ResultHandle> BatchScheduler::takeAbandoned()
+{
+    return std::exchange(m_abandoned, {});
+}
+
 size_t BatchScheduler::queuedPieces(const model::PoolId &pool) const
 {
     const auto it = m_pools.find(pool);
--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -29,16 +29,7 @@
 {
     const model::RequestId id = exchange.arrived.request;
     const std::vector<ResultHandle> inputs = exchange.plan.finalResults();
-    ChoiceDemand demand {.pool = exchange.pool,
-                         .excluded = exchange.tried,
-                         .promptTokens = exchange.arrived.promptTokens,
-                         .preferredZone = zoneOfInputs(inputs)};
-    const std::vector<PromptPart> &parts = exchange.arrived.promptParts;
-    if (parts.size() >= 2) {
-        // The last part is the request's own; the one before it is shared by fewest.
-        demand.affinity = parts[parts.size() - 2].id;
-    }
-    const Upstream *choice = m_chooser.choose(demand, now);
+    const Upstream *choice = m_chooser.choose(demandOf(exchange), now);
     if (!choice) {
         if (exchange.isPassing) {
             ++m_counters.broken;
@@ -82,11 +73,26 @@
                                           .splitsEvents = kind == RequestKind::ResumableStream});
 }
 
-// Zone of the upstream that made most of the results.
-model::ZoneId RelaySystem::zoneOfInputs(const std::vector<ResultHandle> &inputs) const
+ChoiceDemand RelaySystem::demandOf(const Exchange &exchange) const
+{
+    ChoiceDemand demand {.pool = exchange.pool,
+                         .excluded = exchange.tried,
+                         .promptTokens = exchange.arrived.promptTokens,
+                         .preferredZone
+                         = exchange.homeZone.isEmpty() ? m_options.zone : exchange.homeZone};
+    const std::vector<PromptPart> &parts = exchange.arrived.promptParts;
+    if (parts.size() >= 2) {
+        // The last part is the request's own; the one before it is shared by fewest.
+        demand.affinity = parts[parts.size() - 2].id;
+    }
+    return demand;
+}
+
+// Large results are best made in the zone where they will be used, so that is settled first.
+void RelaySystem::chooseHome(Exchange &exchange, model::TimePoint now)
 {
-    static_cast<void>(inputs);
-    return m_options.zone;
+    const Upstream *home = m_chooser.choose(demandOf(exchange), now);
+    exchange.homeZone = home ? home->listing.zone : m_options.zone;
 }
 
 RelaySystem::Attempt RelaySystem::closeAttempt(model::AttemptId id)
--- a/src/relay/internal/relaystages.cpp
+++ b/src/relay/internal/relaystages.cpp
@@ -21,6 +21,8 @@
 constexpr model::Duration peerSilence = model::milliseconds(1500);
 //! How long a stuck coordinator is passed over.
 constexpr model::Duration peerAvoidance = model::seconds(3);
+//! Results from this size on are made where they are used; smaller ones cost little on the way.
+constexpr uint64_t bulkyResult = 200000;
 //! Keeps numbers of forwarded jobs apart from those of the own scheduler.
 constexpr uint64_t forwardedBit = uint64_t {1} << 63U;
 
@@ -82,7 +84,10 @@
                   .inputs = exchange.plan.inputsOf(stage),
                   .priority = exchange.priority,
                   .due = due,
-                  .deadline = std::max(now, exchange.deadline - after)};
+                  .deadline = std::max(now, exchange.deadline - after),
+                  .preferredZone
+                  = rule.resultBytes >= bulkyResult ? exchange.homeZone : model::ZoneId(),
+                  .inputsUntil = exchange.plan.inputsUntil(stage)};
     if (job.inputs.empty()) {
         job.key = exchange.arrived.pieceKey;
     }
@@ -148,6 +153,7 @@
                    },
                    command);
     }
+    release(m_scheduler.takeAbandoned());
     for (FinishedJob &finished : m_scheduler.takeFinished()) {
         const auto it = m_jobOwners.find(finished.job);
         if (it == m_jobOwners.end()) {
@@ -184,7 +190,8 @@
                         " afterMs=", model::toMilliseconds(now - exchange->arrived.startedAt)));
     switch (result.failure) {
     case JobFailure::None:
-        exchange->plan.complete(owner.stage, std::move(result.handles));
+        exchange->plan.complete(owner.stage, std::move(result.handles),
+                                resultsUntil(*exchange, owner.stage, now));
         release(exchange->plan.takeSpent());
         advance(owner.request, now);
         return;
@@ -201,6 +208,16 @@
     }
 }
 
+// Pieces made in earlier batches are older than this says; the upstream that takes them tells.
+model::TimePoint RelaySystem::resultsUntil(const Exchange &exchange, uint32_t stage,
+                                           model::TimePoint now)
+{
+    const PoolRule *pool = exchange.configuration->findPool(exchange.route->stages[stage].pool);
+    return pool && pool->batch && pool->batch->resultLifetime > model::Duration::zero()
+               ? now + pool->batch->resultLifetime
+               : model::TimePoint::max();
+}
+
 // Results end with their maker, so a lost one means that all stages run again.
 void RelaySystem::restartStages(Exchange &exchange, model::TimePoint now)
 {
--- a/src/relay/internal/relaysystem.cpp
+++ b/src/relay/internal/relaysystem.cpp
@@ -177,6 +177,9 @@
                         + std::min(exchange.route->timeout,
                                    exchange.arrived.timeLeft.value_or(exchange.route->timeout));
     exchange.plan = StagePlan(exchange.route->stages, exchange.arrived.pieceCounts);
+    if (!exchange.plan.isEmpty()) {
+        chooseHome(exchange, now);
+    }
     m_budget.noteRequest(exchange.pool, now);
     m_timeouts.add(exchange.deadline, id);
     record(EventCode::ExchangeAdmitted, exchange, exchange.route->id.text(),
--- a/src/relay/internal/stageplan.cpp
+++ b/src/relay/internal/stageplan.cpp
@@ -73,8 +73,19 @@
     return inputs;
 }
 
-void StagePlan::complete(uint32_t stage, std::vector<ResultHandle> handles)
+model::TimePoint StagePlan::inputsUntil(uint32_t stage) const
 {
+    model::TimePoint until = model::TimePoint::max();
+    for (const uint32_t before : m_stages[stage].after) {
+        until = std::min(until, m_stages[before].pieceCount == 0 ? inputsUntil(before)
+                                                                 : m_stages[before].until);
+    }
+    return until;
+}
+
+void StagePlan::complete(uint32_t stage, std::vector<ResultHandle> handles, model::TimePoint until)
+{
+    m_stages[stage].until = until;
     m_stages[stage].phase = Phase::Done;
     m_stages[stage].handles = std::move(handles);
 }
@@ -138,6 +149,7 @@
     for (Stage &stage : m_stages) {
         stage.phase = stage.pieceCount == 0 ? Phase::Done : Phase::Waiting;
         stage.handles.clear();
+        stage.until = model::TimePoint::max();
         stage.isReleased = false;
     }
 }
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -127,6 +127,7 @@
         uint32_t priority = 0;
         model::PoolId pool;
         model::TimePoint deadline; //!< Of the caller or the route, whichever comes first.
+        model::ZoneId homeZone; //!< Of the upstream that will most likely run it.
         StagePlan plan;
         std::vector<JobId> jobs; //!< Under way, here or at peers.
         bool wasRestarted = false;
@@ -175,6 +176,8 @@
     const PeerDaemon *coordinatorOf(const model::PoolId &pool, model::TimePoint now) const;
     void onStageFinished(const LocalStage &owner, JobId job, JobResult result,
                          model::TimePoint now);
+    static model::TimePoint resultsUntil(const Exchange &exchange, uint32_t stage,
+                                         model::TimePoint now);
     void restartStages(Exchange &exchange, model::TimePoint now);
     void takeScheduled(model::TimePoint now);
     void cancelJobs(Exchange &exchange);
@@ -184,7 +187,8 @@
 
     // Attempts
     void startAttempt(Exchange &exchange, model::TimePoint now);
-    model::ZoneId zoneOfInputs(const std::vector<ResultHandle> &inputs) const;
+    ChoiceDemand demandOf(const Exchange &exchange) const;
+    void chooseHome(Exchange &exchange, model::TimePoint now);
     Attempt closeAttempt(model::AttemptId id);
     void onRefusedByUpstream(Exchange &exchange, const AnswerFacts &facts, model::TimePoint now);
     void onLost(Exchange &exchange, const model::UpstreamId &upstream, AttemptFailure failure,
--- a/src/relay/stagejob.h
+++ b/src/relay/stagejob.h
@@ -28,6 +28,8 @@
     uint32_t priority = 0;
     model::TimePoint due; //!< When it should be finished for its request to meet its target.
     model::TimePoint deadline; //!< After this its results are of no use.
+    model::ZoneId preferredZone; //!< Where its results are wanted; empty for anywhere.
+    model::TimePoint inputsUntil = model::TimePoint::max(); //!< When the first input expires.
 
     friend bool operator==(const StageJob &, const StageJob &) = default;
 };
--- a/src/relay/stageplan.h
+++ b/src/relay/stageplan.h
@@ -35,7 +35,10 @@
     }
     //! Results that a stage takes: those of the stages before it, past stages left out.
     std::vector<ResultHandle> inputsOf(uint32_t stage) const;
-    void complete(uint32_t stage, std::vector<ResultHandle> handles);
+    //! \a until is when its results expire.
+    void complete(uint32_t stage, std::vector<ResultHandle> handles, model::TimePoint until);
+    //! When the first result that a stage takes expires.
+    model::TimePoint inputsUntil(uint32_t stage) const;
 
     //! Results of the stages that no other stage follows, in order.
     std::vector<ResultHandle> finalResults() const;
@@ -57,6 +60,7 @@
         uint32_t pieceCount = 1;
         Phase phase = Phase::Waiting;
         std::vector<ResultHandle> handles;
+        model::TimePoint until = model::TimePoint::max();
         bool isReleased = false;
         bool hasFollower = false;
     };
