Results given back after 15 ms, shorter pause without room, one zone for a request's stages

Cause: room for results binds at crests (2.8 MB hold 46 results of 60 KB, two batches of 22). Change: 15 ms before results are given back, 80 ms pause; order and choice of upstream know zones.

--- a/src/daemon/internal/batchrunner.cpp
+++ b/src/daemon/internal/batchrunner.cpp
@@ -11,7 +11,7 @@
 {
 
 //! Releases of one maker are collected for this long: results outlive it many times.
-constexpr model::Duration releaseDelay = model::milliseconds(100);
+constexpr model::Duration releaseDelay = model::milliseconds(15);
 constexpr model::Duration releaseTimeout = model::seconds(2);
 //! The scheduler gives batches up much sooner.
 constexpr model::Duration batchTimeout = model::seconds(20);
--- a/src/relay/batchscheduler.h
+++ b/src/relay/batchscheduler.h
@@ -121,12 +121,12 @@
 
     void dispatch(const model::PoolId &id, Pool &pool, model::TimePoint now);
     void dropLate(Pool &pool, model::TimePoint now);
-    void order(Pool &pool, const BatchRule &rule, model::TimePoint now);
-    Upstream *freeUpstream(const model::PoolId &id, const BatchRule &rule,
-                           const model::ZoneId &zone, model::TimePoint now);
-    std::vector<PieceRef> fill(Pool &pool, const BatchRule &rule, const model::ZoneId &zone);
-    void fillFrom(Pool &pool, const BatchRule &rule, const model::ZoneId *zone,
-                  std::vector<PieceRef> &batch);
+    void order(Pool &pool, const BatchRule &rule, const model::ZoneId &zone, model::TimePoint now);
+    std::vector<Upstream *> freeUpstreams(const model::PoolId &id, const BatchRule &rule,
+                                          model::TimePoint now) const;
+    Upstream *pickUpstream(const Pool &pool, const std::vector<Upstream *> &free) const;
+    std::vector<PieceRef> fill(Pool &pool, const BatchRule &rule, const Upstream &upstream,
+                               const std::vector<Upstream *> &free);
     void takePieces(Job &job, JobId id, size_t count, std::vector<PieceRef> &batch);
     void start(const model::PoolId &id, const Pool &pool, Upstream &upstream, const BatchRule &rule,
                std::vector<PieceRef> pieces, model::TimePoint now);
--- a/src/relay/internal/batchscheduler.cpp
+++ b/src/relay/internal/batchscheduler.cpp
@@ -15,7 +15,10 @@
 //! An upstream that was full is asked again after about half a batch.
 constexpr model::Duration refusalPause = model::milliseconds(100);
 //! An upstream without room for results gets some as those it holds are fetched.
-constexpr model::Duration fullPause = model::milliseconds(300);
+constexpr model::Duration fullPause = model::milliseconds(80);
+//! What a way between zones is worth: a job gives way to one of the zone that is due this much
+//! later.
+constexpr model::Duration otherZonePenalty = model::milliseconds(100);
 constexpr uint32_t maxTries = 4;
 //! Weight of the newest batch in a pool's slowness.
 constexpr double slownessWeight = 0.2;
@@ -123,15 +126,15 @@
         return;
     }
     dropLate(pool, now);
-    bool isOrdered = false;
-    while (!pool.waiting.empty() && freeUpstream(id, *rule, {}, now)) {
-        if (!isOrdered) {
-            order(pool, *rule, now);
-            isOrdered = true;
+    std::vector<Upstream *> free = freeUpstreams(id, *rule, now);
+    order(pool, *rule, {}, now);
+    while (!pool.waiting.empty() && !free.empty()) {
+        Upstream &upstream = *pickUpstream(pool, free);
+        order(pool, *rule, upstream.listing.zone, now);
+        start(id, pool, upstream, *rule, fill(pool, *rule, upstream, free), now);
+        if (upstream.inFlight >= std::max(1U, rule->slots)) {
+            std::erase(free, &upstream);
         }
-        const model::ZoneId zone = m_jobs.at(pool.waiting.front()).content.preferredZone;
-        Upstream &upstream = *freeUpstream(id, *rule, zone, now);
-        start(id, pool, upstream, *rule, fill(pool, *rule, upstream.listing.zone), now);
     }
 }
 
@@ -157,75 +160,87 @@
 // Jobs that can still meet their target go first, the earliest due before others. Those that have
 // missed it are worth less: they take what room is left, the nearest deadline first. Results that
 // would expire before they are used count as a deadline.
-void BatchScheduler::order(Pool &pool, const BatchRule &rule, model::TimePoint now)
+void BatchScheduler::order(Pool &pool, const BatchRule &rule, const model::ZoneId &zone,
+                           model::TimePoint now)
 {
-    const auto isLate = [&](const Job &job) {
-        return now + rule.callTime > job.content.due;
-    };
-    const auto lastMoment = [](const Job &job) {
-        return std::min(job.content.deadline, job.expiresAt());
+    struct Rank {
+        bool isLate = false;
+        model::TimePoint at;
+        JobId id;
+
+        auto operator<=>(const Rank &) const = default;
     };
-    std::sort(pool.waiting.begin(), pool.waiting.end(), [&](JobId left, JobId right) {
-        const Job &a = m_jobs.at(left);
-        const Job &b = m_jobs.at(right);
-        const bool aLate = isLate(a);
-        const bool bLate = isLate(b);
-        if (aLate != bLate) {
-            return bLate;
-        }
-        const model::TimePoint aTime = aLate ? lastMoment(a) : a.content.due;
-        const model::TimePoint bTime = bLate ? lastMoment(b) : b.content.due;
-        return std::tie(aTime, left) < std::tie(bTime, right);
-    });
+    std::vector<Rank> ranks;
+    for (const JobId id : pool.waiting) {
+        const Job &job = m_jobs.at(id);
+        const bool isLate = now + rule.callTime > job.content.due;
+        const model::ZoneId &wanted = job.content.preferredZone;
+        const bool isElsewhere = !zone.isEmpty() && !wanted.isEmpty() && wanted != zone;
+        const model::TimePoint last = std::min(job.content.deadline, job.expiresAt());
+        ranks.push_back({.isLate = isLate,
+                         .at = (isLate ? last : job.content.due)
+                               + (isElsewhere ? otherZonePenalty : model::Duration::zero()),
+                         .id = id});
+    }
+    std::sort(ranks.begin(), ranks.end());
+    std::transform(ranks.begin(), ranks.end(), pool.waiting.begin(),
+                   [](const Rank &rank) { return rank.id; });
 }
 
-// A free upstream, of the zone if there is one there.
-Upstream *BatchScheduler::freeUpstream(const model::PoolId &id, const BatchRule &rule,
-                                       const model::ZoneId &zone, model::TimePoint now)
+std::vector<Upstream *> BatchScheduler::freeUpstreams(const model::PoolId &id,
+                                                      const BatchRule &rule,
+                                                      model::TimePoint now) const
 {
-    Upstream *best = nullptr;
+    std::vector<Upstream *> free;
     for (Upstream *upstream : m_directory.inPool(id)) {
         const bool isFree = upstream->inFlight < std::max(1U, rule.slots)
                             && UpstreamDirectory::isUsable(*upstream, now);
-        const auto rank = [&zone](const Upstream &each) {
-            return std::tuple(each.consecutiveFailures, each.listing.zone != zone, each.inFlight);
-        };
-        if (isFree && (!best || rank(*upstream) < rank(*best))) {
-            best = upstream;
+        if (isFree) {
+            free.push_back(upstream);
         }
     }
-    return best;
+    return free;
 }
 
-// The most urgent job goes whatever its zone; what fits beside it comes from jobs whose results are
-// wanted in the same zone before others.
-std::vector<BatchScheduler::PieceRef> BatchScheduler::fill(Pool &pool, const BatchRule &rule,
-                                                           const model::ZoneId &zone)
+// For the most urgent job, in its zone if there is one.
+Upstream *BatchScheduler::pickUpstream(const Pool &pool, const std::vector<Upstream *> &free) const
 {
-    std::vector<PieceRef> batch;
-    const JobId first = pool.waiting.front();
-    takePieces(m_jobs.at(first), first, std::max(1U, rule.maxItems), batch);
-    fillFrom(pool, rule, &zone, batch);
-    fillFrom(pool, rule, nullptr, batch);
-    std::erase_if(pool.waiting, [this](JobId id) { return m_jobs.at(id).queued == 0; });
-    return batch;
+    const model::ZoneId &zone = m_jobs.at(pool.waiting.front()).content.preferredZone;
+    const auto rank = [&zone](const Upstream *upstream) {
+        return std::tuple(upstream->consecutiveFailures, upstream->listing.zone != zone,
+                          upstream->inFlight);
+    };
+    return *std::min_element(
+        free.begin(), free.end(),
+        [&rank](const Upstream *left, const Upstream *right) { return rank(left) < rank(right); });
 }
 
-// Pieces of one job stay together where they fit: a stage ends with its last piece.
-void BatchScheduler::fillFrom(Pool &pool, const BatchRule &rule, const model::ZoneId *zone,
-                              std::vector<PieceRef> &batch)
+// Pieces of one job stay together where they fit: a stage ends with its last piece. Jobs that are
+// wanted in a zone where another upstream is free are left to that one.
+std::vector<BatchScheduler::PieceRef> BatchScheduler::fill(Pool &pool, const BatchRule &rule,
+                                                           const Upstream &upstream,
+                                                           const std::vector<Upstream *> &free)
 {
+    std::vector<PieceRef> batch;
+    const size_t room = std::max(1U, rule.maxItems);
+    const model::ZoneId &zone = upstream.listing.zone;
     for (const JobId id : pool.waiting) {
         Job &job = m_jobs.at(id);
-        const size_t left = std::max(1U, rule.maxItems) - batch.size();
+        const size_t left = room - batch.size();
         if (left == 0) {
-            return;
+            break;
         }
         const model::ZoneId &wanted = job.content.preferredZone;
-        if (job.queued <= left && (!zone || wanted.isEmpty() || wanted == *zone)) {
+        const bool isLeft
+            = wanted != zone && std::any_of(free.begin(), free.end(), [&](const Upstream *other) {
+                  return other != &upstream && other->listing.zone == wanted;
+              });
+        if (batch.empty() || (job.queued <= left && !isLeft)) {
             takePieces(job, id, left, batch);
         }
     }
+    std::erase_if(pool.waiting, [this](JobId id) { return m_jobs.at(id).queued == 0; });
+    return batch;
 }
 
 void BatchScheduler::takePieces(Job &job, JobId id, size_t count, std::vector<PieceRef> &batch)
--- a/src/relay/internal/relaystages.cpp
+++ b/src/relay/internal/relaystages.cpp
@@ -21,8 +21,6 @@
 constexpr model::Duration peerSilence = model::milliseconds(1500);
 //! How long a stuck coordinator is passed over.
 constexpr model::Duration peerAvoidance = model::seconds(3);
-//! Results from this size on are made where they are used; smaller ones cost little on the way.
-constexpr uint64_t bulkyResult = 200000;
 //! Keeps numbers of forwarded jobs apart from those of the own scheduler.
 constexpr uint64_t forwardedBit = uint64_t {1} << 63U;
 
@@ -85,8 +83,7 @@
                   .priority = exchange.priority,
                   .due = due,
                   .deadline = std::max(now, exchange.deadline - after),
-                  .preferredZone
-                  = rule.resultBytes >= bulkyResult ? exchange.homeZone : model::ZoneId(),
+                  .preferredZone = exchange.homeZone,
                   .inputsUntil = exchange.plan.inputsUntil(stage)};
     if (job.inputs.empty()) {
         job.key = exchange.arrived.pieceKey;
