Jobs with slack wait for an upstream of the zone where their inputs are

Change: a job is left for an upstream of its zone that will be free within 150 ms, if a third of its slack allows it.

--- a/src/relay/batchscheduler.h
+++ b/src/relay/batchscheduler.h
@@ -114,8 +114,11 @@
         model::Duration expected {};
         model::TimePoint overdueAt;
     };
+    //! When the first upstream of a zone is expected to be free; now for one that is.
+    using ZoneTimes = std::map<model::ZoneId, model::TimePoint>;
     struct Pool {
         std::vector<JobId> waiting; //!< Jobs with queued pieces.
+        model::TimePoint waitsUntil = model::TimePoint::max(); //!< For upstreams of other zones.
         double slowness = 1.0; //!< Time of batches over what the configuration says; smoothed.
     };
 
@@ -126,7 +129,11 @@
                                           model::TimePoint now) const;
     Upstream *pickUpstream(const Pool &pool, const std::vector<Upstream *> &free) const;
     std::vector<PieceRef> fill(Pool &pool, const BatchRule &rule, const Upstream &upstream,
-                               const std::vector<Upstream *> &free);
+                               const ZoneTimes &freeAt, model::TimePoint now);
+    ZoneTimes zoneTimes(const model::PoolId &id, const Pool &pool,
+                        const std::vector<Upstream *> &free, model::TimePoint now) const;
+    static bool isLeftToZone(const Job &job, const BatchRule &rule, const Upstream &upstream,
+                             const ZoneTimes &freeAt, model::TimePoint now);
     void takePieces(Job &job, JobId id, size_t count, std::vector<PieceRef> &batch);
     void start(const model::PoolId &id, const Pool &pool, Upstream &upstream, const BatchRule &rule,
                std::vector<PieceRef> pieces, model::TimePoint now);
--- a/src/relay/internal/batchscheduler.cpp
+++ b/src/relay/internal/batchscheduler.cpp
@@ -19,6 +19,10 @@
 //! What a way between zones is worth: a job gives way to one of the zone that is due this much
 //! later.
 constexpr model::Duration otherZonePenalty = model::milliseconds(100);
+//! Longest wait for an upstream of the wanted zone: about half a batch.
+constexpr model::Duration zoneWait = model::milliseconds(150);
+//! Of a job's slack, the part that such a wait may use up in one stage.
+constexpr double zoneWaitSlackShare = 0.33;
 constexpr uint32_t maxTries = 4;
 //! Weight of the newest batch in a pool's slowness.
 constexpr double slownessWeight = 0.2;
@@ -107,6 +111,7 @@
         if (pool.waiting.empty()) {
             continue;
         }
+        consider(pool.waitsUntil);
         for (const Upstream *upstream : m_directory.inPool(id)) {
             if (upstream->inFlight == 0 && upstream->avoidedUntil > model::TimePoint()) {
                 consider(upstream->avoidedUntil);
@@ -126,16 +131,25 @@
         return;
     }
     dropLate(pool, now);
+    pool.waitsUntil = model::TimePoint::max();
     std::vector<Upstream *> free = freeUpstreams(id, *rule, now);
-    order(pool, *rule, {}, now);
     while (!pool.waiting.empty() && !free.empty()) {
+        order(pool, *rule, {}, now);
         Upstream &upstream = *pickUpstream(pool, free);
         order(pool, *rule, upstream.listing.zone, now);
-        start(id, pool, upstream, *rule, fill(pool, *rule, upstream, free), now);
-        if (upstream.inFlight >= std::max(1U, rule->slots)) {
+        const ZoneTimes freeAt = zoneTimes(id, pool, free, now);
+        std::vector<PieceRef> pieces = fill(pool, *rule, upstream, freeAt, now);
+        const bool isIdle = pieces.empty();
+        if (!isIdle) {
+            start(id, pool, upstream, *rule, std::move(pieces), now);
+        }
+        if (isIdle || upstream.inFlight >= std::max(1U, rule->slots)) {
             std::erase(free, &upstream);
         }
     }
+    if (!pool.waiting.empty() && !freeUpstreams(id, *rule, now).empty()) {
+        pool.waitsUntil = now + zoneWait;
+    }
 }
 
 void BatchScheduler::dropLate(Pool &pool, model::TimePoint now)
@@ -215,27 +229,59 @@
         [&rank](const Upstream *left, const Upstream *right) { return rank(left) < rank(right); });
 }
 
-// Pieces of one job stay together where they fit: a stage ends with its last piece. Jobs that are
-// wanted in a zone where another upstream is free are left to that one.
+BatchScheduler::ZoneTimes BatchScheduler::zoneTimes(const model::PoolId &id, const Pool &pool,
+                                                    const std::vector<Upstream *> &free,
+                                                    model::TimePoint now) const
+{
+    ZoneTimes times;
+    const auto note = [&times](const model::ZoneId &zone, model::TimePoint at) {
+        const auto [it, isNew] = times.emplace(zone, at);
+        it->second = std::min(it->second, at);
+    };
+    for (const Upstream *upstream : free) {
+        note(upstream->listing.zone, now);
+    }
+    for (const auto &[number, batch] : m_batches) {
+        const Upstream *upstream = m_directory.find(batch.upstream);
+        const model::TimePoint end = batch.startedAt + model::scaled(batch.expected, pool.slowness);
+        // One that is past its time may take any time longer.
+        if (batch.pool == id && upstream && !upstream->listing.isLeaving && end > now) {
+            note(upstream->listing.zone, end);
+        }
+    }
+    return times;
+}
+
+// Inputs that cross zones cost more than a short wait for an upstream of the zone, as long as the
+// job still meets its target with most of its slack left to later stages.
+bool BatchScheduler::isLeftToZone(const Job &job, const BatchRule &rule, const Upstream &upstream,
+                                  const ZoneTimes &freeAt, model::TimePoint now)
+{
+    const model::ZoneId &wanted = job.content.preferredZone;
+    const auto other = freeAt.find(wanted);
+    if (wanted.isEmpty() || wanted == upstream.listing.zone || other == freeAt.end()) {
+        return false;
+    }
+    const model::Duration slack = job.content.due - now - rule.callTime;
+    return other->second - now <= std::min(zoneWait, model::scaled(slack, zoneWaitSlackShare));
+}
+
+// Pieces of one job stay together where they fit: a stage ends with its last piece.
 std::vector<BatchScheduler::PieceRef> BatchScheduler::fill(Pool &pool, const BatchRule &rule,
                                                            const Upstream &upstream,
-                                                           const std::vector<Upstream *> &free)
+                                                           const ZoneTimes &freeAt,
+                                                           model::TimePoint now)
 {
     std::vector<PieceRef> batch;
     const size_t room = std::max(1U, rule.maxItems);
-    const model::ZoneId &zone = upstream.listing.zone;
     for (const JobId id : pool.waiting) {
         Job &job = m_jobs.at(id);
         const size_t left = room - batch.size();
         if (left == 0) {
             break;
         }
-        const model::ZoneId &wanted = job.content.preferredZone;
-        const bool isLeft
-            = wanted != zone && std::any_of(free.begin(), free.end(), [&](const Upstream *other) {
-                  return other != &upstream && other->listing.zone == wanted;
-              });
-        if (batch.empty() || (job.queued <= left && !isLeft)) {
+        const bool fits = batch.empty() || job.queued <= left;
+        if (fits && !isLeftToZone(job, rule, upstream, freeAt, now)) {
             takePieces(job, id, left, batch);
         }
     }
