A stream's patience bounds its stages; later stages' real times decide lateness; 421 costs no attempt

Cause: callers leave a stream that has not begun after max(2 s, 4 targets, 8 pauses), which stages did not know; requests were judged on time by the least time of their later stages and fell behind there; a replaced upstream's 421 used up the only attempt. Ruled out: engines as the bottleneck (first event p50 140 to 230 ms under the burst). Change: firstBy bounds jobs and refusals; stage and first-event times are learnt; 421 marks the upstream as replaced and is tried elsewhere within the retry budget.

--- a/src/daemon/internal/stagejobcodec.cpp
+++ b/src/daemon/internal/stagejobcodec.cpp
@@ -64,7 +64,9 @@
 {
     return Json {{"failure", static_cast<int>(result.failure)},
                  {"handles", result.handles},
-                 {"retryAfterUs", result.retryAfter.count()}}
+                 {"retryAfterUs", result.retryAfter.count()},
+                 {"tookUs", result.took.count()},
+                 {"wasLate", result.wasLate}}
         .dump();
 }
 
--- a/src/observability/event.h
+++ b/src/observability/event.h
@@ -72,6 +72,7 @@
     BatchStarted = 811,
     BatchEnded = 812,
     CoordinatorAvoided = 813,
+    AnswerBegan = 814,
     LinesSuppressed = 901,
 };
 
--- a/src/observability/internal/event.cpp
+++ b/src/observability/internal/event.cpp
@@ -71,6 +71,7 @@
     EventDescription {BatchStarted, Info, "batch-started"},
     EventDescription {BatchEnded, Info, "batch-ended"},
     EventDescription {CoordinatorAvoided, Warning, "coordinator-avoided"},
+    EventDescription {AnswerBegan, Info, "answer-began"},
     EventDescription {LinesSuppressed, Warning, "lines-suppressed"},
 };
 
--- a/src/relay/batchscheduler.h
+++ b/src/relay/batchscheduler.h
@@ -91,6 +91,7 @@
     };
     struct Job {
         StageJob content;
+        model::TimePoint submittedAt;
         std::vector<Piece> pieces;
         uint32_t queued = 0;
         uint32_t done = 0;
@@ -123,7 +124,7 @@
     };
 
     void dispatch(const model::PoolId &id, Pool &pool, model::TimePoint now);
-    void dropLate(Pool &pool, model::TimePoint now);
+    void dropLate(Pool &pool, const BatchRule &rule, model::TimePoint now);
     void order(Pool &pool, const BatchRule &rule, const model::ZoneId &zone, model::TimePoint now);
     std::vector<Upstream *> freeUpstreams(const model::PoolId &id, const BatchRule &rule,
                                           model::TimePoint now) const;
@@ -141,6 +142,7 @@
     void requeue(const PieceRef &piece, bool countsAsTry);
     void settle(const PieceRef &piece, const ItemOutcome &outcome, model::TimePoint now);
     void finish(JobId job, JobResult result);
+    static bool isLate(const StageJob &job, const BatchRule &rule, model::TimePoint now);
     void expire(model::TimePoint now);
     const BatchRule *ruleOf(const model::PoolId &pool) const;
 
--- a/src/relay/internal/batchscheduler.cpp
+++ b/src/relay/internal/batchscheduler.cpp
@@ -63,6 +63,7 @@
     const JobId id(++m_lastJob);
     Job &row = m_jobs[id];
     row.content = std::move(job);
+    row.submittedAt = now;
     row.pieces.resize(row.content.pieceCount);
     row.queued = row.content.pieceCount;
     const model::PoolId pool = row.content.pool;
@@ -108,7 +109,8 @@
         consider(batch.overdueAt);
     }
     for (const auto &[id, pool] : m_pools) {
-        if (pool.waiting.empty()) {
+        const BatchRule *rule = ruleOf(id);
+        if (pool.waiting.empty() || !rule) {
             continue;
         }
         consider(pool.waitsUntil);
@@ -118,7 +120,8 @@
             }
         }
         for (const JobId job : pool.waiting) {
-            consider(std::min(m_jobs.at(job).content.deadline, m_jobs.at(job).expiresAt()));
+            consider(std::min(m_jobs.at(job).content.deadline - rule->callTime,
+                              m_jobs.at(job).expiresAt()));
         }
     }
     return next;
@@ -130,7 +133,7 @@
     if (pool.waiting.empty() || !rule) {
         return;
     }
-    dropLate(pool, now);
+    dropLate(pool, *rule, now);
     pool.waitsUntil = model::TimePoint::max();
     std::vector<Upstream *> free = freeUpstreams(id, *rule, now);
     while (!pool.waiting.empty() && !free.empty()) {
@@ -152,12 +155,12 @@
     }
 }
 
-void BatchScheduler::dropLate(Pool &pool, model::TimePoint now)
+void BatchScheduler::dropLate(Pool &pool, const BatchRule &rule, model::TimePoint now)
 {
     std::vector<JobId> late;
     std::vector<JobId> expired;
     for (const JobId job : pool.waiting) {
-        if (now >= m_jobs.at(job).content.deadline) {
+        if (now + rule.callTime >= m_jobs.at(job).content.deadline) {
             late.push_back(job);
         } else if (now >= m_jobs.at(job).expiresAt()) {
             expired.push_back(job);
@@ -171,6 +174,11 @@
     }
 }
 
+bool BatchScheduler::isLate(const StageJob &job, const BatchRule &rule, model::TimePoint now)
+{
+    return now + rule.callTime > job.due;
+}
+
 // Jobs that can still meet their target go first, the earliest due before others. Those that have
 // missed it are worth less: they take what room is left, the nearest deadline first. Results that
 // would expire before they are used count as a deadline.
@@ -187,7 +195,7 @@
     std::vector<Rank> ranks;
     for (const JobId id : pool.waiting) {
         const Job &job = m_jobs.at(id);
-        const bool isLate = now + rule.callTime > job.content.due;
+        const bool isLate = BatchScheduler::isLate(job.content, rule, now);
         const model::ZoneId &wanted = job.content.preferredZone;
         const bool isElsewhere = !zone.isEmpty() && !wanted.isEmpty() && wanted != zone;
         const model::TimePoint last = std::min(job.content.deadline, job.expiresAt());
@@ -461,7 +469,8 @@
     if (++job.done < job.pieces.size()) {
         return;
     }
-    JobResult result;
+    JobResult result {.took = now - job.submittedAt,
+                      .wasLate = rule && isLate(job.content, *rule, job.submittedAt)};
     for (Piece &each : job.pieces) {
         result.handles.push_back(std::exchange(each.handle, {}));
     }
--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -21,6 +21,8 @@
 constexpr model::Duration fullRetry = model::milliseconds(300);
 //! A pool without upstreams gets one within seconds, if at all.
 constexpr model::Duration emptyPoolRetry = model::seconds(1);
+//! Weight of the newest request in what the first event of a route's streams takes.
+constexpr double firstEventWeight = 0.1;
 constexpr uint16_t conflictStatus = 409;
 
 } // namespace
@@ -112,7 +114,6 @@
 
 void RelaySystem::onAttemptHead(model::AttemptId id, const AnswerFacts &facts, model::TimePoint now)
 {
-    static_cast<void>(now);
     const auto it = m_attempts.find(id);
     if (it == m_attempts.end()) {
         return;
@@ -129,6 +130,13 @@
         return;
     }
     exchange.isPassing = true;
+    const model::Duration took = now - it->second.startedAt;
+    const auto [learnt, isNew] = m_firstEventTimes.emplace(exchange.route->id, took);
+    learnt->second += model::scaled(took - learnt->second, firstEventWeight);
+    record(EventCode::AnswerBegan, exchange, it->second.upstream.text(),
+           absl::StrCat("firstEventMs=", model::toMilliseconds(took),
+                        " afterMs=", model::toMilliseconds(now - exchange.arrived.startedAt),
+                        " targetMs=", model::toMilliseconds(exchange.route->latencyTarget)));
     m_commands.emplace_back(PassStream {.request = exchange.arrived.request, .attempt = id});
     if (exchange.route->kind == RequestKind::Stream) {
         // The upstream has fetched its inputs before it answers, and no other will need them.
@@ -145,6 +153,12 @@
     Exchange &exchange = *find(attempt.request);
     const AnswerFacts facts = attempt.facts.value_or(AnswerFacts {});
     const bool isStreamed = isStream(exchange.route->kind);
+    if (facts.isMisdirected) {
+        m_directory.noteReplaced(attempt.upstream, now);
+        record(EventCode::AttemptRefused, exchange, attempt.upstream.text(), "why=replaced");
+        onUnsent(exchange, attempt.upstream, now);
+        return;
+    }
     if (facts.isNotRun) {
         onRefusedByUpstream(exchange, facts, now);
         return;
@@ -228,14 +242,22 @@
         onLost(exchange, attempt.upstream, failure, now);
         return;
     }
+    onUnsent(exchange, attempt.upstream, now);
+}
+
+// The upstream that was chosen has not got the request, so it costs no attempt.
+void RelaySystem::onUnsent(Exchange &exchange, const model::UpstreamId &upstream,
+                           model::TimePoint now)
+{
     --exchange.sentAttempts;
     ++exchange.unsentAttempts;
-    const bool triesOn
-        = exchange.unsentAttempts < maxUnsentAttempts && now + minAttemptTime < exchange.deadline;
+    const bool triesOn = exchange.unsentAttempts < maxUnsentAttempts
+                         && now + minAttemptTime < exchange.deadline
+                         && m_budget.take(exchange.pool, now);
     if (triesOn) {
         startAttempt(exchange, now);
     } else if (exchange.isPassing) {
-        onLost(exchange, attempt.upstream, failure, now);
+        onLost(exchange, upstream, AttemptFailure::NotSent, now);
     } else {
         refuse(exchange.arrived.request,
                exchange.sentAttempts == 0 ? Refusal::NoUpstream : Refusal::UpstreamFailed,
--- a/src/relay/internal/relaystages.cpp
+++ b/src/relay/internal/relaystages.cpp
@@ -15,8 +15,17 @@
 namespace
 {
 
-//! Left for the model engine to bring the first token once all stages are done.
+//! Left for the model engine to bring the first event, until a route's own time is known.
 constexpr model::Duration engineAllowance = model::milliseconds(250);
+//! A short prompt in an engine with room.
+constexpr model::Duration shortestEngineTime = model::milliseconds(50);
+//! Prompts differ in size and engines in load: most are done within this multiple of the usual
+//! time.
+constexpr double engineTimeMargin = 1.5;
+//! Weight of the newest job in what a pool's stage is expected to take.
+constexpr double stageTimeWeight = 0.15;
+//! Jobs that fell behind while they waited tell of the queue, up to this multiple of a batch.
+constexpr int64_t maxStageTimeInBatches = 4;
 //! A coordinator that has answered nothing for this long is taken for stuck; batches take less.
 constexpr model::Duration peerSilence = model::milliseconds(1500);
 //! How long a stuck coordinator is passed over.
@@ -46,25 +55,57 @@
     }
 }
 
-model::Duration RelaySystem::stageTime(const Exchange &exchange, uint32_t stage) const
+model::Duration RelaySystem::stageTime(const Exchange &exchange, uint32_t stage,
+                                       Estimate estimate) const
 {
     const PoolRule *pool = exchange.configuration->findPool(exchange.route->stages[stage].pool);
     if (!pool || !pool->batch || exchange.plan.pieceCount(stage) == 0) {
         return {};
     }
     const uint32_t pieces = std::min(exchange.plan.pieceCount(stage), pool->batch->maxItems);
-    return pool->batch->callTime + pool->batch->itemTime * static_cast<int64_t>(pieces);
+    const model::Duration least
+        = pool->batch->callTime + pool->batch->itemTime * static_cast<int64_t>(pieces);
+    const auto learnt = m_stageTimes.find(pool->id);
+    const bool isLearnt = estimate == Estimate::Usual && learnt != m_stageTimes.end();
+    return isLearnt ? std::max(least, learnt->second) : least;
+}
+
+// What a stage takes with its queue. A request whose later stages leave it no time gives way in its
+// first stage, before it has cost the work of all others.
+void RelaySystem::learnStageTime(const model::PoolId &pool, const JobResult &result)
+{
+    if (result.failure != JobFailure::None || result.wasLate) {
+        return;
+    }
+    const PoolRule *rule = m_configuration->findPool(pool);
+    if (!rule || !rule->batch) {
+        return;
+    }
+    const model::Duration took
+        = std::min(result.took, rule->batch->callTime * maxStageTimeInBatches);
+    const auto [it, isNew] = m_stageTimes.emplace(pool, took);
+    it->second += model::scaled(took - it->second, stageTimeWeight);
+}
+
+// From the request's sending to the first event of its answer.
+model::Duration RelaySystem::engineTime(const Exchange &exchange) const
+{
+    const auto learnt = m_firstEventTimes.find(exchange.route->id);
+    return learnt == m_firstEventTimes.end() ? engineAllowance
+                                             : model::scaled(learnt->second, engineTimeMargin);
 }
 
 // Time that the longest way from the end of a stage to the first token takes.
-model::Duration RelaySystem::timeAfter(const Exchange &exchange, uint32_t stage) const
+model::Duration RelaySystem::timeAfter(const Exchange &exchange, uint32_t stage,
+                                       Estimate estimate) const
 {
-    model::Duration longest = engineAllowance;
+    model::Duration longest = estimate == Estimate::Usual ? engineAllowance : shortestEngineTime;
     const std::vector<StageRule> &stages = exchange.route->stages;
     for (uint32_t i = 0; i < stages.size(); ++i) {
         const std::vector<uint32_t> &after = stages[i].after;
         if (std::find(after.begin(), after.end(), stage) != after.end()) {
-            longest = std::max(longest, stageTime(exchange, i) + timeAfter(exchange, i));
+            longest = std::max(longest,
+                               stageTime(exchange, i, estimate) + timeAfter(exchange, i, estimate));
         }
     }
     return longest;
@@ -73,7 +114,7 @@
 StageJob RelaySystem::jobFor(const Exchange &exchange, uint32_t stage, model::TimePoint now) const
 {
     const StageRule &rule = exchange.route->stages[stage];
-    const model::Duration after = timeAfter(exchange, stage);
+    const model::Duration after = timeAfter(exchange, stage, Estimate::Usual);
     const model::TimePoint due = exchange.arrived.startedAt + exchange.route->latencyTarget - after;
     StageJob job {.pool = rule.pool,
                   .request = exchange.arrived.callerId,
@@ -82,7 +123,8 @@
                   .inputs = exchange.plan.inputsOf(stage),
                   .priority = exchange.priority,
                   .due = due,
-                  .deadline = std::max(now, exchange.deadline - after),
+                  .deadline
+                  = std::max(now, exchange.firstBy - timeAfter(exchange, stage, Estimate::Least)),
                   .preferredZone = exchange.homeZone,
                   .inputsUntil = exchange.plan.inputsUntil(stage)};
     if (job.inputs.empty()) {
@@ -181,6 +223,7 @@
         return;
     }
     std::erase(exchange->jobs, job);
+    learnStageTime(exchange->route->stages[owner.stage].pool, result);
     record(EventCode::StageFinished, *exchange, absl::StrCat("stage-", owner.stage),
            absl::StrCat("outcome=", model::toAbsl(toString(result.failure)),
                         " pieces=", result.handles.size(),
--- a/src/relay/internal/relaysystem.cpp
+++ b/src/relay/internal/relaysystem.cpp
@@ -18,6 +18,13 @@
 
 //! A daemon without a configuration usually has one within a second of its start.
 constexpr model::Duration configurationRetry = model::milliseconds(500);
+//! Callers give a stream this long to begin: the longest of a fixed time, multiples of the route's
+//! latency target and multiples of its longest pause, as the platform's callers state it.
+constexpr model::Duration minPatience = model::seconds(2);
+constexpr int64_t patienceInTargets = 4;
+constexpr int64_t patienceInPauses = 8;
+//! The way back to the caller, and timers that fire late.
+constexpr model::Duration patienceMargin = model::milliseconds(50);
 //! Other daemons go on serving while this one stops.
 constexpr model::Duration stoppingRetry = model::milliseconds(50);
 
@@ -181,7 +188,11 @@
         chooseHome(exchange, now);
     }
     m_budget.noteRequest(exchange.pool, now);
+    exchange.firstBy = firstEventLimit(exchange);
     m_timeouts.add(exchange.deadline, id);
+    if (exchange.firstBy < exchange.deadline) {
+        m_timeouts.add(exchange.firstBy, id);
+    }
     record(EventCode::ExchangeAdmitted, exchange, exchange.route->id.text(),
            absl::StrCat("revision=", m_configuration->revision().value(),
                         " pool=", exchange.pool.text(), " account=", exchange.account.text(),
@@ -226,11 +237,23 @@
     close(id);
 }
 
+// Callers leave a stream that does not begin. Just before that they can still be told when to
+// come back.
+model::TimePoint RelaySystem::firstEventLimit(const Exchange &exchange)
+{
+    if (!isStream(exchange.route->kind)) {
+        return exchange.deadline;
+    }
+    const model::Duration patience
+        = std::max({minPatience, patienceInTargets * exchange.route->latencyTarget,
+                    patienceInPauses * exchange.route->pauseTarget});
+    return std::min(exchange.deadline, exchange.arrived.startedAt + patience - patienceMargin);
+}
+
 void RelaySystem::onTimeout(model::RequestId id, model::TimePoint now)
 {
-    static_cast<void>(now);
     Exchange *exchange = find(id);
-    if (!exchange) {
+    if (!exchange || (now < exchange->deadline && exchange->attempt.value() != 0)) {
         return;
     }
     if (exchange->isPassing) {
--- a/src/relay/internal/upstreamdirectory.cpp
+++ b/src/relay/internal/upstreamdirectory.cpp
@@ -100,6 +100,14 @@
     upstream->isOnTrial = true;
 }
 
+void UpstreamDirectory::noteReplaced(const model::UpstreamId &id, model::TimePoint now)
+{
+    if (Upstream *upstream = find(id)) {
+        upstream->avoidedUntil = now + maxAvoidance;
+        upstream->isOnTrial = true;
+    }
+}
+
 void UpstreamDirectory::noteSuccess(const model::UpstreamId &id)
 {
     if (Upstream *upstream = find(id)) {
--- a/src/relay/relayconfiguration.h
+++ b/src/relay/relayconfiguration.h
@@ -60,6 +60,7 @@
     RequestKind kind = RequestKind::AtMostOnce;
     model::Duration timeout = model::seconds(10);
     model::Duration latencyTarget = model::seconds(1);
+    model::Duration pauseTarget {}; //!< Longest pause between events of a stream that is on time.
     uint32_t priority = 0; //!< Zero is the most urgent.
     uint32_t maxAttempts = 1; //!< Upstreams to which one request may be sent.
     std::vector<PoolShare> pools;
--- a/src/relay/relayevents.h
+++ b/src/relay/relayevents.h
@@ -39,6 +39,7 @@
 struct AnswerFacts {
     uint16_t status = 0;
     bool isNotRun = false; //!< The upstream says that it has not run the request.
+    bool isMisdirected = false; //!< Another upstream than the expected one has the address.
     bool hasProvenance = false; //!< It carries the upstream's proof that it made the answer.
     bool isEncoded = false; //!< The body is not what the upstream made.
     bool isOfRequest = false; //!< It names the request that it answers.
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -127,6 +127,7 @@
         uint32_t priority = 0;
         model::PoolId pool;
         model::TimePoint deadline; //!< Of the caller or the route, whichever comes first.
+        model::TimePoint firstBy; //!< When the caller gives up unless an answer has begun.
         model::ZoneId homeZone; //!< Of the upstream that will most likely run it.
         StagePlan plan;
         std::vector<JobId> jobs; //!< Under way, here or at peers.
@@ -162,10 +163,17 @@
         model::TimePoint sentAt;
     };
 
+    //! Which time of a stage is meant: without any queue, or as of late.
+    enum class Estimate {
+        Least,
+        Usual,
+    };
+
     // Arrival
     std::optional<Refusal> admit(Exchange &exchange, model::TimePoint now) const;
     model::PoolId poolOf(const Exchange &exchange) const;
     void refuse(model::RequestId request, Refusal refusal, model::Duration retryAfter);
+    static model::TimePoint firstEventLimit(const Exchange &exchange);
     void onTimeout(model::RequestId request, model::TimePoint now);
 
     // Stages
@@ -182,8 +190,10 @@
     void takeScheduled(model::TimePoint now);
     void cancelJobs(Exchange &exchange);
     void checkPeers(model::TimePoint now);
-    model::Duration stageTime(const Exchange &exchange, uint32_t stage) const;
-    model::Duration timeAfter(const Exchange &exchange, uint32_t stage) const;
+    void learnStageTime(const model::PoolId &pool, const JobResult &result);
+    model::Duration engineTime(const Exchange &exchange) const;
+    model::Duration stageTime(const Exchange &exchange, uint32_t stage, Estimate estimate) const;
+    model::Duration timeAfter(const Exchange &exchange, uint32_t stage, Estimate estimate) const;
 
     // Attempts
     void startAttempt(Exchange &exchange, model::TimePoint now);
@@ -191,6 +201,7 @@
     void chooseHome(Exchange &exchange, model::TimePoint now);
     Attempt closeAttempt(model::AttemptId id);
     void onRefusedByUpstream(Exchange &exchange, const AnswerFacts &facts, model::TimePoint now);
+    void onUnsent(Exchange &exchange, const model::UpstreamId &upstream, model::TimePoint now);
     void onLost(Exchange &exchange, const model::UpstreamId &upstream, AttemptFailure failure,
                 model::TimePoint now);
     bool mayTryAgain(const Exchange &exchange, model::TimePoint now);
@@ -215,6 +226,9 @@
     absl::flat_hash_map<JobId, JobOwner> m_jobOwners; //!< Of jobs in this daemon's scheduler.
     absl::flat_hash_map<JobId, Forward> m_forwards;
     absl::flat_hash_map<uint64_t, JobId> m_peerJobs;
+    absl::flat_hash_map<model::PoolId, model::Duration>
+        m_stageTimes; //!< Of jobs on time; smoothed.
+    absl::flat_hash_map<model::RouteId, model::Duration> m_firstEventTimes; //!< Smoothed.
     model::TimerQueue<model::RequestId> m_timeouts;
     std::vector<RelayCommand> m_commands;
     RelayCounters m_counters;
--- a/src/relay/stagejob.h
+++ b/src/relay/stagejob.h
@@ -49,6 +49,9 @@
     JobFailure failure = JobFailure::None;
     std::vector<ResultHandle> handles; //!< One a piece, in order.
     model::Duration retryAfter {}; //!< For a job that failed: when there is room again.
+    model::Duration took {}; //!< From its arrival at the scheduler to its end.
+    bool wasLate
+        = false; //!< Its target was out of reach when it arrived, so it gave way to others.
 
     friend bool operator==(const JobResult &, const JobResult &) = default;
 };
--- a/src/relay/upstreamdirectory.h
+++ b/src/relay/upstreamdirectory.h
@@ -66,6 +66,8 @@
 
     //! An upstream refused a connection, broke one off, or gave no answer.
     void noteFailure(const model::UpstreamId &id, model::TimePoint now);
+    //! Another upstream answers at the address; this one is gone, though still listed.
+    void noteReplaced(const model::UpstreamId &id, model::TimePoint now);
     void noteSuccess(const model::UpstreamId &id);
 
     //! Whether the upstream may take new work at this moment.
