Peers hand on what they read in the registry; streams are refused late in a stop

Ruled out: a longer stop (the grace is 8 s). Change: a stopping daemon takes streams for a third of its stop and other requests for four fifths; a daemon that cannot read the registry takes a peer's listing at its revision; answers about addresses hold 1 s.

--- a/src/config/relaysettings.h
+++ b/src/config/relaysettings.h
@@ -20,7 +20,7 @@
     uint16_t metricsPort = 0;
     std::vector<Endpoint> seeds;
     Endpoint registry;
-    model::Duration entryLifetime = model::seconds(2);
+    model::Duration entryLifetime = model::seconds(1);
     size_t maxConnections = 3000;
     double retryRatio = 0.2; //!< Repeats over requests of a pool, over the whole fleet.
     double retrySlack = 50.0; //!< Repeats in a window whatever the number of requests.
--- a/src/daemon/internal/daemon.cpp
+++ b/src/daemon/internal/daemon.cpp
@@ -82,13 +82,16 @@
     m_attempts = std::make_unique<AttemptRunner>(m_client, *this, incarnation);
     m_callers = std::make_unique<CallerApi>(m_loop, m_settings, *m_core, *m_attempts, *this);
     m_admin = std::make_unique<AdminApi>(m_loop, m_settings, *m_core, m_timeline);
-    m_fleet = std::make_unique<FleetApi>(
-        m_loop, m_client,
-        FleetIdentity {.daemon = m_settings.daemon,
-                       .endpoint = m_settings.fleet,
-                       .key = m_settings.fleetKey,
-                       .incarnation = incarnation},
-        [this] { return configurationFile(); }, *this);
+    m_fleet = std::make_unique<FleetApi>(m_loop, m_client,
+                                         FleetIdentity {.daemon = m_settings.daemon,
+                                                        .endpoint = m_settings.fleet,
+                                                        .key = m_settings.fleetKey,
+                                                        .incarnation = incarnation},
+                                         FleetDocuments {.configuration =
+                                                             [this] {
+                                                                 return configurationFile();
+                                                             }},
+                                         *this);
     m_platform = std::make_unique<PlatformReader>(m_client, m_settings, *this, incarnation.value());
     m_callers->listen(*std::move(caller));
     m_admin->listen(*std::move(admin));
--- a/src/daemon/internal/fleetapi.cpp
+++ b/src/daemon/internal/fleetapi.cpp
@@ -14,6 +14,7 @@
 
 constexpr const char *exchangePath = "/fleet/exchange";
 constexpr const char *filePath = "/fleet/configuration";
+constexpr const char *listingPath = "/fleet/listing";
 constexpr const char *stampHeader = "x-citronpick-stamp";
 constexpr const char *codeHeader = "x-citronpick-code";
 constexpr uint64_t maxMessageBytes = 2U << 20U;
@@ -28,9 +29,9 @@
 } // namespace
 
 FleetApi::FleetApi(net::EventLoop &loop, net::HttpClient &client, FleetIdentity identity,
-                   ConfigurationSource configuration, IEventSink &sink)
+                   FleetDocuments documents, IEventSink &sink)
     : m_identity(std::move(identity))
-    , m_configuration(std::move(configuration))
+    , m_documents(std::move(documents))
     , m_sink(sink)
     , m_client(client)
     , m_server(loop, *this, {.maxBodyBytes = maxMessageBytes, .maxConnections = 2048})
@@ -110,34 +111,43 @@
 }
 
 void FleetApi::fetch(const core::FetchConfiguration &command)
+{
+    fetchDocument(command.from, filePath, absl::StrCat(command.revision.value()),
+                  [this](const std::string &text) {
+                      auto file = documents::parseConfigurationAnswer(text);
+                      if (file.ok()) {
+                          m_sink.post(core::ConfigurationOffered {.file = *std::move(file),
+                                                                  .isFromPeer = true});
+                      }
+                  });
+}
+
+void FleetApi::fetchListing(const config::Endpoint &from, std::function<void(std::string)> handler)
+{
+    fetchDocument(from, listingPath, {}, std::move(handler));
+}
+
+void FleetApi::fetchDocument(const config::Endpoint &from, const std::string &path,
+                             std::string body, std::function<void(std::string)> handler)
 {
     std::string stamp;
-    net::HttpCall call
-        = signedCall(command.from, filePath, absl::StrCat(command.revision.value()), stamp);
+    net::HttpCall call = signedCall(from, path, std::move(body), stamp);
     call.timeout = fileTimeout;
     net::HttpCallbacks callbacks;
-    callbacks.onAnswer = [this, stamp](const net::HttpAnswer &answer) {
-        onFile(stamp, answer);
+    callbacks.onAnswer = [this, stamp, handler](const net::HttpAnswer &answer) {
+        const std::string code = net::headerValue(answer.headers, codeHeader);
+        if (answer.status != 200 || !m_auth.isAnswerGood(stamp, *answer.body, code)) {
+            ++m_rejected;
+            return;
+        }
+        handler(*answer.body);
     };
-    // The next message of a peer that has the file asks for it anew.
+    // Whoever needs the document asks again, or another daemon.
     callbacks.onError = [](net::HttpError) {
     };
     m_client.start(call, std::move(callbacks));
 }
 
-void FleetApi::onFile(const std::string &stamp, const net::HttpAnswer &answer)
-{
-    const std::string code = net::headerValue(answer.headers, codeHeader);
-    if (answer.status != 200 || !m_auth.isAnswerGood(stamp, *answer.body, code)) {
-        ++m_rejected;
-        return;
-    }
-    auto file = documents::parseConfigurationAnswer(*answer.body);
-    if (file.ok()) {
-        m_sink.post(core::ConfigurationOffered {.file = *std::move(file), .isFromPeer = true});
-    }
-}
-
 void FleetApi::onRequest(const net::HttpServerRequest &request)
 {
     const net::Signature signature {.stamp = std::string(request.header(stampHeader)),
@@ -149,8 +159,8 @@
         return;
     }
     m_stamps.emplace(request.number(), signature.stamp);
-    if (request.path() == filePath) {
-        sendFile(request);
+    if (request.path() == filePath || request.path() == listingPath) {
+        sendDocument(request);
         return;
     }
     auto message = net::decodeFleetCall(std::string(request.body()));
@@ -163,16 +173,25 @@
         core::FleetRequestReceived {.exchange = request.number(), .message = *std::move(message)});
 }
 
-void FleetApi::sendFile(const net::HttpServerRequest &request)
+std::optional<std::string> FleetApi::documentAt(std::string_view path) const
+{
+    if (path == listingPath) {
+        return m_documents.listing ? m_documents.listing() : std::nullopt;
+    }
+    const std::optional<config::OfferedFile> file = m_documents.configuration();
+    return file ? std::optional(documents::formatConfigurationAnswer(*file)) : std::nullopt;
+}
+
+void FleetApi::sendDocument(const net::HttpServerRequest &request)
 {
-    const std::optional<config::OfferedFile> file = m_configuration();
+    const std::optional<std::string> text = documentAt(request.path());
     const std::string stamp = m_stamps[request.number()];
     m_stamps.erase(request.number());
-    if (!file) {
-        reject(request.number(), "no configuration here");
+    if (!text) {
+        reject(request.number(), "no such document here");
         return;
     }
-    answerSigned(request.number(), stamp, documents::formatConfigurationAnswer(*file));
+    answerSigned(request.number(), stamp, *text);
 }
 
 void FleetApi::reject(uint64_t number, std::string_view why)
--- a/src/daemon/internal/fleetapi.h
+++ b/src/daemon/internal/fleetapi.h
@@ -23,15 +23,18 @@
     model::Incarnation incarnation;
 };
 
-//! The configuration file in force; empty when there is none.
-using ConfigurationSource = std::function<std::optional<config::OfferedFile>()>;
+//! What this daemon hands to others on demand; empty when it has none.
+struct FleetDocuments {
+    std::function<std::optional<config::OfferedFile>()> configuration;
+    std::function<std::optional<std::string>()> listing; //!< Of what it has read in the registry.
+};
 
 //! Messages between daemons: JSON-RPC over HTTP, signed both ways.
 class FleetApi : public net::IHttpHandler
 {
 public:
     FleetApi(net::EventLoop &loop, net::HttpClient &client, FleetIdentity identity,
-             ConfigurationSource configuration, IEventSink &sink);
+             FleetDocuments documents, IEventSink &sink);
 
     void listen(net::ListenSocket socket)
     {
@@ -41,6 +44,8 @@
     void send(const fleet::SendExchange &command);
     void reply(const fleet::SendReply &command);
     void fetch(const core::FetchConfiguration &command);
+    //! Gets a peer's listing; nothing comes when the peer has none or cannot be reached.
+    void fetchListing(const config::Endpoint &from, std::function<void(std::string)> handler);
 
     void onRequest(const net::HttpServerRequest &request) override;
     void onClosed(uint64_t number, bool wasAnswered) override;
@@ -53,15 +58,17 @@
 private:
     void onExchangeAnswer(uint64_t exchange, const std::string &stamp,
                           const net::HttpAnswer &answer);
-    void onFile(const std::string &stamp, const net::HttpAnswer &answer);
+    void fetchDocument(const config::Endpoint &from, const std::string &path, std::string body,
+                       std::function<void(std::string)> handler);
+    std::optional<std::string> documentAt(std::string_view path) const;
     net::HttpCall signedCall(const config::Endpoint &to, const std::string &path, std::string body,
                              std::string &stamp);
-    void sendFile(const net::HttpServerRequest &request);
+    void sendDocument(const net::HttpServerRequest &request);
     void answerSigned(uint64_t number, const std::string &stamp, std::string body);
     void reject(uint64_t number, std::string_view why);
 
     FleetIdentity m_identity;
-    ConfigurationSource m_configuration;
+    FleetDocuments m_documents;
     IEventSink &m_sink;
     net::HttpClient &m_client;
     net::HttpServer m_server;
--- a/src/daemon/internal/registryreader.cpp
+++ b/src/daemon/internal/registryreader.cpp
@@ -59,6 +59,12 @@
     m_call = m_client.start(std::move(call), *this);
 }
 
+void RegistryReader::takePeerListing(const registry::RegistryPage &listing, model::TimePoint now)
+{
+    m_follower.onPeerListing(listing, now);
+    run(now);
+}
+
 void RegistryReader::onHead(uint64_t call, const net::MessageHead &head)
 {
     if (call == m_call) {
--- a/src/daemon/internal/registryreader.h
+++ b/src/daemon/internal/registryreader.h
@@ -24,6 +24,9 @@
     //! Starts what is due and hands out news.
     void run(model::TimePoint now);
 
+    //! What a peer has read; news of it are handed out at once.
+    void takePeerListing(const registry::RegistryPage &listing, model::TimePoint now);
+
     const registry::RegistryFollower &follower() const
     {
         return m_follower;
--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -9,6 +9,7 @@
 #include "daemon/internal/exchangerunner.h"
 #include "daemon/internal/fleetapi.h"
 #include "daemon/internal/incarnation.h"
+#include "daemon/internal/listingcodec.h"
 #include "daemon/internal/peerjobs.h"
 #include "daemon/internal/registryreader.h"
 #include "daemon/internal/relaymetrics.h"
@@ -29,6 +30,8 @@
 constexpr model::Duration sweepInterval = model::milliseconds(100);
 //! A peer's newer configuration is fetched at most this often.
 constexpr model::Duration fetchInterval = model::milliseconds(300);
+//! A daemon that cannot read the registry asks a peer this often.
+constexpr model::Duration listingInterval = model::milliseconds(500);
 //! As many as callers take from one answer.
 constexpr size_t maxEntries = 64;
 //! Follows the fleet key, so that numbers used once are of one kind of message.
@@ -46,6 +49,7 @@
     , m_logLimiter(m_settings.maxLogLinesPerSecond)
     , m_fleetClient(loop)
     , m_client(loop)
+    , m_random(model::hash64(m_settings.daemon.text()))
 {
 }
 
@@ -113,7 +117,12 @@
                        .endpoint = m_settings.fleet,
                        .key = m_settings.fleetKey,
                        .incarnation = incarnation},
-        [this] { return configurationFile(); }, *this);
+        FleetDocuments {.configuration = [this] { return configurationFile(); },
+                        .listing =
+                            [this] {
+                                return listingForPeers();
+                            }},
+        *this);
     m_stageAuth = std::make_unique<net::MessageAuth>(m_settings.fleetKey + stageKeySuffix,
                                                      m_settings.daemon, incarnation);
     m_exchanges = std::make_unique<ExchangeRunner>(
@@ -163,6 +172,7 @@
         m_fleetClient.expire(now);
         m_batches->flush(now);
         runFleet(now);
+        askPeersForListing(now);
         checkReady(now);
         checkDrain(now);
         if (const uint64_t suppressed = m_logLimiter.takeSuppressed(now)) {
@@ -265,6 +275,45 @@
                                 .text = m_configurationText};
 }
 
+std::optional<std::string> RelayDaemon::listingForPeers() const
+{
+    if (!m_upstreamReader->follower().isSynchronized()) {
+        return std::nullopt;
+    }
+    return encodeListing(m_upstreamReader->follower().listing());
+}
+
+// While the registry cannot be read here, what others have read is the best there is.
+void RelayDaemon::askPeersForListing(model::TimePoint now)
+{
+    const registry::RegistryFollower &follower = m_upstreamReader->follower();
+    if (follower.isReachable() || now < m_nextListing) {
+        return;
+    }
+    m_nextListing = now + listingInterval;
+    std::vector<config::Endpoint> peers;
+    for (const auto &[id, row] : m_fleet->members().rows()) {
+        if (id != m_settings.daemon && row.member.isUsable()) {
+            peers.push_back(row.member.fleet);
+        }
+    }
+    if (peers.empty()) {
+        return;
+    }
+    const config::Endpoint &peer = peers[m_random.below(static_cast<uint32_t>(peers.size()))];
+    m_fleetApi->fetchListing(peer, [this, peer](const std::string &text) {
+        const auto listing = decodeListing(text);
+        if (!listing.ok()) {
+            record({.code = EventCode::ListingRejected,
+                    .request = {},
+                    .subject = config::toText(peer),
+                    .detail = absl::StrCat("why=", listing.status().message())});
+            return;
+        }
+        m_upstreamReader->takePeerListing(*listing, net::EventLoop::now());
+    });
+}
+
 void RelayDaemon::onRegistryNews(const registry::FollowerNews &news)
 {
     const auto *reachable = std::get_if<registry::Reachable>(&news);
@@ -434,6 +483,7 @@
     m_fleet->leave(now);
     runFleet(now);
     m_exchanges->server().closeAfterAnswers();
+    m_relay->beginStop(now, m_settings.drain.limit);
     record({.code = EventCode::DrainStarted,
             .request = {},
             .subject = m_settings.daemon.text(),
--- a/src/daemon/relaydaemon.h
+++ b/src/daemon/relaydaemon.h
@@ -11,6 +11,7 @@
 #include "daemon/internal/irelayhost.h"
 #include "daemon/iwireformat.h"
 #include "fleet/fleetsystem.h"
+#include "model/random.h"
 #include "net/eventloop.h"
 #include "net/httpclient.h"
 #include "net/messageauth.h"
@@ -69,6 +70,8 @@
 
 private:
     std::optional<config::OfferedFile> configurationFile() const;
+    std::optional<std::string> listingForPeers() const;
+    void askPeersForListing(model::TimePoint now);
     void startParts(model::Incarnation incarnation, model::TimePoint now);
     void onRegistryNews(const registry::FollowerNews &news);
     void onConfigurationNews(const registry::FollowerNews &news);
@@ -101,6 +104,8 @@
     std::string m_configurationText;
     model::TimePoint m_nextSweep;
     model::TimePoint m_nextFetch;
+    model::TimePoint m_nextListing;
+    model::Random m_random;
     bool m_isExecuting = false;
     bool m_wasReady = false;
     std::optional<model::TimePoint> m_drainingSince;
--- a/src/registry/internal/registryfollower.cpp
+++ b/src/registry/internal/registryfollower.cpp
@@ -75,23 +75,56 @@
     m_isListing = false;
     // Pages are of different moments: what changed since the first one is watched again.
     m_revision = m_listRevision;
-    removeMissing(now);
+    removeMissing(m_listRevision, now);
+    becomeSynchronized();
+}
+
+void RegistryFollower::becomeSynchronized()
+{
     if (!m_isSynchronized) {
         m_isSynchronized = true;
         m_news.emplace_back(Synchronized {});
     }
 }
 
-void RegistryFollower::removeMissing(model::TimePoint now)
+// A daemon that starts while the registry is away, or that is turned away by it, learns from others
+// what they have read. The registry's own revisions keep older news from being believed.
+void RegistryFollower::onPeerListing(const RegistryPage &listing, model::TimePoint now)
+{
+    if (listing.revision <= m_revision) {
+        return;
+    }
+    m_listed.clear();
+    for (const RegistryItem &item : listing.items) {
+        m_listed.insert(item.key);
+        take(item, now);
+    }
+    removeMissing(listing.revision, now);
+    m_revision = listing.revision;
+    m_isListing = false;
+    m_afterKey.clear();
+    becomeSynchronized();
+}
+
+RegistryPage RegistryFollower::listing() const
+{
+    RegistryPage page {.revision = m_revision};
+    for (const auto &[key, item] : m_known) {
+        page.items.push_back(item);
+    }
+    return page;
+}
+
+void RegistryFollower::removeMissing(uint64_t revision, model::TimePoint now)
 {
     std::vector<std::string> missing;
-    for (const auto &[key, revision] : m_known) {
+    for (const auto &[key, item] : m_known) {
         if (!m_listed.contains(key)) {
             missing.push_back(key);
         }
     }
     for (const std::string &key : missing) {
-        forget(key, m_listRevision, now);
+        forget(key, revision, now);
     }
 }
 
@@ -112,10 +145,10 @@
     }
     m_lapsed.erase(item.key);
     const auto known = m_known.find(item.key);
-    if (known != m_known.end() && known->second >= item.revision) {
+    if (known != m_known.end() && known->second.revision >= item.revision) {
         return;
     }
-    m_known[item.key] = item.revision;
+    m_known[item.key] = item;
     m_news.emplace_back(
         KeyChanged {.key = item.key, .value = item.value, .revision = item.revision});
 }
@@ -123,7 +156,7 @@
 void RegistryFollower::forget(const std::string &key, uint64_t revision, model::TimePoint now)
 {
     const auto known = m_known.find(key);
-    if (known == m_known.end() || known->second > revision) {
+    if (known == m_known.end() || known->second.revision > revision) {
         return;
     }
     if (now < m_graceUntil) {
--- a/src/registry/registryfollower.h
+++ b/src/registry/registryfollower.h
@@ -84,6 +84,11 @@
     void onChanges(const RegistryChanges &changes, model::TimePoint now);
     void onError(CallError error, model::TimePoint now);
 
+    //! What another follower of the same keys holds, at its revision. Ignored unless that is newer.
+    void onPeerListing(const RegistryPage &listing, model::TimePoint now);
+    //! All keys with a value, as of revision(); for a follower that cannot reach the registry.
+    RegistryPage listing() const;
+
     std::vector<FollowerNews> takeNews(model::TimePoint now);
 
     bool isSynchronized() const
@@ -107,7 +112,8 @@
 private:
     void noteAnswer(model::TimePoint now);
     void take(const RegistryItem &item, model::TimePoint now);
-    void removeMissing(model::TimePoint now);
+    void removeMissing(uint64_t revision, model::TimePoint now);
+    void becomeSynchronized();
     void forget(const std::string &key, uint64_t revision, model::TimePoint now);
 
     FollowerOptions m_options;
@@ -119,7 +125,7 @@
     uint64_t m_revision = 0;
     uint64_t m_listRevision = 0; //!< Of the first page of the listing under way.
     std::set<std::string> m_listed; //!< Keys of the listing under way.
-    std::map<std::string, uint64_t> m_known; //!< Keys with a value, and its revision.
+    std::map<std::string, RegistryItem> m_known; //!< Keys with a value.
     std::map<std::string, model::TimePoint> m_lapsed; //!< Missing keys, and when each is gone.
     uint32_t m_failures = 0;
     model::TimePoint m_nextCall;
--- a/src/relay/internal/relaysystem.cpp
+++ b/src/relay/internal/relaysystem.cpp
@@ -25,6 +25,9 @@
 constexpr int64_t patienceInPauses = 8;
 //! The way back to the caller, and timers that fire late.
 constexpr model::Duration patienceMargin = model::milliseconds(50);
+//! Of the time that a stop takes: streams need most of it, with their stages, and others little.
+constexpr double streamShareOfStop = 0.33;
+constexpr double requestShareOfStop = 0.8;
 //! Other daemons go on serving while this one stops.
 constexpr model::Duration stoppingRetry = model::milliseconds(50);
 
@@ -98,6 +101,14 @@
     return true;
 }
 
+// Callers keep an answer about addresses for seconds, so a daemon that stops is still sent
+// requests. Those that would not be done in time run elsewhere.
+void RelaySystem::beginStop(model::TimePoint now, model::Duration limit)
+{
+    m_streamsUntil = now + model::scaled(limit, streamShareOfStop);
+    m_requestsUntil = now + model::scaled(limit, requestShareOfStop);
+}
+
 void RelaySystem::setPeers(std::vector<PeerDaemon> peers)
 {
     m_peers = std::move(peers);
@@ -112,13 +123,9 @@
 
 std::optional<Refusal> RelaySystem::admit(Exchange &exchange, model::TimePoint now) const
 {
-    static_cast<void>(now);
     if (!m_configuration) {
         return Refusal::NoConfiguration;
     }
-    if (m_refusesNewWork) {
-        return Refusal::Stopping;
-    }
     if (exchange.arrived.callerId.isEmpty()) {
         return Refusal::BadRequest;
     }
@@ -127,6 +134,9 @@
     if (!exchange.route) {
         return Refusal::UnknownRoute;
     }
+    if (now >= (isStream(exchange.route->kind) ? m_streamsUntil : m_requestsUntil)) {
+        return Refusal::Stopping;
+    }
     exchange.priority = exchange.route->priority;
     const AccountRule *account = exchange.arrived.accountKey
                                      ? m_configuration->findAccount(*exchange.arrived.accountKey)
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -71,11 +71,8 @@
     }
     //! Daemons alive, this one included.
     void setPeers(std::vector<PeerDaemon> peers);
-    //! From here on nothing new is taken in.
-    void refuseNewWork()
-    {
-        m_refusesNewWork = true;
-    }
+    //! A planned stop that ends after \a limit: takes in only what will be done by then.
+    void beginStop(model::TimePoint now, model::Duration limit);
 
     void arrive(ArrivedRequest request, model::TimePoint now);
     void onCallerGone(model::RequestId request, model::TimePoint now);
@@ -234,7 +231,8 @@
     RelayCounters m_counters;
     uint64_t m_lastAttempt = 0;
     uint64_t m_lastForward = 0;
-    bool m_refusesNewWork = false;
+    model::TimePoint m_streamsUntil = model::TimePoint::max(); //!< New ones are taken in.
+    model::TimePoint m_requestsUntil = model::TimePoint::max(); //!< The same for all others.
 };
 
 } // namespace citronpick::relay
