--- a/src/daemon/internal/stagejobcodec.cpp
+++ b/src/daemon/internal/stagejobcodec.cpp
@@ -81,7 +81,9 @@
         return relay::JobResult {.failure = static_cast<relay::JobFailure>(failure),
                                  .handles = document.at("handles"),
                                  .retryAfter
-                                 = model::Duration(document.at("retryAfterUs").get<int64_t>())};
+                                 = model::Duration(document.at("retryAfterUs").get<int64_t>()),
+                                 .took = model::Duration(document.at("tookUs").get<int64_t>()),
+                                 .wasLate = document.at("wasLate")};
     } catch (const Json::exception &error) {
         return absl::InvalidArgumentError(error.what());
     }
--- /dev/null
+++ b/src/registry/tests/registryfollowertest.cpp
@@ -0,0 +1,186 @@
+#include <catch2/catch.hpp>
+
+#include "registry/registryfollower.h"
+
+using namespace citronpick;
+using namespace citronpick::registry;
+using model::milliseconds;
+
+namespace
+{
+
+RegistryItem item(const std::string &key, const std::string &value, uint64_t revision)
+{
+    return {.key = key, .value = value, .revision = revision};
+}
+
+RegistryItem removal(const std::string &key, uint64_t revision)
+{
+    return {.key = key, .revision = revision};
+}
+
+struct Fixture {
+    FollowerCall call()
+    {
+        const auto due = follower.takeCall(now);
+        REQUIRE(due);
+        return *due;
+    }
+    void list(const std::vector<RegistryItem> &items, uint64_t revision)
+    {
+        REQUIRE(std::holds_alternative<ReadPage>(call()));
+        follower.onPage({.items = items, .revision = revision}, now);
+    }
+    void watch(const std::vector<RegistryItem> &items, uint64_t revision)
+    {
+        REQUIRE(std::holds_alternative<WatchChanges>(call()));
+        follower.onChanges({.items = items, .revision = revision}, now);
+    }
+    void fail(CallError error = CallError::Unreachable)
+    {
+        call();
+        follower.onError(error, now);
+    }
+    //! Fails calls until the registry counts as away.
+    void loseRegistry()
+    {
+        for (int i = 0; i < 2; ++i) {
+            fail();
+            now += model::seconds(1);
+        }
+    }
+
+    //! Changes since the last call, as "key=value" or "-key".
+    std::vector<std::string> changes()
+    {
+        std::vector<std::string> found;
+        for (const FollowerNews &news : follower.takeNews(now)) {
+            if (const auto *changed = std::get_if<KeyChanged>(&news)) {
+                found.push_back(changed->value ? changed->key + "=" + *changed->value
+                                               : "-" + changed->key);
+            }
+        }
+        return found;
+    }
+
+    RegistryFollower follower {{.prefix = "u/"}, 1};
+    model::TimePoint now {model::seconds(10)};
+};
+
+using Changes = std::vector<std::string>;
+
+} // namespace
+
+TEST_CASE("Keys are listed page by page, then watched from the first page's revision")
+{
+    Fixture fixture;
+    CHECK(std::get<ReadPage>(fixture.call()).afterKey.empty());
+    fixture.follower.onPage({.items = {item("u/a", "1", 3)}, .hasMore = true, .revision = 10},
+                            fixture.now);
+    CHECK_FALSE(fixture.follower.isSynchronized());
+    CHECK(std::get<ReadPage>(fixture.call()).afterKey == "u/a");
+    fixture.follower.onPage({.items = {item("u/b", "2", 12)}, .revision = 12}, fixture.now);
+    CHECK(fixture.follower.isSynchronized());
+    CHECK(fixture.changes() == Changes {"u/a=1", "u/b=2"});
+    CHECK(std::get<WatchChanges>(fixture.call()).afterRevision == 10);
+    // What the second page already told is not told again.
+    fixture.follower.onChanges(
+        {.items = {item("u/b", "2", 12), item("u/c", "3", 13)}, .revision = 13}, fixture.now);
+    CHECK(fixture.changes() == Changes {"u/c=3"});
+}
+
+TEST_CASE("Changes and removals are told as they come")
+{
+    Fixture fixture;
+    fixture.list({item("u/a", "1", 3)}, 5);
+    fixture.changes();
+    fixture.watch({item("u/a", "2", 6), removal("u/a", 7), removal("u/x", 8)}, 8);
+    CHECK(fixture.changes() == Changes {"u/a=2", "-u/a"});
+}
+
+TEST_CASE("One call is under way at a time, and failures are spaced")
+{
+    Fixture fixture;
+    fixture.call();
+    CHECK_FALSE(fixture.follower.takeCall(fixture.now));
+    fixture.follower.onError(CallError::Refused, fixture.now);
+    CHECK_FALSE(fixture.follower.takeCall(fixture.now));
+    REQUIRE(fixture.follower.nextRun());
+    const model::Duration pause = *fixture.follower.nextRun() - fixture.now;
+    CHECK(pause >= milliseconds(50));
+    CHECK(pause <= milliseconds(100));
+    for (int i = 0; i < 10; ++i) {
+        fixture.now = *fixture.follower.nextRun();
+        fixture.fail();
+    }
+    CHECK(*fixture.follower.nextRun() - fixture.now <= milliseconds(800));
+}
+
+TEST_CASE("Dropped history is answered by a new listing, which shows what is gone")
+{
+    Fixture fixture;
+    fixture.list({item("u/a", "1", 3), item("u/b", "1", 4)}, 5);
+    fixture.changes();
+    fixture.fail(CallError::Compacted);
+    fixture.list({item("u/a", "2", 8)}, 9);
+    CHECK(fixture.changes() == Changes {"u/a=2", "-u/b"});
+}
+
+TEST_CASE("After an outage, missing keys have time to come back")
+{
+    Fixture fixture;
+    fixture.list({item("u/a", "1", 3), item("u/b", "1", 4)}, 5);
+    fixture.changes();
+    fixture.loseRegistry();
+    CHECK_FALSE(fixture.follower.isReachable());
+    fixture.watch({removal("u/a", 6), removal("u/b", 7)}, 7);
+    CHECK(fixture.changes().empty());
+    fixture.now += milliseconds(1500);
+    fixture.watch({item("u/a", "1", 9)}, 9);
+    CHECK(fixture.changes() == Changes {"u/a=1"});
+    REQUIRE(fixture.follower.nextRun());
+    fixture.now += milliseconds(700);
+    CHECK(fixture.changes() == Changes {"-u/b"});
+}
+
+TEST_CASE("The registry is told as away after two failures, and as back at once")
+{
+    Fixture fixture;
+    fixture.list({}, 5);
+    fixture.follower.takeNews(fixture.now);
+    fixture.fail();
+    CHECK(fixture.follower.takeNews(fixture.now).empty());
+    fixture.now += model::seconds(1);
+    fixture.fail();
+    auto news = fixture.follower.takeNews(fixture.now);
+    REQUIRE(news.size() == 1);
+    CHECK_FALSE(std::get<Reachable>(news[0]).isReachable);
+    fixture.now += model::seconds(1);
+    fixture.watch({}, 5);
+    news = fixture.follower.takeNews(fixture.now);
+    REQUIRE(news.size() == 1);
+    CHECK(std::get<Reachable>(news[0]).isReachable);
+}
+
+TEST_CASE("A daemon that starts while the registry is away learns from a peer")
+{
+    Fixture fixture;
+    fixture.loseRegistry();
+    fixture.follower.onPeerListing({.items = {item("u/a", "1", 3)}, .revision = 8}, fixture.now);
+    CHECK(fixture.follower.isSynchronized());
+    CHECK(fixture.changes() == Changes {"u/a=1"});
+    CHECK(std::get<WatchChanges>(fixture.call()).afterRevision == 8);
+}
+
+TEST_CASE("A peer's older news are not believed, newer ones are")
+{
+    Fixture fixture;
+    fixture.list({item("u/a", "2", 9), item("u/b", "1", 4)}, 10);
+    fixture.changes();
+    fixture.follower.onPeerListing({.items = {item("u/a", "1", 3)}, .revision = 9}, fixture.now);
+    CHECK(fixture.changes().empty());
+    fixture.follower.onPeerListing({.items = {item("u/a", "3", 12)}, .revision = 12}, fixture.now);
+    CHECK(fixture.changes() == Changes {"u/a=3", "-u/b"});
+    CHECK(fixture.follower.listing().items.size() == 1);
+    CHECK(fixture.follower.listing().revision == 12);
+}
--- /dev/null
+++ b/src/relay/tests/exchangetest.cpp
@@ -0,0 +1,271 @@
+#include "relay/tests/relayfixture.h"
+
+using namespace citronpick;
+using namespace citronpick::relay;
+using namespace citronpick::relay::testing;
+
+TEST_CASE("The longest prefix of the host decides, and what no route takes is not found")
+{
+    ConfigurationContent content;
+    content.routes = {RelayFixture::route("/a/", RequestKind::Idempotent, deskPool),
+                      RelayFixture::route("/a/b/", RequestKind::Idempotent, deskPool)};
+    const RelayConfiguration configuration(content);
+    CHECK(configuration.findRoute("example", "/a/b/c")->prefix == "/a/b/");
+    CHECK(configuration.findRoute("example", "/a/bc")->prefix == "/a/");
+    CHECK_FALSE(configuration.findRoute("example", "/a"));
+    CHECK_FALSE(configuration.findRoute("other", "/a/"));
+    RelayFixture fixture;
+    fixture.arrive("/nowhere");
+    CHECK(fixture.take<RefuseRequest>().refusal == Refusal::UnknownRoute);
+}
+
+TEST_CASE("Keys name accounts; public routes need none")
+{
+    RelayFixture fixture;
+    fixture.arrive("/safe/x", "wrong");
+    CHECK(fixture.take<RefuseRequest>().refusal == Refusal::UnknownKey);
+    fixture.arrive("/safe/x", std::nullopt);
+    CHECK(fixture.take<RefuseRequest>().refusal == Refusal::UnknownKey);
+    fixture.arrive("/safe/x");
+    CHECK(fixture.take<StartAttempt>().account == model::AccountId("account"));
+    fixture.arrive("/open/x", std::nullopt);
+    CHECK(fixture.take<StartAttempt>().account.isEmpty());
+}
+
+TEST_CASE("A revision never goes back, and requests under way keep theirs")
+{
+    RelayFixture fixture;
+    CHECK(fixture.system.setConfiguration(RelayFixture::configuration(5)));
+    CHECK_FALSE(fixture.system.setConfiguration(RelayFixture::configuration(5)));
+    CHECK_FALSE(fixture.system.setConfiguration(RelayFixture::configuration(4)));
+    CHECK(fixture.system.configuration()->revision() == model::Revision(5));
+}
+
+TEST_CASE("Without a configuration requests are told to come back")
+{
+    RelaySystem system({.daemon = model::DaemonId("d")}, {});
+    system.arrive({.request = model::RequestId(1)}, {});
+    bool isTold = false;
+    for (const RelayCommand &command : system.takeCommands()) {
+        if (const auto *refusal = std::get_if<RefuseRequest>(&command)) {
+            isTold = refusal->refusal == Refusal::NoConfiguration
+                     && refusal->retryAfter > model::Duration::zero();
+        }
+    }
+    CHECK(isTold);
+}
+
+TEST_CASE("An answer is passed on, also a failure that the upstream made")
+{
+    for (const uint16_t status : {uint16_t {200}, uint16_t {404}, uint16_t {500}}) {
+        RelayFixture fixture;
+        const model::RequestId id = fixture.arrive("/once/x");
+        const auto attempt = fixture.take<StartAttempt>();
+        CHECK(attempt.needsFreshConnection);
+        fixture.answer(attempt.attempt, RelayFixture::good(status));
+        CHECK(fixture.take<PassAnswer>().request == id);
+        CHECK(fixture.system.requestCount() == 0);
+    }
+}
+
+TEST_CASE("What may run once at most is never sent again once an upstream may have it")
+{
+    for (const AttemptFailure failure :
+         {AttemptFailure::Broken, AttemptFailure::Malformed, AttemptFailure::TimedOut}) {
+        RelayFixture fixture;
+        fixture.arrive("/once/x");
+        fixture.fail(fixture.take<StartAttempt>().attempt, failure);
+        CHECK(fixture.count<StartAttempt>() == 0);
+        CHECK_FALSE(saysNotRun(fixture.take<RefuseRequest>().refusal));
+    }
+}
+
+TEST_CASE("A connection that was never made costs no attempt")
+{
+    RelayFixture fixture;
+    fixture.arrive("/once/x");
+    const auto first = fixture.take<StartAttempt>();
+    fixture.fail(first.attempt, AttemptFailure::NotSent);
+    const auto second = fixture.take<StartAttempt>();
+    CHECK(second.upstream != first.upstream);
+    fixture.fail(second.attempt, AttemptFailure::NotSent);
+    fixture.fail(fixture.take<StartAttempt>().attempt, AttemptFailure::NotSent);
+    CHECK(fixture.take<RefuseRequest>().refusal == Refusal::NoUpstream);
+}
+
+TEST_CASE("A replaced upstream costs no attempt and is passed over from then on")
+{
+    RelayFixture fixture;
+    fixture.arrive("/once/x");
+    const auto first = fixture.take<StartAttempt>();
+    AnswerFacts facts = RelayFixture::notRun(421);
+    facts.isMisdirected = true;
+    fixture.answer(first.attempt, facts);
+    CHECK(fixture.take<StartAttempt>().upstream != first.upstream);
+    for (int i = 0; i < 6; ++i) {
+        fixture.arrive("/once/x");
+        CHECK(fixture.take<StartAttempt>().upstream != first.upstream);
+    }
+}
+
+TEST_CASE("A refusal says truly that a request has not run")
+{
+    RelayFixture fixture;
+    fixture.arrive("/once/x");
+    fixture.answer(fixture.take<StartAttempt>().attempt, RelayFixture::notRun());
+    const auto refusal = fixture.take<RefuseRequest>();
+    CHECK(saysNotRun(refusal.refusal));
+    CHECK(refusal.retryAfter > model::Duration::zero());
+
+    // The first upstream may have run it, so the second one's refusal proves nothing.
+    fixture.arrive("/safe/x");
+    fixture.fail(fixture.take<StartAttempt>().attempt, AttemptFailure::Broken);
+    fixture.answer(fixture.take<StartAttempt>().attempt, RelayFixture::notRun());
+    CHECK_FALSE(saysNotRun(fixture.take<RefuseRequest>().refusal));
+}
+
+TEST_CASE("An idempotent request is sent to another upstream, up to its most attempts")
+{
+    RelayFixture fixture;
+    fixture.arrive("/safe/x");
+    const auto first = fixture.take<StartAttempt>();
+    fixture.answer(first.attempt, RelayFixture::good(500));
+    const auto second = fixture.take<StartAttempt>();
+    CHECK(second.upstream != first.upstream);
+    fixture.answer(second.attempt, RelayFixture::good(500));
+    CHECK(fixture.count<StartAttempt>() == 0);
+    CHECK(fixture.take<PassAnswer>().attempt == second.attempt);
+}
+
+TEST_CASE("Answers without proof, of another request or encoded are not passed on")
+{
+    std::vector<AnswerFacts> bad(3, RelayFixture::good());
+    bad[0].hasProvenance = false;
+    bad[1].isOfRequest = false;
+    bad[2].isEncoded = true;
+    for (const AnswerFacts &facts : bad) {
+        RelayFixture fixture;
+        fixture.arrive("/once/x");
+        fixture.answer(fixture.take<StartAttempt>().attempt, facts);
+        CHECK(fixture.count<PassAnswer>() == 0);
+        CHECK(fixture.take<RefuseRequest>().refusal == Refusal::UpstreamFailed);
+    }
+}
+
+TEST_CASE("A caller that leaves ends the work for it")
+{
+    RelayFixture fixture;
+    const model::RequestId id = fixture.arrive("/stream/x");
+    const auto attempt = fixture.take<StartAttempt>();
+    fixture.system.onCallerGone(id, fixture.now);
+    fixture.collect();
+    CHECK(fixture.take<CancelAttempt>().attempt == attempt.attempt);
+    fixture.answer(attempt.attempt, RelayFixture::good());
+    CHECK(fixture.commands.empty());
+}
+
+TEST_CASE("A request is answered at its route's time or its caller's, whichever comes first")
+{
+    RelayFixture fixture;
+    fixture.arrive("/once/x", "key", milliseconds(900));
+    CHECK(fixture.take<StartAttempt>().timeLeft == milliseconds(900));
+    fixture.pass(milliseconds(900));
+    CHECK(fixture.take<RefuseRequest>().refusal == Refusal::TimedOut);
+    fixture.arrive("/once/x", "key", model::seconds(60));
+    CHECK(fixture.take<StartAttempt>().timeLeft == model::seconds(8));
+    fixture.pass(model::seconds(8));
+    CHECK(fixture.take<RefuseRequest>().refusal == Refusal::TimedOut);
+    CHECK(fixture.count<CancelAttempt>() == 2);
+}
+
+TEST_CASE("A stream begins with its head and is broken off, not completed, when it is lost")
+{
+    RelayFixture fixture;
+    const model::RequestId id = fixture.arrive("/stream/x");
+    const auto attempt = fixture.take<StartAttempt>();
+    fixture.head(attempt.attempt, RelayFixture::good());
+    CHECK(fixture.take<PassStream>().request == id);
+    fixture.fail(attempt.attempt, AttemptFailure::Broken);
+    CHECK(fixture.take<BreakAnswer>().request == id);
+    CHECK(fixture.count<StartAttempt>() == 0);
+}
+
+TEST_CASE("A resumable stream goes on at another upstream after the last event")
+{
+    RelayFixture fixture;
+    const model::RequestId id = fixture.arrive("/resume/x");
+    const auto first = fixture.take<StartAttempt>();
+    fixture.head(first.attempt, RelayFixture::good());
+    fixture.take<PassStream>();
+    fixture.fail(first.attempt, AttemptFailure::Broken, "7");
+    const auto second = fixture.take<StartAttempt>();
+    CHECK(second.upstream != first.upstream);
+    CHECK(second.resumeAfter == "7");
+    fixture.head(second.attempt, RelayFixture::good());
+    CHECK(fixture.take<ContinueStream>().attempt == second.attempt);
+    CHECK(fixture.count<PassStream>() == 0);
+    fixture.end(second.attempt);
+    CHECK(fixture.take<FinishStream>().request == id);
+}
+
+TEST_CASE("A stream whose rest is refused is broken off")
+{
+    RelayFixture fixture;
+    fixture.arrive("/resume/x");
+    const auto first = fixture.take<StartAttempt>();
+    fixture.head(first.attempt, RelayFixture::good());
+    fixture.fail(first.attempt, AttemptFailure::Broken, "7");
+    fixture.answer(fixture.take<StartAttempt>().attempt, RelayFixture::notRun());
+    CHECK(fixture.count<BreakAnswer>() == 1);
+    CHECK(fixture.count<RefuseRequest>() == 0);
+}
+
+TEST_CASE("A leaving upstream gets nothing, also not what arrived before")
+{
+    RelayFixture fixture(2);
+    fixture.list(deskPool, "k0", true);
+    for (int i = 0; i < 5; ++i) {
+        fixture.arrive("/once/x");
+        CHECK(fixture.take<StartAttempt>().upstream == model::UpstreamId("k1"));
+    }
+    fixture.system.upstreams().remove(model::UpstreamId("k1"));
+    fixture.arrive("/once/x");
+    CHECK(fixture.take<RefuseRequest>().refusal == Refusal::NoUpstream);
+}
+
+TEST_CASE("Load pattern: a fleet-wide failure does not turn into a storm of retries")
+{
+    RelayFixture fixture;
+    fixture.system.setPeers({{.id = model::DaemonId("d1")},
+                             {.id = model::DaemonId("d2")},
+                             {.id = model::DaemonId("d3")},
+                             {.id = model::DaemonId("d4")},
+                             {.id = model::DaemonId("d5")}});
+    int sent = 0;
+    for (int i = 0; i < 100; ++i) {
+        fixture.arrive("/safe/x");
+        while (fixture.count<StartAttempt>() > 0) {
+            ++sent;
+            fixture.answer(fixture.take<StartAttempt>().attempt, RelayFixture::good(500));
+        }
+    }
+    // A fifth of a hundred, and seven tenths of a fifth of the slack of fifty.
+    CHECK(sent == 127);
+}
+
+TEST_CASE("A daemon that stops takes what it can finish and sends the rest elsewhere")
+{
+    RelayFixture fixture;
+    fixture.system.beginStop(fixture.now, model::seconds(7));
+    fixture.pass(model::seconds(2));
+    fixture.arrive("/stream/x");
+    CHECK(fixture.count<StartAttempt>() == 1);
+    fixture.pass(milliseconds(500));
+    fixture.arrive("/stream/x");
+    CHECK(fixture.take<RefuseRequest>().refusal == Refusal::Stopping);
+    fixture.arrive("/once/x");
+    CHECK(fixture.count<StartAttempt>() == 2);
+    fixture.pass(model::seconds(4));
+    fixture.arrive("/once/x");
+    CHECK(fixture.take<RefuseRequest>().refusal == Refusal::Stopping);
+}
--- /dev/null
+++ b/src/relay/tests/stagestest.cpp
@@ -0,0 +1,219 @@
+#include "relay/tests/relayfixture.h"
+
+#include <set>
+
+using namespace citronpick;
+using namespace citronpick::relay;
+using namespace citronpick::relay::testing;
+
+namespace
+{
+
+using Handles = std::vector<ResultHandle>;
+
+const PeerDaemon self {.id = model::DaemonId("d1"), .address = "10.0.0.1:1"};
+
+//! Peers of which another daemon than the fixture's schedules the pool of stages.
+std::vector<PeerDaemon> peersWithCoordinator(RelayFixture &fixture)
+{
+    for (int i = 2; i < 20; ++i) {
+        const PeerDaemon other {.id = model::DaemonId(absl::StrCat("d", i)),
+                                .address = absl::StrCat("10.0.0.", i, ":1")};
+        fixture.system.setPeers({self, other});
+        fixture.arrive("/staged/x");
+        const bool isForwarded = fixture.count<ForwardJob>() > 0;
+        fixture.system.onCallerGone(model::RequestId(fixture.lastRequest), fixture.now);
+        fixture.collect();
+        fixture.commands.clear();
+        if (isForwarded) {
+            return {self, other};
+        }
+    }
+    FAIL("no coordinator");
+    return {};
+}
+
+} // namespace
+
+TEST_CASE("A request runs once its stages are done, with their final results")
+{
+    RelayFixture fixture;
+    const model::RequestId id = fixture.arrive("/staged/x");
+    CHECK(fixture.count<StartAttempt>() == 0);
+    fixture.answerBatch();
+    CHECK(fixture.count<StartAttempt>() == 0);
+    fixture.answerBatch();
+    CHECK(fixture.take<ReleaseResults>().handles == Handles {"h0/1"});
+    const auto attempt = fixture.take<StartAttempt>();
+    CHECK(attempt.hasStages);
+    CHECK(attempt.inputs == Handles {"h1/2"});
+    CHECK(fixture.count<ReleaseResults>() == 0);
+    fixture.head(attempt.attempt, RelayFixture::good());
+    CHECK(fixture.take<ReleaseResults>().handles == Handles {"h1/2"});
+    fixture.end(attempt.attempt);
+    CHECK(fixture.take<FinishStream>().request == id);
+}
+
+TEST_CASE("Results that were lost are made again, once")
+{
+    RelayFixture fixture;
+    fixture.arrive("/staged/x");
+    fixture.answerBatch();
+    fixture.answerBatch();
+    fixture.answer(fixture.take<StartAttempt>().attempt, RelayFixture::notRun(409));
+    fixture.answerBatch();
+    fixture.answerBatch();
+    fixture.answer(fixture.take<StartAttempt>().attempt, RelayFixture::notRun(409));
+    CHECK(fixture.count<RunBatch>() == 0);
+    CHECK(fixture.take<RefuseRequest>().refusal == Refusal::StagesFailed);
+}
+
+TEST_CASE("Inputs that are gone restart the stages")
+{
+    RelayFixture fixture;
+    fixture.arrive("/staged/x");
+    fixture.answerBatch();
+    fixture.answerBatch(ItemFailure::InputsGone);
+    CHECK(fixture.take<RunBatch>().items.front().stage == 0);
+}
+
+TEST_CASE("A caller that leaves gives back what its stages made")
+{
+    RelayFixture fixture;
+    const model::RequestId id = fixture.arrive("/staged/x");
+    fixture.answerBatch();
+    fixture.system.onCallerGone(id, fixture.now);
+    fixture.collect();
+    CHECK(fixture.take<ReleaseResults>().handles == Handles {"h0/1"});
+}
+
+TEST_CASE("A stream that cannot begin within its caller's patience is refused, not held")
+{
+    RelayFixture fixture;
+    fixture.arrive("/staged/x");
+    const auto batch = fixture.take<RunBatch>();
+    for (int i = 0; i < 80; ++i) {
+        fixture.pass(milliseconds(100));
+        while (fixture.count<RunBatch>() > 0) {
+            fixture.system.onBatchRefused(fixture.take<RunBatch>().batch, fixture.now);
+            fixture.collect();
+        }
+        if (fixture.count<RefuseRequest>() > 0) {
+            break;
+        }
+    }
+    const auto refusal = fixture.take<RefuseRequest>();
+    CHECK(saysNotRun(refusal.refusal));
+    // Four times the latency target of two seconds is the longest of the three patiences.
+    CHECK(fixture.now < model::TimePoint(model::seconds(108)));
+    static_cast<void>(batch);
+}
+
+TEST_CASE("Stages go to the daemon that schedules their pool")
+{
+    RelayFixture fixture;
+    const std::vector<PeerDaemon> peers = peersWithCoordinator(fixture);
+    fixture.arrive("/staged/x");
+    CHECK(fixture.count<RunBatch>() == 0);
+    const auto forward = fixture.take<ForwardJob>();
+    CHECK(forward.peer == peers[1]);
+    CHECK(forward.content.key == "piece");
+    fixture.system.onForwardAnswered(forward.job, {.handles = {"h"}}, fixture.now);
+    fixture.collect();
+    CHECK(fixture.take<ForwardJob>().content.inputs == Handles {"h"});
+}
+
+TEST_CASE("A coordinator that fails is passed over for a while and its stages run here")
+{
+    RelayFixture fixture;
+    peersWithCoordinator(fixture);
+    fixture.arrive("/staged/x");
+    fixture.system.onForwardFailed(fixture.take<ForwardJob>().job, fixture.now);
+    fixture.collect();
+    CHECK(fixture.count<RunBatch>() == 1);
+    fixture.commands.clear();
+    fixture.arrive("/staged/x");
+    CHECK(fixture.count<ForwardJob>() == 0);
+    fixture.pass(model::seconds(3));
+    fixture.commands.clear();
+    fixture.arrive("/staged/x");
+    CHECK(fixture.count<ForwardJob>() == 1);
+}
+
+TEST_CASE("A coordinator that falls silent is taken for stuck")
+{
+    RelayFixture fixture;
+    peersWithCoordinator(fixture);
+    fixture.arrive("/staged/x");
+    const auto forward = fixture.take<ForwardJob>();
+    fixture.pass(milliseconds(1499));
+    CHECK(fixture.count<CancelForward>() == 0);
+    fixture.pass(milliseconds(1));
+    CHECK(fixture.take<CancelForward>().job == forward.job);
+    CHECK(fixture.count<RunBatch>() == 1);
+}
+
+TEST_CASE("A coordinator without upstreams yet hands stages back")
+{
+    RelayFixture fixture;
+    peersWithCoordinator(fixture);
+    fixture.arrive("/staged/x");
+    fixture.system.onForwardAnswered(fixture.take<ForwardJob>().job,
+                                     {.failure = JobFailure::NoUpstream}, fixture.now);
+    fixture.collect();
+    CHECK(fixture.count<RunBatch>() == 1);
+}
+
+TEST_CASE("A peer's stage is run and answered, or dropped with the peer's end")
+{
+    RelayFixture fixture;
+    const StageJob job {.pool = stagePool,
+                        .request = model::CallerRequestId("theirs"),
+                        .pieceCount = 2,
+                        .key = "k",
+                        .due = fixture.now + model::seconds(1),
+                        .deadline = fixture.now + model::seconds(5)};
+    fixture.system.onPeerJob(17, job, fixture.now);
+    fixture.collect();
+    fixture.answerBatch();
+    const auto answer = fixture.take<AnswerPeer>();
+    CHECK(answer.exchange == 17);
+    CHECK(answer.result.handles.size() == 2);
+    fixture.system.onPeerJob(18, job, fixture.now);
+    fixture.collect();
+    fixture.system.onPeerGone(18);
+    fixture.answerBatch();
+    CHECK(fixture.count<AnswerPeer>() == 0);
+    CHECK(fixture.take<ReleaseResults>().handles.size() == 2);
+}
+
+TEST_CASE("Daemons that know the same members agree on who schedules a pool")
+{
+    std::vector<PeerDaemon> peers;
+    for (int i = 1; i <= 6; ++i) {
+        peers.push_back({.id = model::DaemonId(absl::StrCat("d", i)),
+                         .address = absl::StrCat("10.0.0.", i, ":1")});
+    }
+    std::set<std::string> coordinators;
+    for (const PeerDaemon &peer : peers) {
+        RelaySystem system({.daemon = peer.id}, {});
+        system.setConfiguration(RelayFixture::configuration(1));
+        system.upstreams().apply({.id = model::UpstreamId("s"), .pool = stagePool});
+        system.setPeers(peers);
+        system.arrive({.request = model::RequestId(1),
+                       .callerId = model::CallerRequestId("c"),
+                       .host = "example",
+                       .path = "/staged/x",
+                       .accountKey = "key"},
+                      model::TimePoint(model::seconds(1)));
+        for (const RelayCommand &command : system.takeCommands()) {
+            if (const auto *forward = std::get_if<ForwardJob>(&command)) {
+                coordinators.insert(forward->peer.id.text());
+            }
+            if (std::holds_alternative<RunBatch>(command)) {
+                coordinators.insert(peer.id.text());
+            }
+        }
+    }
+    CHECK(coordinators.size() == 1);
+}
