A quarter more than the usual time is left to later stages

Cause: half of all jobs take longer than the usual time, and those fell behind in their last stage. Change: stageTimeMargin 1.25.

--- a/src/relay/internal/relaystages.cpp
+++ b/src/relay/internal/relaystages.cpp
@@ -22,6 +22,8 @@
 //! Prompts differ in size and engines in load: most are done within this multiple of the usual
 //! time.
 constexpr double engineTimeMargin = 1.5;
+//! Jobs differ in pieces and in luck: most are done within this multiple of the usual time.
+constexpr double stageTimeMargin = 1.25;
 //! Weight of the newest job in what a pool's stage is expected to take.
 constexpr double stageTimeWeight = 0.15;
 //! Jobs that fell behind while they waited tell of the queue, up to this multiple of a batch.
@@ -67,7 +69,7 @@
         = pool->batch->callTime + pool->batch->itemTime * static_cast<int64_t>(pieces);
     const auto learnt = m_stageTimes.find(pool->id);
     const bool isLearnt = estimate == Estimate::Usual && learnt != m_stageTimes.end();
-    return isLearnt ? std::max(least, learnt->second) : least;
+    return isLearnt ? std::max(least, model::scaled(learnt->second, stageTimeMargin)) : least;
 }
 
 // What a stage takes with its queue. A request whose later stages leave it no time gives way in its
