--- a/src/relay/internal/relaystages.cpp
+++ b/src/relay/internal/relaystages.cpp
@@ -76,7 +76,7 @@
 // first stage, before it has cost the work of all others.
 void RelaySystem::learnStageTime(const model::PoolId &pool, const JobResult &result)
 {
-    if (result.failure != JobFailure::None || result.wasLate) {
+    if (result.failure != JobFailure::None) {
         return;
     }
     const PoolRule *rule = m_configuration->findPool(pool);
@@ -86,6 +86,11 @@
     const model::Duration took
         = std::min(result.took, rule->batch->callTime * maxStageTimeInBatches);
     const auto [it, isNew] = m_stageTimes.emplace(pool, took);
+    // Late jobs wait for others, which says nothing of the pool; those that are fast all the same
+    // keep a high estimate from making every job late.
+    if (result.wasLate && took >= it->second) {
+        return;
+    }
     it->second += model::scaled(took - it->second, stageTimeWeight);
 }
 
