--- a/src/net/internal/exchangeserver.cpp
+++ b/src/net/internal/exchangeserver.cpp
@@ -37,6 +37,10 @@
     ~Impl()
     {
         stopListening();
+        // The handler is ending as well, so nobody is told.
+        for (const auto &[id, connection] : m_connections) {
+            connection->exchange = 0;
+        }
         while (!m_connections.empty()) {
             destroy(*m_connections.begin()->second);
         }
--- a/src/net/queryescape.h
+++ b/src/net/queryescape.h
@@ -10,6 +10,9 @@
 //! Percent-encodes a value of a query parameter.
 std::string escapeQuery(std::string_view value);
 
+//! The decoded value of a parameter in a request's target; empty when it is absent.
+std::string queryValue(std::string_view target, std::string_view name);
+
 } // namespace citronpick::net
 
 #endif // CITRONPICK_NET_QUERYESCAPE_H
