--- a/src/daemon/internal/exchangerunner.cpp
+++ b/src/daemon/internal/exchangerunner.cpp
@@ -185,6 +185,7 @@
         attempt->collected.append(bytes);
         return;
     }
+    m_system.onAttemptProgress(id, net::EventLoop::now());
     write(*attempt, bytes);
     if (m_server.buffered(attempt->request.value()) > maxBufferedBytes) {
         m_client.setPaused(call, true);
--- a/src/relay/internal/batchscheduler.cpp
+++ b/src/relay/internal/batchscheduler.cpp
@@ -253,8 +253,8 @@
     }
     for (const auto &[number, batch] : m_batches) {
         const Upstream *upstream = m_directory.find(batch.upstream);
-        const model::TimePoint end = batch.startedAt + model::scaled(batch.expected, pool.slowness)
-                                     + batchTimeSpread;
+        const model::TimePoint end
+            = batch.startedAt + model::scaled(batch.expected, pool.slowness) + batchTimeSpread;
         if (batch.pool == id && upstream && !upstream->listing.isLeaving && end > now) {
             note(upstream->listing.zone, end);
         }
--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -21,6 +21,10 @@
 constexpr model::Duration fullRetry = model::milliseconds(300);
 //! A pool without upstreams gets one within seconds, if at all.
 constexpr model::Duration emptyPoolRetry = model::seconds(1);
+//! A resumable stream goes on elsewhere after this many of its longest pauses, long prompts beside
+//! it in the same engine allowed for.
+constexpr int64_t resumeSilenceInPauses = 3;
+constexpr model::Duration minResumeSilence = model::milliseconds(1000);
 //! Weight of the newest request in what the first event of a route's streams takes.
 constexpr double firstEventWeight = 0.1;
 constexpr uint16_t conflictStatus = 409;
@@ -31,6 +35,13 @@
 {
     const model::RequestId id = exchange.arrived.request;
     const std::vector<ResultHandle> inputs = exchange.plan.finalResults();
+    const bool isHopeless = isStream(exchange.route->kind) && !exchange.isPassing
+                            && now + engineTime(exchange, Estimate::Least) >= exchange.firstBy;
+    if (isHopeless) {
+        // The caller would be gone before the first event.
+        refuse(id, Refusal::TooLate, fullRetry);
+        return;
+    }
     const Upstream *choice = m_chooser.choose(demandOf(exchange), now);
     if (!choice) {
         if (exchange.isPassing) {
@@ -51,7 +62,8 @@
     m_attempts[attempt] = {.request = id,
                            .upstream = upstream.listing.id,
                            .tokens = exchange.arrived.promptTokens,
-                           .startedAt = now};
+                           .startedAt = now,
+                           .progressAt = now};
     exchange.attempt = attempt;
     exchange.tried.push_back(upstream.listing.id);
     ++exchange.sentAttempts;
@@ -124,6 +136,8 @@
         return;
     }
     m_directory.noteSuccess(it->second.upstream);
+    it->second.progressAt = now;
+    m_timeouts.add(now + silenceLimit(exchange), exchange.arrived.request);
     if (exchange.isPassing) {
         m_commands.emplace_back(
             ContinueStream {.request = exchange.arrived.request, .attempt = id});
@@ -144,6 +158,45 @@
     }
 }
 
+void RelaySystem::onAttemptProgress(model::AttemptId id, model::TimePoint now)
+{
+    const auto it = m_attempts.find(id);
+    if (it != m_attempts.end()) {
+        it->second.progressAt = now;
+    }
+}
+
+// A stream that another upstream can go on with is given up soon. For any other, nothing is gained
+// before its caller gives it up.
+model::Duration RelaySystem::silenceLimit(const Exchange &exchange)
+{
+    const bool isResumable = exchange.route->kind == RequestKind::ResumableStream
+                             && exchange.sentAttempts < exchange.route->maxAttempts;
+    return isResumable
+               ? std::max(minResumeSilence, resumeSilenceInPauses * exchange.route->pauseTarget)
+               : patienceOf(*exchange.route);
+}
+
+void RelaySystem::checkSilence(Exchange &exchange, model::TimePoint now)
+{
+    const model::AttemptId id = exchange.attempt;
+    const auto it = m_attempts.find(id);
+    if (it == m_attempts.end()) {
+        return;
+    }
+    const model::TimePoint limit = it->second.progressAt + silenceLimit(exchange);
+    if (now < limit) {
+        m_timeouts.add(limit, exchange.arrived.request);
+        return;
+    }
+    const Attempt attempt = closeAttempt(id);
+    m_commands.emplace_back(CancelAttempt {.attempt = id});
+    m_directory.noteFailure(attempt.upstream, now);
+    record(EventCode::AttemptLost, exchange, attempt.upstream.text(),
+           absl::StrCat("why=silent silentMs=", model::toMilliseconds(now - attempt.progressAt)));
+    onLost(exchange, attempt.upstream, AttemptFailure::TimedOut, now);
+}
+
 void RelaySystem::onAttemptEnd(model::AttemptId id, model::TimePoint now)
 {
     if (!m_attempts.contains(id)) {
--- a/src/relay/internal/relaystages.cpp
+++ b/src/relay/internal/relaystages.cpp
@@ -22,6 +22,8 @@
 //! Prompts differ in size and engines in load: most are done within this multiple of the usual
 //! time.
 constexpr double engineTimeMargin = 1.5;
+//! Short prompts in engines with room take about half.
+constexpr double engineTimeAtBest = 0.5;
 //! Jobs differ in pieces and in luck: most are done within this multiple of the usual time.
 constexpr double stageTimeMargin = 1.25;
 //! Weight of the newest job in what a pool's stage is expected to take.
@@ -95,18 +97,21 @@
 }
 
 // From the request's sending to the first event of its answer.
-model::Duration RelaySystem::engineTime(const Exchange &exchange) const
+model::Duration RelaySystem::engineTime(const Exchange &exchange, Estimate estimate) const
 {
+    const bool isLeast = estimate == Estimate::Least;
     const auto learnt = m_firstEventTimes.find(exchange.route->id);
-    return learnt == m_firstEventTimes.end() ? engineAllowance
-                                             : model::scaled(learnt->second, engineTimeMargin);
+    if (learnt == m_firstEventTimes.end()) {
+        return isLeast ? shortestEngineTime : engineAllowance;
+    }
+    return model::scaled(learnt->second, isLeast ? engineTimeAtBest : engineTimeMargin);
 }
 
 // Time that the longest way from the end of a stage to the first token takes.
 model::Duration RelaySystem::timeAfter(const Exchange &exchange, uint32_t stage,
                                        Estimate estimate) const
 {
-    model::Duration longest = estimate == Estimate::Usual ? engineAllowance : shortestEngineTime;
+    model::Duration longest = engineTime(exchange, estimate);
     const std::vector<StageRule> &stages = exchange.route->stages;
     for (uint32_t i = 0; i < stages.size(); ++i) {
         const std::vector<uint32_t> &after = stages[i].after;
--- a/src/relay/internal/relaysystem.cpp
+++ b/src/relay/internal/relaysystem.cpp
@@ -247,6 +247,12 @@
     close(id);
 }
 
+model::Duration RelaySystem::patienceOf(const RouteRule &route)
+{
+    return std::max({minPatience, patienceInTargets * route.latencyTarget,
+                     patienceInPauses * route.pauseTarget});
+}
+
 // Callers leave a stream that does not begin. Just before that they can still be told when to
 // come back.
 model::TimePoint RelaySystem::firstEventLimit(const Exchange &exchange)
@@ -254,16 +260,20 @@
     if (!isStream(exchange.route->kind)) {
         return exchange.deadline;
     }
-    const model::Duration patience
-        = std::max({minPatience, patienceInTargets * exchange.route->latencyTarget,
-                    patienceInPauses * exchange.route->pauseTarget});
-    return std::min(exchange.deadline, exchange.arrived.startedAt + patience - patienceMargin);
+    return std::min(exchange.deadline,
+                    exchange.arrived.startedAt + patienceOf(*exchange.route) - patienceMargin);
 }
 
 void RelaySystem::onTimeout(model::RequestId id, model::TimePoint now)
 {
     Exchange *exchange = find(id);
-    if (!exchange || (now < exchange->deadline && exchange->attempt.value() != 0)) {
+    if (!exchange) {
+        return;
+    }
+    if (now < exchange->deadline && exchange->attempt.value() != 0) {
+        if (exchange->isPassing) {
+            checkSilence(*exchange, now);
+        }
         return;
     }
     if (exchange->isPassing) {
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -78,6 +78,8 @@
     void onCallerGone(model::RequestId request, model::TimePoint now);
 
     void onAttemptHead(model::AttemptId attempt, const AnswerFacts &facts, model::TimePoint now);
+    //! More of a stream has come.
+    void onAttemptProgress(model::AttemptId attempt, model::TimePoint now);
     //! The answer was read to its end.
     void onAttemptEnd(model::AttemptId attempt, model::TimePoint now);
     //! \a lastEvent is the id of the last whole event that was passed on.
@@ -142,6 +144,7 @@
         model::UpstreamId upstream;
         uint64_t tokens = 0;
         model::TimePoint startedAt;
+        model::TimePoint progressAt; //!< When something of its answer last came.
         std::optional<AnswerFacts> facts;
     };
     //! Who waits for a stage.
@@ -170,6 +173,8 @@
     std::optional<Refusal> admit(Exchange &exchange, model::TimePoint now) const;
     model::PoolId poolOf(const Exchange &exchange) const;
     void refuse(model::RequestId request, Refusal refusal, model::Duration retryAfter);
+    //! How long callers wait for a stream's first event, or for the next.
+    static model::Duration patienceOf(const RouteRule &route);
     static model::TimePoint firstEventLimit(const Exchange &exchange);
     void onTimeout(model::RequestId request, model::TimePoint now);
 
@@ -188,7 +193,9 @@
     void cancelJobs(Exchange &exchange);
     void checkPeers(model::TimePoint now);
     void learnStageTime(const model::PoolId &pool, const JobResult &result);
-    model::Duration engineTime(const Exchange &exchange) const;
+    model::Duration engineTime(const Exchange &exchange, Estimate estimate) const;
+    static model::Duration silenceLimit(const Exchange &exchange);
+    void checkSilence(Exchange &exchange, model::TimePoint now);
     model::Duration stageTime(const Exchange &exchange, uint32_t stage, Estimate estimate) const;
     model::Duration timeAfter(const Exchange &exchange, uint32_t stage, Estimate estimate) const;
 
--- a/src/relay/tests/exchangetest.cpp
+++ b/src/relay/tests/exchangetest.cpp
@@ -269,3 +269,32 @@
     fixture.arrive("/once/x");
     CHECK(fixture.take<RefuseRequest>().refusal == Refusal::Stopping);
 }
+
+TEST_CASE(
+    "A resumable stream that falls silent goes on elsewhere, with its connection closed first")
+{
+    RelayFixture fixture;
+    fixture.arrive("/resume/x");
+    const auto first = fixture.take<StartAttempt>();
+    fixture.head(first.attempt, RelayFixture::good());
+    for (int i = 0; i < 5; ++i) {
+        fixture.pass(milliseconds(600));
+        fixture.system.onAttemptProgress(first.attempt, fixture.now);
+    }
+    CHECK(fixture.count<StartAttempt>() == 0);
+    fixture.pass(milliseconds(1200));
+    REQUIRE(fixture.commands.size() == 3);
+    CHECK(std::get<CancelAttempt>(fixture.commands[1]).attempt == first.attempt);
+    CHECK(std::get<StartAttempt>(fixture.commands[2]).upstream != first.upstream);
+}
+
+TEST_CASE("A stream that cannot go on elsewhere is held as long as its caller waits")
+{
+    RelayFixture fixture;
+    fixture.arrive("/stream/x");
+    fixture.head(fixture.take<StartAttempt>().attempt, RelayFixture::good());
+    fixture.pass(milliseconds(7900));
+    CHECK(fixture.count<BreakAnswer>() == 0);
+    fixture.pass(milliseconds(100));
+    CHECK(fixture.count<BreakAnswer>() == 1);
+}
