One watch for configuration and upstreams

Ruled out: longer waits (a connection that went silent is found no sooner than a wait). Change: one follower of all keys; the adapter tells what a key holds; peers hand on the configuration with their listing.

--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -132,14 +132,10 @@
     m_peerJobs = std::make_unique<PeerJobs>(m_loop, m_client, *m_stageAuth, *m_relay, *this,
                                             m_settings.stagePort);
     m_control = std::make_unique<ControlApi>(m_loop, *this, m_format);
-    m_configurationReader = std::make_unique<RegistryReader>(
+    m_registry = std::make_unique<RegistryReader>(
         m_client, m_format, m_settings.registry,
-        registry::FollowerOptions {.prefix = m_format.configurationPrefix()}, seed,
-        [this](const registry::FollowerNews &news) { onConfigurationNews(news); });
-    m_upstreamReader = std::make_unique<RegistryReader>(
-        m_client, m_format, m_settings.registry,
-        registry::FollowerOptions {.prefix = m_format.upstreamPrefix()}, seed + 1,
-        [this](const registry::FollowerNews &news) { onUpstreamNews(news); });
+        registry::FollowerOptions {.prefix = m_format.registryPrefix()}, seed,
+        [this](const registry::FollowerNews &news) { onRegistryNews(news); });
 }
 
 model::Duration RelayDaemon::waitTime(model::TimePoint now) const
@@ -149,8 +145,7 @@
         next = at ? std::min(next, *at) : next;
     };
     consider(m_relay->nextRun());
-    consider(m_configurationReader->follower().nextRun());
-    consider(m_upstreamReader->follower().nextRun());
+    consider(m_registry->follower().nextRun());
     constexpr model::Duration roundUp = model::milliseconds(1) - model::Duration(1);
     return std::max(model::Duration::zero(), next - now + roundUp);
 }
@@ -159,8 +154,7 @@
 {
     m_loop.runOnce(waitTime(net::EventLoop::now()));
     const model::TimePoint now = net::EventLoop::now();
-    m_configurationReader->run(now);
-    m_upstreamReader->run(now);
+    m_registry->run(now);
     m_relay->run(now);
     execute();
     if (now >= m_nextSweep) {
@@ -248,8 +242,7 @@
                        m_fleet->onExchangeFailed(failed.exchange, now);
                    },
                    [&](const core::ConfigurationOffered &offered) {
-                       offerConfiguration(m_format.configurationPrefix(), offered.file.text,
-                                          "peer");
+                       offerConfiguration(offered.file.text, "peer");
                    },
                    [](const auto &) {
                        // The other events concern daemons that run pipelines themselves.
@@ -277,16 +270,16 @@
 
 std::optional<std::string> RelayDaemon::listingForPeers() const
 {
-    if (!m_upstreamReader->follower().isSynchronized()) {
+    if (!m_registry->follower().isSynchronized()) {
         return std::nullopt;
     }
-    return encodeListing(m_upstreamReader->follower().listing());
+    return encodeListing(m_registry->follower().listing());
 }
 
 // While the registry cannot be read here, what others have read is the best there is.
 void RelayDaemon::askPeersForListing(model::TimePoint now)
 {
-    const registry::RegistryFollower &follower = m_upstreamReader->follower();
+    const registry::RegistryFollower &follower = m_registry->follower();
     if (follower.isReachable() || now < m_nextListing) {
         return;
     }
@@ -310,40 +303,45 @@
                     .detail = absl::StrCat("why=", listing.status().message())});
             return;
         }
-        m_upstreamReader->takePeerListing(*listing, net::EventLoop::now());
+        m_registry->takePeerListing(*listing, net::EventLoop::now());
     });
 }
 
 void RelayDaemon::onRegistryNews(const registry::FollowerNews &news)
 {
-    const auto *reachable = std::get_if<registry::Reachable>(&news);
-    if (reachable) {
+    if (const auto *reachable = std::get_if<registry::Reachable>(&news)) {
         record({.code = reachable->isReachable ? EventCode::PlatformAvailable
                                                : EventCode::PlatformUnavailable,
                 .request = {},
                 .subject = config::toText(m_settings.registry),
-                .detail = absl::StrCat("revision=", m_upstreamReader->follower().revision())});
+                .detail = absl::StrCat("revision=", m_registry->follower().revision())});
     }
-}
-
-void RelayDaemon::onConfigurationNews(const registry::FollowerNews &news)
-{
-    onRegistryNews(news);
     const auto *changed = std::get_if<registry::KeyChanged>(&news);
-    // A configuration that is gone from the registry stays in force.
-    if (changed && changed->value) {
-        offerConfiguration(changed->key, *changed->value, "registry");
+    if (!changed) {
+        return;
+    }
+    switch (m_format.kindOf(changed->key)) {
+    case RegistryKey::Configuration:
+        // A configuration that is gone from the registry stays in force.
+        if (changed->value) {
+            offerConfiguration(*changed->value, "registry");
+        }
+        return;
+    case RegistryKey::Upstream:
+        onUpstreamChanged(*changed);
+        return;
+    case RegistryKey::Other:
+        return;
     }
 }
 
-void RelayDaemon::offerConfiguration(const std::string &key, const std::string &text,
-                                     std::string_view source)
+void RelayDaemon::offerConfiguration(const std::string &text, std::string_view source)
 {
-    auto content = m_format.decodeConfiguration(key, text);
+    auto content = m_format.decodeConfiguration(text);
     if (!content.ok()) {
         record({.code = EventCode::ConfigurationRejected,
                 .request = {},
-                .subject = key,
+                .subject = config::toText(m_settings.registry),
                 .detail = absl::StrCat("source=", model::toAbsl(source),
                                        " why=", content.status().message())});
         return;
@@ -370,16 +368,11 @@
                                    " routes=", configuration->content().routes.size())});
 }
 
-void RelayDaemon::onUpstreamNews(const registry::FollowerNews &news)
+void RelayDaemon::onUpstreamChanged(const registry::KeyChanged &changed)
 {
-    onRegistryNews(news);
-    const auto *changed = std::get_if<registry::KeyChanged>(&news);
-    if (!changed) {
-        return;
-    }
-    const model::UpstreamId id = m_format.upstreamOf(changed->key);
-    const std::string revision = absl::StrCat("revision=", changed->revision);
-    if (!changed->value) {
+    const model::UpstreamId id = m_format.upstreamOf(changed.key);
+    const std::string revision = absl::StrCat("revision=", changed.revision);
+    if (!changed.value) {
         if (m_relay->upstreams().remove(id)) {
             record({.code = EventCode::UpstreamRemoved,
                     .request = {},
@@ -388,7 +381,7 @@
         }
         return;
     }
-    const auto listing = m_format.decodeUpstream(changed->key, *changed->value);
+    const auto listing = m_format.decodeUpstream(changed.key, *changed.value);
     if (!listing.ok()) {
         m_relay->upstreams().remove(id);
         record({.code = EventCode::ListingRejected,
@@ -454,8 +447,7 @@
 
 bool RelayDaemon::isReady() const
 {
-    return !m_drainingSince && m_relay->configuration()
-           && m_upstreamReader->follower().isSynchronized();
+    return !m_drainingSince && m_relay->configuration() && m_registry->follower().isSynchronized();
 }
 
 void RelayDaemon::checkReady(model::TimePoint now)
--- a/src/daemon/iwireformat.h
+++ b/src/daemon/iwireformat.h
@@ -24,6 +24,13 @@
     Entries, //!< Which daemons to use.
 };
 
+//! What a key of the registry holds.
+enum class RegistryKey {
+    Other,
+    Configuration,
+    Upstream,
+};
+
 //! Names, formats and calls of the deployment that a daemon runs in. Decides nothing.
 class IWireFormat
 {
@@ -52,8 +59,9 @@
                   const std::vector<relay::ResultHandle> &handles) const = 0;
 
     // Registry
-    virtual std::string upstreamPrefix() const = 0;
-    virtual std::string configurationPrefix() const = 0;
+    //! Of all keys that are followed.
+    virtual std::string registryPrefix() const = 0;
+    virtual RegistryKey kindOf(std::string_view key) const = 0;
     virtual net::UpstreamCall encodeRead(const config::Endpoint &to, const std::string &prefix,
                                          const std::string &afterKey) const = 0;
     virtual net::UpstreamCall encodeWatch(const config::Endpoint &to, const std::string &prefix,
@@ -61,9 +69,8 @@
     virtual absl::StatusOr<registry::RegistryPage> decodePage(std::string_view body) const = 0;
     virtual absl::StatusOr<registry::RegistryChanges>
     decodeChanges(std::string_view body) const = 0;
-    //! NotFound when the key is not the configuration's.
     virtual absl::StatusOr<relay::ConfigurationContent>
-    decodeConfiguration(std::string_view key, std::string_view value) const = 0;
+    decodeConfiguration(std::string_view value) const = 0;
     virtual absl::StatusOr<relay::UpstreamListing> decodeUpstream(std::string_view key,
                                                                   std::string_view value) const = 0;
     virtual model::UpstreamId upstreamOf(std::string_view key) const = 0;
--- a/src/daemon/relaydaemon.h
+++ b/src/daemon/relaydaemon.h
@@ -74,10 +74,8 @@
     void askPeersForListing(model::TimePoint now);
     void startParts(model::Incarnation incarnation, model::TimePoint now);
     void onRegistryNews(const registry::FollowerNews &news);
-    void onConfigurationNews(const registry::FollowerNews &news);
-    void offerConfiguration(const std::string &key, const std::string &text,
-                            std::string_view source);
-    void onUpstreamNews(const registry::FollowerNews &news);
+    void offerConfiguration(const std::string &text, std::string_view source);
+    void onUpstreamChanged(const registry::KeyChanged &changed);
     void execute(relay::RelayCommand &command);
     void runFleet(model::TimePoint now);
     void refreshPeers(model::TimePoint now);
@@ -99,8 +97,7 @@
     std::unique_ptr<BatchRunner> m_batches;
     std::unique_ptr<PeerJobs> m_peerJobs;
     std::unique_ptr<ControlApi> m_control;
-    std::unique_ptr<RegistryReader> m_configurationReader;
-    std::unique_ptr<RegistryReader> m_upstreamReader;
+    std::unique_ptr<RegistryReader> m_registry;
     std::string m_configurationText;
     model::TimePoint m_nextSweep;
     model::TimePoint m_nextFetch;
