A silent stream is resumed after the last event passed on; late jobs by priority first

Ruled out: partial events (they are not passed on); the upstream (it went on after the id it was given). Change: the last event is noted as it is passed on (the test of the resume now checks it, and failed before); late jobs are ordered by priority, then by deadline.

--- a/src/daemon/internal/exchangerunner.cpp
+++ b/src/daemon/internal/exchangerunner.cpp
@@ -185,8 +185,8 @@
         attempt->collected.append(bytes);
         return;
     }
-    m_system.onAttemptProgress(id, net::EventLoop::now());
     write(*attempt, bytes);
+    m_system.onAttemptProgress(id, attempt->splitter.lastEvent(), net::EventLoop::now());
     if (m_server.buffered(attempt->request.value()) > maxBufferedBytes) {
         m_client.setPaused(call, true);
     }
@@ -249,6 +249,8 @@
     attempt->isPassing = true;
     m_passing[command.request] = command.attempt;
     write(*attempt, std::exchange(attempt->collected, {}));
+    m_system.onAttemptProgress(command.attempt, attempt->splitter.lastEvent(),
+                               net::EventLoop::now());
 }
 
 void ExchangeRunner::finishStream(const relay::FinishStream &command)
--- a/src/relay/internal/batchscheduler.cpp
+++ b/src/relay/internal/batchscheduler.cpp
@@ -182,13 +182,14 @@
 }
 
 // Jobs that can still meet their target go first, the earliest due before others. Those that have
-// missed it are worth less: they take what room is left, the nearest deadline first. Results that
-// would expire before they are used count as a deadline.
+// missed it are worth less: they take what room is left, the more urgent kind first and the nearest
+// deadline among equals. Results that would expire before they are used count as a deadline.
 void BatchScheduler::order(Pool &pool, const BatchRule &rule, const model::ZoneId &zone,
                            model::TimePoint now)
 {
     struct Rank {
         bool isLate = false;
+        uint32_t priority = 0; //!< Of late jobs only.
         model::TimePoint at;
         JobId id;
 
@@ -202,6 +203,7 @@
         const bool isElsewhere = !zone.isEmpty() && !wanted.isEmpty() && wanted != zone;
         const model::TimePoint last = std::min(job.content.deadline, job.expiresAt());
         ranks.push_back({.isLate = isLate,
+                         .priority = isLate ? job.content.priority : 0,
                          .at = (isLate ? last : job.content.due)
                                + (isElsewhere ? otherZonePenalty : model::Duration::zero()),
                          .id = id});
--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -158,11 +158,16 @@
     }
 }
 
-void RelaySystem::onAttemptProgress(model::AttemptId id, model::TimePoint now)
+void RelaySystem::onAttemptProgress(model::AttemptId id, const std::string &lastEvent,
+                                    model::TimePoint now)
 {
     const auto it = m_attempts.find(id);
-    if (it != m_attempts.end()) {
-        it->second.progressAt = now;
+    if (it == m_attempts.end()) {
+        return;
+    }
+    it->second.progressAt = now;
+    if (!lastEvent.empty()) {
+        find(it->second.request)->lastEvent = lastEvent;
     }
 }
 
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -78,8 +78,9 @@
     void onCallerGone(model::RequestId request, model::TimePoint now);
 
     void onAttemptHead(model::AttemptId attempt, const AnswerFacts &facts, model::TimePoint now);
-    //! More of a stream has come.
-    void onAttemptProgress(model::AttemptId attempt, model::TimePoint now);
+    //! More of a stream has been passed on; \a lastEvent is the id of its last whole event.
+    void onAttemptProgress(model::AttemptId attempt, const std::string &lastEvent,
+                           model::TimePoint now);
     //! The answer was read to its end.
     void onAttemptEnd(model::AttemptId attempt, model::TimePoint now);
     //! \a lastEvent is the id of the last whole event that was passed on.
--- a/src/relay/tests/batchschedulertest.cpp
+++ b/src/relay/tests/batchschedulertest.cpp
@@ -346,3 +346,25 @@
     fixture.answer(running[1]);
     CHECK(fixture.batches().empty());
 }
+
+TEST_CASE("Load pattern: among late requests the more urgent kind goes first")
+{
+    Fixture fixture;
+    fixture.submit(8);
+    const RunBatch running = fixture.batch();
+    const auto submitLate
+        = [&](const std::string &name, uint32_t priority, model::Duration deadline) {
+              fixture.scheduler.submit({.pool = pool,
+                                        .request = model::CallerRequestId(name),
+                                        .pieceCount = 8,
+                                        .priority = priority,
+                                        .due = fixture.now,
+                                        .deadline = fixture.now + deadline},
+                                       fixture.now);
+          };
+    submitLate("patient", 2, model::seconds(5));
+    submitLate("urgent", 0, model::seconds(6));
+    fixture.pass(milliseconds(360));
+    fixture.answer(running);
+    CHECK(requestsOf(fixture.batch()).front() == "urgent");
+}
--- a/src/relay/tests/exchangetest.cpp
+++ b/src/relay/tests/exchangetest.cpp
@@ -279,13 +279,16 @@
     fixture.head(first.attempt, RelayFixture::good());
     for (int i = 0; i < 5; ++i) {
         fixture.pass(milliseconds(600));
-        fixture.system.onAttemptProgress(first.attempt, fixture.now);
+        fixture.system.onAttemptProgress(first.attempt, absl::StrCat(i), fixture.now);
     }
     CHECK(fixture.count<StartAttempt>() == 0);
     fixture.pass(milliseconds(1200));
     REQUIRE(fixture.commands.size() == 3);
     CHECK(std::get<CancelAttempt>(fixture.commands[1]).attempt == first.attempt);
-    CHECK(std::get<StartAttempt>(fixture.commands[2]).upstream != first.upstream);
+    const auto &second = std::get<StartAttempt>(fixture.commands[2]);
+    CHECK(second.upstream != first.upstream);
+    // Without the last event that was passed on, the caller would get events twice.
+    CHECK(second.resumeAfter == "4");
 }
 
 TEST_CASE("A stream that cannot go on elsewhere is held as long as its caller waits")
