Late jobs that the queue leaves no chance are refused at once

Ruled out: coordinators passed over (none was), frozen daemons. Change: ten times a second a pool's queue is held against what its upstreams can do with full batches; a late job that cannot make its deadline even so is refused with the time until the queue is gone. Tests name the pattern: a crest that the pool cannot serve, and one that it can.

--- a/src/relay/batchscheduler.h
+++ b/src/relay/batchscheduler.h
@@ -120,11 +120,14 @@
     struct Pool {
         std::vector<JobId> waiting; //!< Jobs with queued pieces.
         model::TimePoint waitsUntil = model::TimePoint::max(); //!< For upstreams of other zones.
+        model::TimePoint nextForecast;
         double slowness = 1.0; //!< Time of batches over what the configuration says; smoothed.
     };
 
     void dispatch(const model::PoolId &id, Pool &pool, model::TimePoint now);
     void dropLate(Pool &pool, const BatchRule &rule, model::TimePoint now);
+    void dropHopeless(const model::PoolId &id, Pool &pool, const BatchRule &rule,
+                      model::TimePoint now);
     void order(Pool &pool, const BatchRule &rule, const model::ZoneId &zone, model::TimePoint now);
     std::vector<Upstream *> freeUpstreams(const model::PoolId &id, const BatchRule &rule,
                                           model::TimePoint now) const;
--- a/src/relay/internal/batchscheduler.cpp
+++ b/src/relay/internal/batchscheduler.cpp
@@ -25,6 +25,10 @@
 constexpr model::Duration batchTimeSpread = model::milliseconds(30);
 //! Of a job's slack, the part that such a wait may use up in one stage.
 constexpr double zoneWaitSlackShare = 0.33;
+//! How often a pool's queue is held against what the pool can do.
+constexpr model::Duration forecastInterval = model::milliseconds(100);
+//! Shorter waits than a batch are no use to a caller that comes back.
+constexpr model::Duration leastRetry = model::milliseconds(300);
 constexpr uint32_t maxTries = 4;
 //! Weight of the newest batch in a pool's slowness.
 constexpr double slownessWeight = 0.2;
@@ -136,6 +140,7 @@
         return;
     }
     dropLate(pool, *rule, now);
+    dropHopeless(id, pool, *rule, now);
     pool.waitsUntil = model::TimePoint::max();
     std::vector<Upstream *> free = freeUpstreams(id, *rule, now);
     while (!pool.waiting.empty() && !free.empty()) {
@@ -176,6 +181,41 @@
     }
 }
 
+// A late job behind more work than its pool can do by its deadline is told so at once: its caller
+// can come back when the queue is shorter, and nobody is held for nothing.
+void BatchScheduler::dropHopeless(const model::PoolId &id, Pool &pool, const BatchRule &rule,
+                                  model::TimePoint now)
+{
+    if (now < pool.nextForecast) {
+        return;
+    }
+    pool.nextForecast = now + forecastInterval;
+    size_t upstreams = 0;
+    for (const Upstream *upstream : m_directory.inPool(id)) {
+        upstreams += upstream->listing.isLeaving || now < upstream->avoidedUntil ? 0 : 1;
+    }
+    const model::Duration fullBatch = model::scaled(
+        rule.callTime + rule.itemTime * static_cast<int64_t>(rule.maxItems), pool.slowness);
+    const double perPiece = model::toSeconds(fullBatch)
+                            / static_cast<double>(std::max<size_t>(1, upstreams)
+                                                  * std::max(1U, rule.slots * rule.maxItems));
+    order(pool, rule, {}, now);
+    double ahead = 0.0;
+    std::vector<std::pair<JobId, model::Duration>> hopeless;
+    for (const JobId job : pool.waiting) {
+        const Job &row = m_jobs.at(job);
+        const model::Duration wait = model::scaled(model::seconds(1), ahead * perPiece);
+        if (isLate(row.content, rule, now) && now + wait + rule.callTime >= row.content.deadline) {
+            hopeless.emplace_back(job, wait);
+            continue;
+        }
+        ahead += row.queued;
+    }
+    for (const auto &[job, wait] : hopeless) {
+        finish(job, {.failure = JobFailure::Late, .retryAfter = std::max(wait, leastRetry)});
+    }
+}
+
 bool BatchScheduler::isLate(const StageJob &job, const BatchRule &rule, model::TimePoint now)
 {
     return now + rule.callTime > job.due;
--- a/src/relay/tests/batchschedulertest.cpp
+++ b/src/relay/tests/batchschedulertest.cpp
@@ -368,3 +368,44 @@
     fixture.answer(running);
     CHECK(requestsOf(fixture.batch()).front() == "urgent");
 }
+
+TEST_CASE("Load pattern: under a crest that the pool cannot serve, those without a chance are told "
+          "at once")
+{
+    Fixture fixture;
+    fixture.submit(8);
+    const RunBatch running = fixture.batch();
+    // Thirty full batches of 360 ms each, for requests that have five seconds left.
+    for (int i = 0; i < 30; ++i) {
+        fixture.submit(8, milliseconds(100), {}, model::seconds(5));
+    }
+    fixture.pass(milliseconds(100));
+    const std::vector<FinishedJob> finished = fixture.scheduler.takeFinished();
+    // Thirteen batches can be done in that time.
+    CHECK(finished.size() >= 16);
+    CHECK(finished.size() <= 18);
+    for (const FinishedJob &job : finished) {
+        CHECK(job.result.failure == JobFailure::Late);
+        CHECK(job.result.retryAfter >= model::seconds(4));
+    }
+    fixture.answer(running);
+    CHECK(fixture.batches().size() == 1);
+}
+
+TEST_CASE("Load pattern: a crest that the pool can serve refuses nobody")
+{
+    Fixture fixture({"a", "b", "c"});
+    for (int i = 0; i < 30; ++i) {
+        fixture.submit(8, milliseconds(100), {}, model::seconds(5));
+    }
+    for (int turn = 0; turn < 60; ++turn) {
+        for (const RunBatch &batch : fixture.batches()) {
+            fixture.answer(batch);
+        }
+        fixture.pass(milliseconds(120));
+    }
+    for (const FinishedJob &job : fixture.scheduler.takeFinished()) {
+        CHECK(job.result.failure == JobFailure::None);
+    }
+    CHECK(fixture.scheduler.jobCount() == 0);
+}
