--- a/src/apps/citronpickctl/main.cpp
+++ b/src/apps/citronpickctl/main.cpp
@@ -13,7 +13,9 @@
 
 #include "adminclient.h"
 #include "config/configuration.h"
+#include "config/relaysettings.h"
 #include "config/settings.h"
+#include "requesttrace.h"
 #include "table.h"
 #include "timelinemerge.h"
 
@@ -46,6 +48,7 @@
   citronpickctl check FILE                 check a settings or pipeline file
   citronpickctl status|upstreams|config|members|events --daemon=HOST:PORT --token=TOKEN
   citronpickctl timeline --daemons=HOST:PORT,... --token=TOKEN [--svg=FILE]
+  citronpickctl explain REQUEST LOG...     join the lines of daemons' logs on one request
   citronpickctl request --to=HOST:PORT --route=NAME --account=NAME --body=TEXT
 Exit status: 0 success, 1 invalid file or failed request, 2 wrong usage or nothing reached.)";
 
@@ -67,7 +70,9 @@
     const Json document = Json::parse(text.str(), nullptr, false);
     const bool isPipelineFile = document.is_object() && document.contains("pools");
     const absl::Status status = isPipelineFile ? config::parseConfiguration(text.str()).status()
-                                               : config::parseSettings(text.str()).status();
+                                : config::isRelaySettings(text.str())
+                                    ? config::parseRelaySettings(text.str()).status()
+                                    : config::parseSettings(text.str()).status();
     if (!status.ok()) {
         std::cerr << path << ":\n" << status.message() << '\n';
         return exitInvalid;
@@ -76,6 +81,25 @@
     return exitSuccess;
 }
 
+// Exit status 0 when some line speaks of the request.
+int explain(const std::string &request, const std::vector<std::string> &paths)
+{
+    ctl::RequestTrace trace(request);
+    for (const std::string &path : paths) {
+        std::ifstream log(path);
+        if (!log) {
+            std::cerr << "citronpickctl: cannot read '" << path << "'\n";
+            return exitUsage;
+        }
+        trace.read(log);
+    }
+    for (const std::string &line : trace.lines()) {
+        std::cout << line << '\n';
+    }
+    std::cout << trace.conclusion() << '\n';
+    return trace.isEmpty() ? exitInvalid : exitSuccess;
+}
+
 std::string timeText(int64_t wallMicroseconds)
 {
     constexpr int64_t perSecond = 1000000;
@@ -224,6 +248,9 @@
     if (command == "check" && words.size() == 3) {
         return check(words[2]);
     }
+    if (command == "explain" && words.size() > 3) {
+        return explain(words[2], {words.begin() + 3, words.end()});
+    }
     if (command == "timeline") {
         return timeline();
     }
--- a/src/apps/tests/ctltest.cpp
+++ b/src/apps/tests/ctltest.cpp
@@ -1,6 +1,9 @@
 #include <catch2/catch.hpp>
 
+#include <sstream>
+
 #include "adminclient.h"
+#include "requesttrace.h"
 #include "table.h"
 #include "timelinemerge.h"
 
@@ -53,3 +56,30 @@
         CHECK_FALSE(parseEndpoint(text).ok());
     }
 }
+
+TEST_CASE("The lines of one request are joined over daemons, in order of time")
+{
+    std::istringstream first("2026-12-04T10:00:00.200 INFO 804 exchange-sent daemon=a subject=u "
+                             "request=r1 attempt=1\n"
+                             "2026-12-04T10:00:00.300 INFO 804 exchange-sent daemon=a subject=u "
+                             "request=r12 attempt=1\n");
+    std::istringstream second("2026-12-04T10:00:00.100 INFO 809 exchange-refused daemon=b "
+                              "subject=route request=r1 why=stopping\n"
+                              "2026-12-04T10:00:00.400 WARNING 808 answer-broken daemon=a "
+                              "subject=u request=r1 why=broken\n");
+    RequestTrace trace("r1");
+    trace.read(first);
+    trace.read(second);
+    const std::vector<std::string> lines = trace.lines();
+    REQUIRE(lines.size() == 3);
+    CHECK(lines[0].find("why=stopping") != std::string::npos);
+    CHECK(lines[2].find("answer-broken") != std::string::npos);
+    CHECK(trace.conclusion() == "The answer had begun and could not be completed.");
+}
+
+TEST_CASE("A request without an ending, or without lines, is said to be so")
+{
+    RequestTrace trace("r1");
+    CHECK(trace.isEmpty());
+    CHECK(trace.conclusion().find("No line tells") == 0);
+}
--- a/src/daemon/internal/exchangerunner.cpp
+++ b/src/daemon/internal/exchangerunner.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_format.h>
 
 #include "model/abslview.h"
+#include "model/hash.h"
 #include "net/connectionheaders.h"
 
 namespace citronpick::daemon
@@ -50,12 +51,22 @@
     case relay::Refusal::NoUpstream:
     case relay::Refusal::UpstreamsFull:
     case relay::Refusal::TooLate:
+    case relay::Refusal::Quarantined:
     case relay::Refusal::StagesFailed:
         return 503;
     }
     return 502;
 }
 
+// What callers send again is alike in all but its identifier and its time.
+model::Fingerprint fingerprintOf(const relay::ArrivedRequest &arrived,
+                                 const net::IncomingRequest &request)
+{
+    uint64_t hash = model::hash64(request.head.target, model::hash64(arrived.host));
+    hash = model::hash64(arrived.accountKey.value_or(std::string()), hash);
+    return model::Fingerprint(model::hash64(request.body, hash));
+}
+
 } // namespace
 
 ExchangeRunner::ExchangeRunner(net::EventLoop &loop, net::UpstreamClient &client,
@@ -75,6 +86,7 @@
     relay::ArrivedRequest arrived = m_format.decodeRequest(request.head);
     arrived.request = id;
     arrived.startedAt = request.startedAt;
+    arrived.fingerprint = fingerprintOf(arrived, request);
     m_held[id] = {.request = std::move(request), .callerId = arrived.callerId};
     m_system.arrive(std::move(arrived), net::EventLoop::now());
     m_host.execute();
--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -194,6 +194,10 @@
                    command);
     }
     const fleet::FleetNews news = m_fleet->takeNews();
+    for (const fleet::StrikeFact &strike : news.strikes) {
+        m_relay->onPeerStrike({.fingerprint = strike.fingerprint, .upstream = strike.upstream},
+                              now);
+    }
     if (!news.newerConfigurations.empty() && now >= m_nextFetch) {
         m_nextFetch = now + fetchInterval;
         const fleet::NewerConfiguration &newer = news.newerConfigurations.back();
@@ -437,6 +441,12 @@
                    [this](const relay::ForwardJob &forward) { m_peerJobs->forward(forward); },
                    [this](const relay::CancelForward &cancel) { m_peerJobs->cancel(cancel); },
                    [this](const relay::AnswerPeer &answer) { m_peerJobs->answer(answer); },
+                   [this](const relay::PublishStrike &publish) {
+                       m_fleet->publish(
+                           fleet::StrikeFact {.fingerprint = publish.strike.fingerprint,
+                                              .upstream = publish.strike.upstream},
+                           net::EventLoop::now());
+                   },
                    [this](const relay::ReleaseResults &release) {
                        m_batches->release(release, net::EventLoop::now());
                    },
--- a/src/observability/event.h
+++ b/src/observability/event.h
@@ -69,7 +69,6 @@
     AnswerBroken = 808,
     ExchangeRefused = 809,
     ExchangeAbandoned = 810,
-    BatchStarted = 811,
     BatchEnded = 812,
     CoordinatorAvoided = 813,
     AnswerBegan = 814,
--- a/src/observability/internal/event.cpp
+++ b/src/observability/internal/event.cpp
@@ -68,7 +68,6 @@
     EventDescription {AnswerBroken, Warning, "answer-broken"},
     EventDescription {ExchangeRefused, Info, "exchange-refused"},
     EventDescription {ExchangeAbandoned, Info, "exchange-abandoned"},
-    EventDescription {BatchStarted, Info, "batch-started"},
     EventDescription {BatchEnded, Info, "batch-ended"},
     EventDescription {CoordinatorAvoided, Warning, "coordinator-avoided"},
     EventDescription {AnswerBegan, Info, "answer-began"},
--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -241,6 +241,7 @@
         return;
     }
     m_directory.noteSuccess(attempt.upstream);
+    m_quarantine.clear(exchange.arrived.fingerprint);
     ++m_counters.passed;
     record(EventCode::AnswerPassed, exchange, attempt.upstream.text(),
            absl::StrCat("status=", facts.status, " attempts=", exchange.sentAttempts,
@@ -323,12 +324,35 @@
     }
 }
 
+// A broken connection may be a request's doing: the like of some ends each upstream that runs it.
+void RelaySystem::addStrike(const Exchange &exchange, const model::UpstreamId &upstream,
+                            model::TimePoint now)
+{
+    if (exchange.arrived.fingerprint.value() == 0) {
+        return;
+    }
+    const pipeline::Strike strike {.fingerprint = exchange.arrived.fingerprint,
+                                   .upstream = upstream};
+    m_commands.emplace_back(PublishStrike {.strike = strike});
+    if (m_quarantine.addStrike(strike, now)) {
+        record(EventCode::RequestQuarantined, exchange, upstream.text(),
+               absl::StrCat("fingerprint=", absl::Hex(strike.fingerprint.value())));
+    }
+}
+
 // An upstream may have run the request, and its answer is lost.
 void RelaySystem::onLost(Exchange &exchange, const model::UpstreamId &upstream,
                          AttemptFailure failure, model::TimePoint now)
 {
     const model::RequestId id = exchange.arrived.request;
     exchange.mayHaveRun = true;
+    if (failure == AttemptFailure::Broken) {
+        addStrike(exchange, upstream, now);
+    }
+    if (m_quarantine.remaining(exchange.arrived.fingerprint, now) && !exchange.isPassing) {
+        refuse(id, Refusal::UpstreamFailed, model::Duration::zero());
+        return;
+    }
     if (mayRepeat(exchange.route->kind) && mayTryAgain(exchange, now)) {
         ++(exchange.isPassing ? m_counters.resumes : m_counters.retries);
         record(EventCode::AttemptRetried, exchange, upstream.text(),
--- a/src/relay/internal/relaysystem.cpp
+++ b/src/relay/internal/relaysystem.cpp
@@ -28,6 +28,11 @@
 //! Of the time that a stop takes: streams need most of it, with their stages, and others little.
 constexpr double streamShareOfStop = 0.33;
 constexpr double requestShareOfStop = 0.8;
+//! Upstreams that ended under the like of a request before it is held to be the cause. Fewer would
+//! blame requests for upstreams that crash by themselves.
+constexpr uint32_t strikesToQuarantine = 3;
+constexpr model::Duration strikeLifetime = model::seconds(60);
+constexpr model::Duration quarantineLifetime = model::seconds(600);
 //! Other daemons go on serving while this one stops.
 constexpr model::Duration stoppingRetry = model::milliseconds(50);
 
@@ -67,6 +72,8 @@
         return "upstreams-full";
     case Refusal::TooLate:
         return "too-late";
+    case Refusal::Quarantined:
+        return "quarantined";
     case Refusal::StagesFailed:
         return "stages-failed";
     case Refusal::UpstreamFailed:
@@ -87,6 +94,7 @@
     , m_chooser(m_directory, m_options.seed)
     , m_scheduler(m_directory)
     , m_budget(m_options.retries)
+    , m_quarantine(strikesToQuarantine, strikeLifetime, quarantineLifetime)
 {
     static_cast<void>(start);
 }
@@ -144,6 +152,9 @@
     if (m_configuration->content().accounts && !exchange.route->isPublic && !account) {
         return Refusal::UnknownKey;
     }
+    if (m_quarantine.remaining(exchange.arrived.fingerprint, now)) {
+        return Refusal::Quarantined;
+    }
     if (account) {
         exchange.account = account->id;
         exchange.priority = account->priority.value_or(exchange.priority);
@@ -308,6 +319,11 @@
     }
 }
 
+void RelaySystem::onPeerStrike(const pipeline::Strike &strike, model::TimePoint now)
+{
+    m_quarantine.addStrike(strike, now);
+}
+
 void RelaySystem::run(model::TimePoint now)
 {
     while (const auto request = m_timeouts.takeDue(now)) {
--- a/src/relay/relaycommands.h
+++ b/src/relay/relaycommands.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "observability/event.h"
+#include "pipeline/quarantinetable.h"
 #include "relay/batchscheduler.h"
 #include "relay/relayevents.h"
 
@@ -22,6 +23,7 @@
     NoUpstream, //!< None that may take it; it has not run.
     UpstreamsFull, //!< Those asked have not run it.
     TooLate, //!< It could not be finished in time; it has not run.
+    Quarantined, //!< Upstreams that ran the like ended; it has not run.
     StagesFailed, //!< What it needs could not be made; it has not run.
     UpstreamFailed, //!< It may have run.
     TimedOut, //!< It may have run.
@@ -108,10 +110,15 @@
     std::vector<ResultHandle> handles;
 };
 
+//! Tell the other daemons that an upstream ended while it ran a request.
+struct PublishStrike {
+    pipeline::Strike strike;
+};
+
 using RelayCommand
     = std::variant<StartAttempt, CancelAttempt, PassStream, ContinueStream, FinishStream,
                    PassAnswer, BreakAnswer, RefuseRequest, RunBatch, CancelBatch, ForwardJob,
-                   CancelForward, AnswerPeer, ReleaseResults, observability::Event>;
+                   CancelForward, AnswerPeer, ReleaseResults, PublishStrike, observability::Event>;
 
 } // namespace citronpick::relay
 
--- a/src/relay/relayevents.h
+++ b/src/relay/relayevents.h
@@ -30,6 +30,7 @@
     model::TimePoint startedAt; //!< When its first byte came.
     std::vector<uint32_t> pieceCounts; //!< Pieces of each stage.
     std::string pieceKey; //!< What stages without inputs work on.
+    model::Fingerprint fingerprint; //!< Of what is asked, by whom: equal when it is sent again.
     std::vector<PromptPart> promptParts;
     uint64_t promptTokens = 0;
     uint64_t maxOutputTokens = 0;
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -97,6 +97,8 @@
     void onPeerGone(uint64_t exchange);
     void onForwardAnswered(JobId job, JobResult result, model::TimePoint now);
     void onForwardFailed(JobId job, model::TimePoint now);
+    //! Another daemon saw an upstream end while it ran a request.
+    void onPeerStrike(const pipeline::Strike &strike, model::TimePoint now);
 
     //! Runs what has become due.
     void run(model::TimePoint now);
@@ -207,6 +209,8 @@
     Attempt closeAttempt(model::AttemptId id);
     void onRefusedByUpstream(Exchange &exchange, const AnswerFacts &facts, model::TimePoint now);
     void onUnsent(Exchange &exchange, const model::UpstreamId &upstream, model::TimePoint now);
+    void addStrike(const Exchange &exchange, const model::UpstreamId &upstream,
+                   model::TimePoint now);
     void onLost(Exchange &exchange, const model::UpstreamId &upstream, AttemptFailure failure,
                 model::TimePoint now);
     bool mayTryAgain(const Exchange &exchange, model::TimePoint now);
@@ -223,6 +227,7 @@
     UpstreamChooser m_chooser;
     BatchScheduler m_scheduler;
     RetryBudget m_budget;
+    pipeline::QuarantineTable m_quarantine;
     std::vector<PeerDaemon> m_peers;
     absl::flat_hash_map<model::DaemonId, model::TimePoint> m_peerHeardAt;
     absl::flat_hash_map<model::DaemonId, model::TimePoint> m_peerAvoidedUntil;
--- a/src/relay/tests/exchangetest.cpp
+++ b/src/relay/tests/exchangetest.cpp
@@ -301,3 +301,43 @@
     fixture.pass(milliseconds(100));
     CHECK(fixture.count<BreakAnswer>() == 1);
 }
+
+TEST_CASE("A request that ends each upstream that runs it is refused after the third")
+{
+    RelayFixture fixture(6);
+    for (int i = 0; i < 3; ++i) {
+        fixture.arrive("/once/x", "key", std::nullopt, 7);
+        const auto attempt = fixture.take<StartAttempt>();
+        fixture.system.upstreams().remove(attempt.upstream);
+        fixture.fail(attempt.attempt, AttemptFailure::Broken);
+        CHECK(fixture.take<RefuseRequest>().refusal == Refusal::UpstreamFailed);
+    }
+    CHECK(fixture.count<PublishStrike>() == 3);
+    fixture.arrive("/once/x", "key", std::nullopt, 7);
+    CHECK(fixture.count<StartAttempt>() == 0);
+    CHECK(fixture.take<RefuseRequest>().refusal == Refusal::Quarantined);
+    fixture.arrive("/once/x", "key", std::nullopt, 8);
+    CHECK(fixture.count<StartAttempt>() == 1);
+}
+
+TEST_CASE("Strikes of other daemons count, and an answer clears them")
+{
+    RelayFixture fixture(6);
+    const auto strike = [&](const char *upstream) {
+        fixture.system.onPeerStrike(
+            {.fingerprint = model::Fingerprint(7), .upstream = model::UpstreamId(upstream)},
+            fixture.now);
+    };
+    strike("a");
+    strike("b");
+    fixture.arrive("/once/x", "key", std::nullopt, 7);
+    fixture.answer(fixture.take<StartAttempt>().attempt, RelayFixture::good());
+    strike("c");
+    fixture.arrive("/once/x", "key", std::nullopt, 7);
+    CHECK(fixture.count<StartAttempt>() == 1);
+    fixture.commands.clear();
+    strike("d");
+    strike("e");
+    fixture.arrive("/once/x", "key", std::nullopt, 7);
+    CHECK(fixture.take<RefuseRequest>().refusal == Refusal::Quarantined);
+}
--- a/src/relay/tests/relayfixture.h
+++ b/src/relay/tests/relayfixture.h
@@ -80,7 +80,8 @@
     }
 
     model::RequestId arrive(const std::string &path, std::optional<std::string> key = "key",
-                            std::optional<model::Duration> timeLeft = std::nullopt)
+                            std::optional<model::Duration> timeLeft = std::nullopt,
+                            uint64_t fingerprint = 0)
     {
         const model::RequestId id(++lastRequest);
         system.arrive({.request = id,
@@ -90,7 +91,8 @@
                        .accountKey = std::move(key),
                        .timeLeft = timeLeft,
                        .startedAt = now,
-                       .pieceKey = "piece"},
+                       .pieceKey = "piece",
+                       .fingerprint = model::Fingerprint(fingerprint)},
                       now);
         collect();
         return id;
