--- a/src/daemon/internal/fleetapi.cpp
+++ b/src/daemon/internal/fleetapi.cpp
@@ -122,13 +122,14 @@
                   });
 }
 
-void FleetApi::fetchListing(const config::Endpoint &from, std::function<void(std::string)> handler)
+void FleetApi::fetchListing(const config::Endpoint &from,
+                            const std::function<void(std::string)> &handler)
 {
-    fetchDocument(from, listingPath, {}, std::move(handler));
+    fetchDocument(from, listingPath, {}, handler);
 }
 
 void FleetApi::fetchDocument(const config::Endpoint &from, const std::string &path,
-                             std::string body, std::function<void(std::string)> handler)
+                             std::string body, const std::function<void(std::string)> &handler)
 {
     std::string stamp;
     net::HttpCall call = signedCall(from, path, std::move(body), stamp);
--- a/src/daemon/internal/fleetapi.h
+++ b/src/daemon/internal/fleetapi.h
@@ -45,7 +45,8 @@
     void reply(const fleet::SendReply &command);
     void fetch(const core::FetchConfiguration &command);
     //! Gets a peer's listing; nothing comes when the peer has none or cannot be reached.
-    void fetchListing(const config::Endpoint &from, std::function<void(std::string)> handler);
+    void fetchListing(const config::Endpoint &from,
+                      const std::function<void(std::string)> &handler);
 
     void onRequest(const net::HttpServerRequest &request) override;
     void onClosed(uint64_t number, bool wasAnswered) override;
@@ -59,7 +60,7 @@
     void onExchangeAnswer(uint64_t exchange, const std::string &stamp,
                           const net::HttpAnswer &answer);
     void fetchDocument(const config::Endpoint &from, const std::string &path, std::string body,
-                       std::function<void(std::string)> handler);
+                       const std::function<void(std::string)> &handler);
     std::optional<std::string> documentAt(std::string_view path) const;
     net::HttpCall signedCall(const config::Endpoint &to, const std::string &path, std::string body,
                              std::string &stamp);
--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -112,7 +112,7 @@
 RelaySystem::Attempt RelaySystem::closeAttempt(model::AttemptId id)
 {
     const auto it = m_attempts.find(id);
-    const Attempt attempt = it->second;
+    Attempt attempt = std::move(it->second);
     m_attempts.erase(it);
     if (Upstream *upstream = m_directory.find(attempt.upstream)) {
         upstream->inFlight -= std::min(upstream->inFlight, 1U);
