--- /dev/null
+++ b/bench/relaycapacitybench.cpp
@@ -0,0 +1,215 @@
+#include <cstdio>
+#include <ctime>
+#include <functional>
+#include <malloc.h>
+#include <string>
+#include <vector>
+
+#include <absl/strings/str_cat.h>
+
+#include "daemon/internal/listingcodec.h"
+#include "daemon/internal/stagejobcodec.h"
+#include "relay/relaysystem.h"
+
+// State and processor time of the relay's roles by size: three sizes and the slope through the
+// outer two. docs/CAPACITY.md multiplies the slopes by the target's sizes.
+
+namespace
+{
+
+using namespace citronpick;
+using namespace citronpick::relay;
+
+const model::PoolId stagePool("stages");
+const model::PoolId enginePool("engines");
+
+double cpuMicroseconds()
+{
+    timespec time {};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return static_cast<double>(time.tv_sec) * 1e6 + static_cast<double>(time.tv_nsec) / 1e3;
+}
+
+double heapBytes()
+{
+    return static_cast<double>(mallinfo2().uordblks);
+}
+
+struct Cost {
+    double bytes = 0.0;
+    double microseconds = 0.0;
+};
+
+void report(const char *role, const char *unit, const std::vector<size_t> &sizes,
+            const std::function<Cost(size_t)> &measure)
+{
+    std::vector<Cost> costs;
+    for (const size_t size : sizes) {
+        costs.push_back(measure(size));
+    }
+    const auto span = static_cast<double>(sizes.back() - sizes.front());
+    std::printf("| %s | %s | ", role, unit);
+    for (size_t i = 0; i < sizes.size(); ++i) {
+        std::printf("%zu: %.0f B, %.1f us%s", sizes[i], costs[i].bytes, costs[i].microseconds,
+                    i + 1 < sizes.size() ? "; " : "");
+    }
+    std::printf(" | %.0f B | %.3f us |\n", (costs.back().bytes - costs.front().bytes) / span,
+                (costs.back().microseconds - costs.front().microseconds) / span);
+}
+
+UpstreamListing listing(const model::PoolId &pool, size_t number)
+{
+    return {.id = model::UpstreamId(absl::StrCat("i-", pool.text(), number)),
+            .pool = pool,
+            .address = {.host = "10.0.0.1", .port = 80},
+            .zone = model::ZoneId(absl::StrCat("z", number % 3)),
+            .slots = 64};
+}
+
+RelayConfigurationPtr configuration()
+{
+    ConfigurationContent content {.revision = model::Revision(1)};
+    content.routes.push_back({.id = model::RouteId("r"),
+                              .host = "h",
+                              .prefix = "/",
+                              .kind = RequestKind::Stream,
+                              .timeout = model::seconds(8),
+                              .latencyTarget = model::seconds(2),
+                              .pools = {{.pool = enginePool}}});
+    content.pools = {{.id = enginePool},
+                     {.id = stagePool,
+                      .batch = BatchRule {.maxItems = 30,
+                                          .callTime = model::milliseconds(200),
+                                          .itemTime = model::milliseconds(5)}}};
+    return std::make_shared<RelayConfiguration>(std::move(content));
+}
+
+Cost ofDirectory(size_t upstreams)
+{
+    const double before = heapBytes();
+    const double start = cpuMicroseconds();
+    UpstreamDirectory directory;
+    for (size_t i = 0; i < upstreams; ++i) {
+        directory.apply(listing(enginePool, i));
+    }
+    return {.bytes = heapBytes() - before, .microseconds = cpuMicroseconds() - start};
+}
+
+//! One request without stages, from its arrival to its answer.
+Cost ofRequest(size_t upstreams)
+{
+    RelaySystem system({.daemon = model::DaemonId("d")}, {});
+    system.setConfiguration(configuration());
+    for (size_t i = 0; i < upstreams; ++i) {
+        system.upstreams().apply(listing(enginePool, i));
+    }
+    constexpr uint64_t requests = 2000;
+    const model::TimePoint now(model::seconds(1));
+    const double start = cpuMicroseconds();
+    for (uint64_t i = 1; i <= requests; ++i) {
+        system.arrive({.request = model::RequestId(i),
+                       .callerId = model::CallerRequestId("c"),
+                       .host = "h",
+                       .path = "/x",
+                       .startedAt = now,
+                       .promptParts = {{.id = absl::StrCat(i % 100), .tokens = 100},
+                                       {.id = "own", .tokens = 100}},
+                       .promptTokens = 200},
+                      now);
+        for (const RelayCommand &command : system.takeCommands()) {
+            if (const auto *attempt = std::get_if<StartAttempt>(&command)) {
+                system.onAttemptHead(attempt->attempt,
+                                     {.status = 200, .hasProvenance = true, .isOfRequest = true},
+                                     now);
+                system.onAttemptEnd(attempt->attempt, now);
+            }
+        }
+        system.takeCommands();
+    }
+    const double taken = cpuMicroseconds() - start;
+    if (system.counters().passed != requests) {
+        std::fprintf(stderr, "only %lu of %lu requests were answered\n",
+                     static_cast<unsigned long>(system.counters().passed),
+                     static_cast<unsigned long>(requests));
+    }
+    return {.microseconds = taken / requests};
+}
+
+//! One scheduling turn with so many jobs waiting behind busy upstreams.
+Cost ofWaitingJobs(size_t jobs)
+{
+    UpstreamDirectory directory;
+    BatchScheduler scheduler(directory);
+    scheduler.setConfiguration(configuration());
+    for (size_t i = 0; i < 15; ++i) {
+        directory.apply(listing(stagePool, i));
+    }
+    const model::TimePoint start(model::seconds(1));
+    const double before = heapBytes();
+    for (size_t i = 0; i < jobs; ++i) {
+        scheduler.submit({.pool = stagePool,
+                          .request = model::CallerRequestId(absl::StrCat("request-", i)),
+                          .pieceCount = 6,
+                          .inputs = {"10.0.0.1:8080/5c1e07a2e440"},
+                          .due = start + model::seconds(2),
+                          .deadline = start + model::seconds(600)},
+                         start);
+    }
+    const double bytes = heapBytes() - before;
+    constexpr int turns = 20;
+    const double begin = cpuMicroseconds();
+    for (int i = 1; i <= turns; ++i) {
+        scheduler.run(start + model::milliseconds(100 * i));
+    }
+    return {.bytes = bytes, .microseconds = (cpuMicroseconds() - begin) / turns};
+}
+
+//! A stage handed to another daemon: written and read on both sides.
+Cost ofHandedStage(size_t inputs)
+{
+    StageJob job {.pool = stagePool, .request = model::CallerRequestId("9c41d07be2a35f68")};
+    for (size_t i = 0; i < inputs; ++i) {
+        job.inputs.push_back(absl::StrCat("10.1.64.9:8080/5c1e07a2e4", i));
+    }
+    constexpr int turns = 500;
+    size_t bytes = 0;
+    const double start = cpuMicroseconds();
+    for (int i = 0; i < turns; ++i) {
+        const std::string text = daemon::encodeStageJob(job, {});
+        bytes = text.size();
+        const auto read = daemon::decodeStageJob(text, {});
+        const std::string answer = daemon::encodeJobResult({.handles = job.inputs});
+        bytes += answer.size();
+        static_cast<void>(daemon::decodeJobResult(answer));
+        static_cast<void>(read);
+    }
+    return {.bytes = static_cast<double>(bytes),
+            .microseconds = (cpuMicroseconds() - start) / turns};
+}
+
+//! What a daemon that cannot read the registry takes from a peer.
+Cost ofListing(size_t upstreams)
+{
+    registry::RegistryPage page {.revision = 9};
+    for (size_t i = 0; i < upstreams; ++i) {
+        page.items.push_back(
+            {.key = absl::StrCat("servers/i-", i), .value = std::string(250, 'x'), .revision = i});
+    }
+    const double start = cpuMicroseconds();
+    const std::string text = daemon::encodeListing(page);
+    static_cast<void>(daemon::decodeListing(text));
+    return {.bytes = static_cast<double>(text.size()), .microseconds = cpuMicroseconds() - start};
+}
+
+} // namespace
+
+int main()
+{
+    std::printf("| role | unit | sizes | bytes a unit | time a unit |\n|---|---|---|---|---|\n");
+    report("directory of upstreams", "upstream", {50, 200, 820}, &ofDirectory);
+    report("request through the relay", "upstream in the pool", {10, 40, 160}, &ofRequest);
+    report("scheduling turn", "waiting job", {50, 200, 800}, &ofWaitingJobs);
+    report("stage handed to a peer", "input", {1, 6, 30}, &ofHandedStage);
+    report("listing taken from a peer", "upstream", {50, 200, 820}, &ofListing);
+    return 0;
+}
--- a/setup.sh
+++ b/setup.sh
@@ -57,6 +57,11 @@
     install_packages
     build release
     run_example siam 18000 quote bangkok "40 blanks, 38 mm, oak bark tanned"
+    for deployment in siam frostline; do
+        echo "--- $deployment relayed by host and path, against the stand-in of the platform"
+        platform/tests/calmday.sh build/src/apps/citronpickd build/platform/citronpick-deployment \
+            "examples/relay/$deployment.json" 21000 5 build
+    done
     run_example frostline 19000 safety-briefing schools "hall 2, 24 children, -6 degrees"
     ;;
 test)
--- a/src/daemon/internal/relaymetrics.cpp
+++ b/src/daemon/internal/relaymetrics.cpp
@@ -1,5 +1,6 @@
 #include "daemon/internal/relaymetrics.h"
 
+#include <limits>
 #include <vector>
 
 #include <prometheus/metric_family.h>
@@ -33,6 +34,23 @@
     return family(name, help, MetricType::Gauge, static_cast<double>(value));
 }
 
+MetricFamily histogram(const char *name, const char *help, const observability::Histogram &source)
+{
+    ClientMetric metric;
+    uint64_t below = 0;
+    for (size_t i = 0; i < source.counts().size(); ++i) {
+        below += source.counts()[i];
+        const bool isLast = i == observability::Histogram::boundsSeconds.size();
+        metric.histogram.bucket.push_back(
+            {.cumulative_count = below,
+             .upper_bound = isLast ? std::numeric_limits<double>::infinity()
+                                   : observability::Histogram::boundsSeconds[i]});
+    }
+    metric.histogram.sample_count = below;
+    metric.histogram.sample_sum = source.sumSeconds();
+    return {.name = name, .help = help, .type = MetricType::Histogram, .metric = {metric}};
+}
+
 } // namespace
 
 std::string relayMetricsPage(const RelayMetricsSource &source)
@@ -55,6 +73,10 @@
         counter("citronpick_upstream_connects_total", "Connections opened to upstreams",
                 source.upstreamConnects),
         counter("citronpick_log_suppressed_total", "Log lines not written", source.suppressedLines),
+        histogram("citronpick_relay_first_event_seconds", "Arrival to first event of streams",
+                  counters.firstEvents),
+        histogram("citronpick_relay_answer_seconds", "Arrival to the end of the answer",
+                  counters.answers),
         gauge("citronpick_relay_open_requests", "Requests under way", source.relay.requestCount()),
         gauge("citronpick_relay_connections", "Callers' connections", source.connections),
         gauge("citronpick_relay_upstreams", "Upstreams listed", source.relay.upstreams().size()),
--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -147,6 +147,7 @@
     const model::Duration took = now - it->second.startedAt;
     const auto [learnt, isNew] = m_firstEventTimes.emplace(exchange.route->id, took);
     learnt->second += model::scaled(took - learnt->second, firstEventWeight);
+    m_counters.firstEvents.add(now - exchange.arrived.startedAt);
     record(EventCode::AnswerBegan, exchange, it->second.upstream.text(),
            absl::StrCat("firstEventMs=", model::toMilliseconds(took),
                         " afterMs=", model::toMilliseconds(now - exchange.arrived.startedAt),
@@ -243,6 +244,7 @@
     m_directory.noteSuccess(attempt.upstream);
     m_quarantine.clear(exchange.arrived.fingerprint);
     ++m_counters.passed;
+    m_counters.answers.add(now - exchange.arrived.startedAt);
     record(EventCode::AnswerPassed, exchange, attempt.upstream.text(),
            absl::StrCat("status=", facts.status, " attempts=", exchange.sentAttempts,
                         " tookMs=", model::toMilliseconds(now - exchange.arrived.startedAt)));
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -9,6 +9,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include "model/timerqueue.h"
+#include "observability/histogram.h"
 #include "relay/batchscheduler.h"
 #include "relay/relaycommands.h"
 #include "relay/relayconfiguration.h"
@@ -42,6 +43,8 @@
     uint64_t batchedPieces = 0;
     uint64_t forwardedJobs = 0;
     uint64_t stageRestarts = 0;
+    observability::Histogram firstEvents; //!< From a request's arrival to its stream's first event.
+    observability::Histogram answers; //!< From a request's arrival to the end of its answer.
 };
 
 /*!
--- a/src/relay/tests/exchangetest.cpp
+++ b/src/relay/tests/exchangetest.cpp
@@ -164,6 +164,17 @@
     CHECK(fixture.commands.empty());
 }
 
+TEST_CASE("Answers are counted by the time that they took")
+{
+    RelayFixture fixture;
+    fixture.arrive("/once/x");
+    fixture.pass(milliseconds(300));
+    fixture.answer(fixture.take<StartAttempt>().attempt, RelayFixture::good());
+    const observability::Histogram &answers = fixture.system.counters().answers;
+    CHECK(answers.counts()[4] == 1);
+    CHECK(answers.sumSeconds() == Approx(0.3));
+}
+
 TEST_CASE("A request is answered at its route's time or its caller's, whichever comes first")
 {
     RelayFixture fixture;
