--- a/src/config/tests/configtest.cpp
+++ b/src/config/tests/configtest.cpp
@@ -1,5 +1,6 @@
 #include "config/configerror.h"
 #include "config/configuration.h"
+#include "config/relaysettings.h"
 #include "config/settings.h"
 
 #include <string>
@@ -115,3 +116,63 @@
     CHECK(message.find("/pools/1/upstreams/0/name: duplicate-name") != std::string::npos);
     CHECK(message.find("/services/0/pool: unknown-reference") != std::string::npos);
 }
+
+namespace
+{
+
+const std::string relaySettings = R"({
+  "mode": "relay", "daemon": "d1", "zone": "z", "callers": "10.0.0.1:80",
+  "readiness": "10.0.0.1:81", "directory": "10.0.0.1:82", "fleet": "10.0.0.1:83",
+  "fleetKey": "at-least-eight", "fleetPorts": [90, 91], "seeds": ["10.0.0.2:83"],
+  "registry": "10.0.0.9:84", "registryWatchMs": 1500,
+  "retries": { "ratio": 0.1, "slack": 20, "windowMs": 5000 }
+})";
+
+std::string withText(std::string text, const std::string &from, const std::string &to)
+{
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("Settings of a relaying daemon are read")
+{
+    CHECK(isRelaySettings(relaySettings));
+    CHECK_FALSE(isRelaySettings(R"({"daemon": "d1"})"));
+    const auto settings = parseRelaySettings(relaySettings);
+    REQUIRE(settings.ok());
+    CHECK(settings->callers == Endpoint {.host = "10.0.0.1", .port = 80});
+    CHECK(settings->stagePort == 90);
+    CHECK(settings->metricsPort == 91);
+    CHECK(settings->seeds.size() == 1);
+    CHECK(settings->registryWatch == model::milliseconds(1500));
+    CHECK(settings->retryRatio == Approx(0.1));
+    CHECK(settings->retryWindow == model::seconds(5));
+    CHECK(settings->entryLifetime == RelaySettings {}.entryLifetime);
+}
+
+TEST_CASE("Faults in settings of a relaying daemon are reported with their place")
+{
+    for (const auto &[from, to, place] :
+         std::vector<std::tuple<std::string, std::string, std::string>> {
+             {"\"10.0.0.1:80\"", "\"10.0.0.1:99999\"", "/callers"},
+             {"\"10.0.0.2:83\"", "\"nowhere\"", "/seeds"},
+             {"[90, 91]", "[90]", "/fleetPorts"},
+             {"\"ratio\": 0.1", "\"ratio\": -1", "/retries"},
+             {"\"zone\": \"z\"", "\"zome\": \"z\"", "zone"}}) {
+        const auto settings = parseRelaySettings(withText(relaySettings, from, to));
+        REQUIRE_FALSE(settings.ok());
+        CHECK(std::string(settings.status().message()).find(place) != std::string::npos);
+    }
+    CHECK_FALSE(parseRelaySettings("{").ok());
+}
+
+TEST_CASE("An address is a number and a port")
+{
+    CHECK(toText(*parseEndpoint("10.0.0.1:80")) == "10.0.0.1:80");
+    for (const char *text :
+         {"", ":80", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:8x"}) {
+        CHECK_FALSE(parseEndpoint(text));
+    }
+}
--- /dev/null
+++ b/src/observability/tests/loglimitertest.cpp
@@ -0,0 +1,23 @@
+#include <catch2/catch.hpp>
+
+#include "observability/loglimiter.h"
+
+using namespace citronpick;
+using namespace citronpick::observability;
+
+TEST_CASE("Load pattern: a burst of log lines is let through, a flood is counted instead")
+{
+    LogLimiter limiter(10);
+    const model::TimePoint start(model::seconds(100));
+    int written = 0;
+    for (int i = 0; i < 100; ++i) {
+        written += limiter.allows(start) ? 1 : 0;
+    }
+    CHECK(written == 30);
+    CHECK(limiter.takeSuppressed(start) == 70);
+    CHECK_FALSE(limiter.allows(start));
+    CHECK(limiter.takeSuppressed(start + model::milliseconds(500)) == 0);
+    CHECK(limiter.takeSuppressed(start + model::seconds(1)) == 1);
+    CHECK(limiter.allows(start + model::seconds(1)));
+    CHECK(limiter.suppressedTotal() == 71);
+}
