Scheduler and daemon split by job; parameters that nobody read

Cause: two files of over 500 lines held two jobs each (filling batches beside keeping them; the registry beside the loop), and a start time and two clocks were passed and not used. Ruled out: splitting the connection state machines: their parts share every member.

--- a/bench/capacitybench.cpp
+++ b/bench/capacitybench.cpp
@@ -10,11 +10,11 @@
 
 #include "admission/accountlimits.h"
 #include "core/core.h"
+#include "documents/readschedule.h"
 #include "fleet/facttable.h"
 #include "fleet/membertable.h"
 #include "observability/timeline.h"
 #include "operations/operationtable.h"
-#include "documents/readschedule.h"
 #include "support/experiments.h"
 
 // State and processor time of each role by its size: three sizes and the slope through the outer
--- a/bench/relaycapacitybench.cpp
+++ b/bench/relaycapacitybench.cpp
@@ -44,6 +44,7 @@
             const std::function<Cost(size_t)> &measure)
 {
     std::vector<Cost> costs;
+    costs.reserve(sizes.size());
     for (const size_t size : sizes) {
         costs.push_back(measure(size));
     }
@@ -98,7 +99,7 @@
 //! One request without stages, from its arrival to its answer.
 Cost ofRequest(size_t upstreams)
 {
-    RelaySystem system({.daemon = model::DaemonId("d")}, {});
+    RelaySystem system({.daemon = model::DaemonId("d")});
     system.setConfiguration(configuration());
     for (size_t i = 0; i < upstreams; ++i) {
         system.upstreams().apply(listing(enginePool, i));
@@ -159,7 +160,7 @@
     constexpr int turns = 20;
     const double begin = cpuMicroseconds();
     for (int i = 1; i <= turns; ++i) {
-        scheduler.run(start + model::milliseconds(100 * i));
+        scheduler.run(start + model::milliseconds(int64_t {100} * i));
     }
     return {.bytes = bytes, .microseconds = (cpuMicroseconds() - begin) / turns};
 }
--- /dev/null
+++ b/src/daemon/internal/relayregistry.cpp
@@ -0,0 +1,173 @@
+#include <absl/strings/str_cat.h>
+
+#include "daemon/internal/exchangerunner.h"
+#include "daemon/internal/fleetapi.h"
+#include "daemon/internal/listingcodec.h"
+#include "daemon/internal/registryreader.h"
+#include "daemon/relaydaemon.h"
+#include "model/abslview.h"
+#include "model/hash.h"
+
+// What a relaying daemon learns from the registry and from peers that have read it.
+
+namespace citronpick::daemon
+{
+
+using observability::EventCode;
+
+namespace
+{
+
+//! A daemon that cannot read the registry asks a peer this often.
+constexpr model::Duration listingInterval = model::milliseconds(500);
+
+} // namespace
+
+std::optional<config::OfferedFile> RelayDaemon::configurationFile() const
+{
+    if (!m_relay->configuration()) {
+        return std::nullopt;
+    }
+    return config::OfferedFile {.revision = m_relay->configuration()->revision(),
+                                .text = m_configurationText};
+}
+
+std::optional<std::string> RelayDaemon::listingForPeers() const
+{
+    if (!m_registry->follower().isSynchronized()) {
+        return std::nullopt;
+    }
+    return encodeListing(m_registry->follower().listing());
+}
+
+// While the registry cannot be read here, what others have read is the best there is.
+void RelayDaemon::askPeersForListing(model::TimePoint now)
+{
+    const registry::RegistryFollower &follower = m_registry->follower();
+    if (follower.isReachable() || now < m_nextListing) {
+        return;
+    }
+    m_nextListing = now + listingInterval;
+    std::vector<config::Endpoint> peers;
+    for (const auto &[id, row] : m_fleet->members().rows()) {
+        if (id != m_settings.daemon && row.member.isUsable()) {
+            peers.push_back(row.member.fleet);
+        }
+    }
+    if (peers.empty()) {
+        return;
+    }
+    const config::Endpoint &peer = peers[m_random.below(static_cast<uint32_t>(peers.size()))];
+    m_fleetApi->fetchListing(peer, [this, peer](const std::string &text) {
+        const auto listing = decodeListing(text);
+        if (!listing.ok()) {
+            record({.code = EventCode::ListingRejected,
+                    .request = {},
+                    .subject = config::toText(peer),
+                    .detail = absl::StrCat("why=", listing.status().message())});
+            return;
+        }
+        m_registry->takePeerListing(*listing, net::EventLoop::now());
+    });
+}
+
+void RelayDaemon::onRegistryNews(const registry::FollowerNews &news)
+{
+    if (const auto *reachable = std::get_if<registry::Reachable>(&news)) {
+        record({.code = reachable->isReachable ? EventCode::PlatformAvailable
+                                               : EventCode::PlatformUnavailable,
+                .request = {},
+                .subject = config::toText(m_settings.registry),
+                .detail = absl::StrCat("revision=", m_registry->follower().revision())});
+    }
+    const auto *changed = std::get_if<registry::KeyChanged>(&news);
+    if (!changed) {
+        return;
+    }
+    switch (m_format.kindOf(changed->key)) {
+    case RegistryKey::Configuration:
+        // A configuration that is gone from the registry stays in force.
+        if (changed->value) {
+            offerConfiguration(*changed->value, "registry");
+        }
+        return;
+    case RegistryKey::Upstream:
+        onUpstreamChanged(*changed);
+        return;
+    case RegistryKey::Other:
+        return;
+    }
+}
+
+void RelayDaemon::offerConfiguration(const std::string &text, std::string_view source)
+{
+    auto content = m_format.decodeConfiguration(text);
+    if (!content.ok()) {
+        record({.code = EventCode::ConfigurationRejected,
+                .request = {},
+                .subject = config::toText(m_settings.registry),
+                .detail = absl::StrCat("source=", model::toAbsl(source),
+                                       " why=", content.status().message())});
+        return;
+    }
+    const auto configuration
+        = std::make_shared<const relay::RelayConfiguration>(*std::move(content));
+    const model::Revision before
+        = m_relay->configuration() ? m_relay->configuration()->revision() : model::Revision();
+    if (!m_relay->setConfiguration(configuration)) {
+        return;
+    }
+    m_configurationText = text;
+    const relay::CallerBounds &bounds = configuration->content().bounds;
+    m_exchanges->server().setLimits({.maxHeadBytes = bounds.maxHeadBytes,
+                                     .maxBodyBytes = bounds.maxBodyBytes,
+                                     .headTimeout = bounds.headTimeout,
+                                     .idleTimeout = bounds.idleTimeout,
+                                     .maxConnections = m_settings.maxConnections});
+    m_fleet->setRevision(configuration->revision(), model::hash64(text));
+    record({.code = EventCode::ConfigurationAccepted,
+            .request = {},
+            .subject = absl::StrCat("revision-", configuration->revision().value()),
+            .detail = absl::StrCat("source=", model::toAbsl(source), " before=", before.value(),
+                                   " routes=", configuration->content().routes.size())});
+}
+
+void RelayDaemon::onUpstreamChanged(const registry::KeyChanged &changed)
+{
+    const model::UpstreamId id = m_format.upstreamOf(changed.key);
+    const std::string revision = absl::StrCat("revision=", changed.revision);
+    if (!changed.value) {
+        if (m_relay->upstreams().remove(id)) {
+            record({.code = EventCode::UpstreamRemoved,
+                    .request = {},
+                    .subject = id.text(),
+                    .detail = revision});
+        }
+        return;
+    }
+    const auto listing = m_format.decodeUpstream(changed.key, *changed.value);
+    if (!listing.ok()) {
+        m_relay->upstreams().remove(id);
+        record({.code = EventCode::ListingRejected,
+                .request = {},
+                .subject = id.text(),
+                .detail = absl::StrCat(revision, " why=", listing.status().message())});
+        return;
+    }
+    const relay::ListingChange change = m_relay->upstreams().apply(*listing);
+    if (change == relay::ListingChange::None || change == relay::ListingChange::Updated) {
+        return;
+    }
+    const EventCode code = change == relay::ListingChange::Added ? EventCode::UpstreamListed
+                           : change == relay::ListingChange::Restarted
+                               ? EventCode::UpstreamRestarted
+                               : EventCode::UpstreamLeaving;
+    record({.code = code,
+            .request = {},
+            .subject = id.text(),
+            .detail = absl::StrCat(revision, " pool=", listing->pool.text(),
+                                   " address=", config::toText(listing->address),
+                                   " zone=", listing->zone.text())});
+}
+
+} // namespace citronpick::daemon
--- a/src/daemon/relaydaemon.h
+++ b/src/daemon/relaydaemon.h
@@ -72,13 +72,13 @@
     std::optional<config::OfferedFile> configurationFile() const;
     std::optional<std::string> listingForPeers() const;
     void askPeersForListing(model::TimePoint now);
-    void startParts(model::Incarnation incarnation, model::TimePoint now);
+    void startParts(model::Incarnation incarnation);
     void onRegistryNews(const registry::FollowerNews &news);
     void offerConfiguration(const std::string &text, std::string_view source);
     void onUpstreamChanged(const registry::KeyChanged &changed);
     void execute(relay::RelayCommand &command);
     void runFleet(model::TimePoint now);
-    void refreshPeers(model::TimePoint now);
+    void refreshPeers();
     void checkReady(model::TimePoint now);
     void checkDrain(model::TimePoint now);
     model::Duration waitTime(model::TimePoint now) const;
--- a/src/relay/internal/relaysystem.cpp
+++ b/src/relay/internal/relaysystem.cpp
@@ -89,14 +89,13 @@
     return refusal != Refusal::UpstreamFailed && refusal != Refusal::TimedOut;
 }
 
-RelaySystem::RelaySystem(RelayOptions options, model::TimePoint start)
+RelaySystem::RelaySystem(RelayOptions options)
     : m_options(std::move(options))
     , m_chooser(m_directory, m_options.seed)
     , m_scheduler(m_directory)
     , m_budget(m_options.retries)
     , m_quarantine(strikesToQuarantine, strikeLifetime, quarantineLifetime)
 {
-    static_cast<void>(start);
 }
 
 bool RelaySystem::setConfiguration(RelayConfigurationPtr configuration)
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -56,7 +56,7 @@
 class RelaySystem
 {
 public:
-    RelaySystem(RelayOptions options, model::TimePoint start);
+    explicit RelaySystem(RelayOptions options);
 
     //! An older or equal revision is ignored; true when it was put in force.
     bool setConfiguration(RelayConfigurationPtr configuration);
--- a/src/relay/tests/exchangetest.cpp
+++ b/src/relay/tests/exchangetest.cpp
@@ -43,7 +43,7 @@
 
 TEST_CASE("Without a configuration requests are told to come back")
 {
-    RelaySystem system({.daemon = model::DaemonId("d")}, {});
+    RelaySystem system({.daemon = model::DaemonId("d")});
     system.arrive({.request = model::RequestId(1)}, {});
     bool isTold = false;
     for (const RelayCommand &command : system.takeCommands()) {
--- a/src/relay/tests/relayfixture.h
+++ b/src/relay/tests/relayfixture.h
@@ -21,8 +21,7 @@
     explicit RelayFixture(uint32_t upstreams = 3)
         : system({.daemon = model::DaemonId("d1"),
                   .zone = model::ZoneId("a"),
-                  .retries = {.ratio = 0.2, .slack = 50.0, .window = model::seconds(10)}},
-                 now)
+                  .retries = {.ratio = 0.2, .slack = 50.0, .window = model::seconds(10)}})
     {
         system.setConfiguration(configuration(1));
         for (uint32_t i = 0; i < upstreams; ++i) {
--- a/src/relay/tests/stagestest.cpp
+++ b/src/relay/tests/stagestest.cpp
@@ -196,7 +196,7 @@
     }
     std::set<std::string> coordinators;
     for (const PeerDaemon &peer : peers) {
-        RelaySystem system({.daemon = peer.id}, {});
+        RelaySystem system({.daemon = peer.id});
         system.setConfiguration(RelayFixture::configuration(1));
         system.upstreams().apply({.id = model::UpstreamId("s"), .pool = stagePool});
         system.setPeers(peers);
