--- a/src/daemon/internal/batchrunner.h
+++ b/src/daemon/internal/batchrunner.h
@@ -27,6 +27,11 @@
 
     //! Sends off the releases that have waited long enough.
     void flush(model::TimePoint now);
+    //! When flush() is due next; the end of time while nothing waits.
+    model::TimePoint nextFlush() const
+    {
+        return m_nextFlush;
+    }
 
     void onHead(uint64_t call, const net::MessageHead &head) override;
     void onBody(uint64_t call, std::string_view bytes) override;
--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -143,6 +143,7 @@
     };
     consider(m_relay->nextRun());
     consider(m_registry->follower().nextRun());
+    consider(m_batches->nextFlush());
     constexpr model::Duration roundUp = model::milliseconds(1) - model::Duration(1);
     return std::max(model::Duration::zero(), next - now + roundUp);
 }
@@ -154,6 +155,7 @@
     m_registry->run(now);
     m_relay->run(now);
     execute();
+    m_batches->flush(now);
     if (now >= m_nextSweep) {
         m_nextSweep = now + sweepInterval;
         m_exchanges->server().sweep(now);
@@ -161,7 +163,6 @@
         m_peerJobs->sweep(now);
         m_client.sweep(now);
         m_fleetClient.expire(now);
-        m_batches->flush(now);
         runFleet(now);
         askPeersForListing(now);
         checkReady(now);
--- a/src/daemon/internal/stagejobcodec.cpp
+++ b/src/daemon/internal/stagejobcodec.cpp
@@ -26,10 +26,14 @@
                    {"priority", job.priority},
                    {"dueUs", (job.due - now).count()},
                    {"leftUs", (job.deadline - now).count()},
-                   {"zone", job.preferredZone.text()}};
+                   {"zone", job.preferredZone.text()},
+                   {"releasesInputs", job.releasesInputs}};
     if (job.inputsUntil != model::TimePoint::max()) {
         document["inputsLeftUs"] = (job.inputsUntil - now).count();
     }
+    if (job.isInquiry) {
+        document["isInquiry"] = true;
+    }
     return document.dump();
 }
 
@@ -47,11 +51,13 @@
                              .due = now + model::Duration(document.at("dueUs").get<int64_t>()),
                              .deadline
                              = now + model::Duration(document.at("leftUs").get<int64_t>()),
-                             .preferredZone = model::ZoneId(document.at("zone"))};
+                             .preferredZone = model::ZoneId(document.at("zone")),
+                             .releasesInputs = document.at("releasesInputs")};
         if (document.contains("inputsLeftUs")) {
             job.inputsUntil = now + model::Duration(document.at("inputsLeftUs").get<int64_t>());
         }
-        if (job.pieceCount == 0 || job.pieceCount > maxPieces) {
+        job.isInquiry = document.value("isInquiry", false);
+        if (job.isInquiry != (job.pieceCount == 0) || job.pieceCount > maxPieces) {
             return absl::InvalidArgumentError("a stage without pieces, or with absurdly many");
         }
         return job;
@@ -60,13 +66,41 @@
     }
 }
 
+namespace
+{
+
+// Waits on time and late in turn, the most urgent priority first.
+std::vector<int64_t> encodeForecast(const relay::QueueForecast &forecast)
+{
+    std::vector<int64_t> waits;
+    for (const relay::QueueWait &wait : forecast.waits) {
+        waits.push_back(wait.onTime.count());
+        waits.push_back(wait.late.count());
+    }
+    return waits;
+}
+
+relay::QueueForecast decodeForecast(const std::vector<int64_t> &waits)
+{
+    relay::QueueForecast forecast;
+    for (size_t i = 0; i < forecast.waits.size() && 2 * i + 1 < waits.size(); ++i) {
+        forecast.waits[i]
+            = {.onTime = model::Duration(waits[2 * i]), .late = model::Duration(waits[2 * i + 1])};
+    }
+    return forecast;
+}
+
+} // namespace
+
 std::string encodeJobResult(const relay::JobResult &result)
 {
     return Json {{"failure", static_cast<int>(result.failure)},
                  {"handles", result.handles},
                  {"retryAfterUs", result.retryAfter.count()},
                  {"tookUs", result.took.count()},
-                 {"wasLate", result.wasLate}}
+                 {"wasLate", result.wasLate},
+                 {"areInputsReleased", result.areInputsReleased},
+                 {"waitsUs", encodeForecast(result.forecast)}}
         .dump();
 }
 
@@ -83,7 +117,9 @@
                                  .retryAfter
                                  = model::Duration(document.at("retryAfterUs").get<int64_t>()),
                                  .took = model::Duration(document.at("tookUs").get<int64_t>()),
-                                 .wasLate = document.at("wasLate")};
+                                 .wasLate = document.at("wasLate"),
+                                 .areInputsReleased = document.at("areInputsReleased"),
+                                 .forecast = decodeForecast(document.at("waitsUs"))};
     } catch (const Json::exception &error) {
         return absl::InvalidArgumentError(error.what());
     }
--- a/src/daemon/tests/codectest.cpp
+++ b/src/daemon/tests/codectest.cpp
@@ -43,7 +43,8 @@
                                .due = sent + model::seconds(1),
                                .deadline = sent + model::seconds(4),
                                .preferredZone = model::ZoneId("z"),
-                               .inputsUntil = sent + model::seconds(2)};
+                               .inputsUntil = sent + model::seconds(2),
+                               .releasesInputs = true};
     auto decoded = decodeStageJob(encodeStageJob(job, sent), received);
     REQUIRE(decoded.ok());
     CHECK(decoded->due == received + model::seconds(1));
@@ -55,6 +56,21 @@
     CHECK(*decoded == job);
 }
 
+TEST_CASE("An inquiry is a stage without pieces that says so")
+{
+    const model::TimePoint now(model::seconds(1));
+    const relay::StageJob inquiry {.pool = model::PoolId("pool"),
+                                   .pieceCount = 0,
+                                   .due = now,
+                                   .deadline = now,
+                                   .isInquiry = true};
+    const auto decoded = decodeStageJob(encodeStageJob(inquiry, now), now);
+    REQUIRE(decoded.ok());
+    CHECK(*decoded == inquiry);
+    const relay::StageJob odd {.pieceCount = 1, .due = now, .deadline = now, .isInquiry = true};
+    CHECK_FALSE(decodeStageJob(encodeStageJob(odd, now), now).ok());
+}
+
 TEST_CASE("What is no stage is refused")
 {
     const model::TimePoint now(model::seconds(1));
@@ -69,11 +85,16 @@
 
 TEST_CASE("A result comes through as it was sent, and nothing else does")
 {
+    relay::QueueForecast forecast;
+    forecast.waits[1] = {.onTime = model::milliseconds(5), .late = model::seconds(2)};
+    forecast.waits[3].late = model::seconds(3);
     const relay::JobResult result {.failure = relay::JobFailure::Late,
                                    .handles = {"a", "b"},
                                    .retryAfter = model::milliseconds(300),
                                    .took = model::milliseconds(20),
-                                   .wasLate = true};
+                                   .wasLate = true,
+                                   .areInputsReleased = true,
+                                   .forecast = forecast};
     const auto decoded = decodeJobResult(encodeJobResult(result));
     REQUIRE(decoded.ok());
     CHECK(*decoded == result);
--- a/src/relay/batchscheduler.h
+++ b/src/relay/batchscheduler.h
@@ -73,6 +73,8 @@
     std::vector<ResultHandle> takeAbandoned();
 
     size_t queuedPieces(const model::PoolId &pool) const;
+    //! How long a job that arrives now waits; zero for a pool that is not scheduled here.
+    QueueForecast forecastOf(const model::PoolId &pool, model::TimePoint now) const;
     size_t jobCount() const
     {
         return m_jobs.size();
@@ -87,6 +89,7 @@
     struct Piece {
         PieceState state = PieceState::Queued;
         uint32_t tries = 0;
+        bool hasFetched = false; //!< Its upstream has fetched the inputs.
         ResultHandle handle;
     };
     struct Job {
@@ -95,6 +98,8 @@
         std::vector<Piece> pieces;
         uint32_t queued = 0;
         uint32_t done = 0;
+        bool areInputsReleased = false;
+        bool isDemoted = false; //!< The pool cannot do it in time beside what it prefers.
         model::TimePoint resultsUntil = model::TimePoint::max(); //!< Of pieces that are done.
 
         //! When what it takes or has made begins to expire.
@@ -114,6 +119,8 @@
         model::TimePoint startedAt;
         model::Duration expected {};
         model::TimePoint overdueAt;
+        model::TimePoint fetchedAt; //!< When its upstream has fetched all inputs.
+        bool hasFetched = false;
     };
     //! When the first upstream of a zone is expected to be free; now for one that is.
     using ZoneTimes = std::map<model::ZoneId, model::TimePoint>;
@@ -121,13 +128,34 @@
         std::vector<JobId> waiting; //!< Jobs with queued pieces.
         model::TimePoint waitsUntil = model::TimePoint::max(); //!< For upstreams of other zones.
         model::TimePoint nextForecast;
+        QueueForecast forecast; //!< As of the last one.
+        model::TimePoint forecastAt;
+        double startedOnTime = 0.0; //!< Pieces of jobs on time, since the last forecast.
+        double recentOnTime = 0.0; //!< The same over a longer time, older ones fading.
+        double onTimePerSecond = 0.0; //!< Load that goes on; what came in one go left out.
         double slowness = 1.0; //!< Time of batches over what the configuration says; smoothed.
     };
+    //! What a pool can do.
+    struct PoolRate {
+        model::Duration fullBatch {};
+        double maxItems = 0.0; //!< Pieces in it.
+        double secondsPerPiece = 0.0; //!< With all batches full.
+        double secondsPerLatePiece = 0.0; //!< Beside the jobs on time that keep arriving.
+    };
 
     void dispatch(const model::PoolId &id, Pool &pool, model::TimePoint now);
     void dropLate(Pool &pool, const BatchRule &rule, model::TimePoint now);
-    void dropHopeless(const model::PoolId &id, Pool &pool, const BatchRule &rule,
+    size_t queuedPieces(const Pool &pool) const;
+    void forecast(const model::PoolId &id, Pool &pool, const BatchRule &rule, model::TimePoint now);
+    PoolRate rateOf(const model::PoolId &id, const Pool &pool, const BatchRule &rule,
+                    model::TimePoint now) const;
+    static void learnOnTimeLoad(Pool &pool, const PoolRate &rate, model::TimePoint now);
+    model::TimePoint firstFree(const model::PoolId &id, const Pool &pool, const BatchRule &rule,
+                               model::TimePoint now) const;
+    void demote(Pool &pool, const PoolRate &rate, model::TimePoint firstFree);
+    void dropHopeless(Pool &pool, const BatchRule &rule, const PoolRate &rate,
                       model::TimePoint now);
+    void noteWaits(Pool &pool, const BatchRule &rule, const PoolRate &rate, model::TimePoint now);
     void order(Pool &pool, const BatchRule &rule, const model::ZoneId &zone, model::TimePoint now);
     std::vector<Upstream *> freeUpstreams(const model::PoolId &id, const BatchRule &rule,
                                           model::TimePoint now) const;
@@ -139,19 +167,26 @@
     static bool isLeftToZone(const Job &job, const BatchRule &rule, const Upstream &upstream,
                              const ZoneTimes &freeAt, model::TimePoint now);
     void takePieces(Job &job, JobId id, size_t count, std::vector<PieceRef> &batch);
-    void start(const model::PoolId &id, const Pool &pool, Upstream &upstream, const BatchRule &rule,
+    size_t roomOf(const Upstream &upstream, const BatchRule &rule) const;
+    void learnRoom(const Batch &batch, const std::vector<ItemOutcome> &outcomes,
+                   model::TimePoint now);
+    void start(const model::PoolId &id, Pool &pool, Upstream &upstream, const BatchRule &rule,
                std::vector<PieceRef> pieces, model::TimePoint now);
     std::optional<Batch> take(BatchId id);
-    void requeue(const PieceRef &piece, bool countsAsTry);
+    void requeue(const PieceRef &piece, bool countsAsTry, model::TimePoint now);
     void settle(const PieceRef &piece, const ItemOutcome &outcome, model::TimePoint now);
-    void finish(JobId job, JobResult result);
+    void finish(JobId job, JobResult result, model::TimePoint now);
     static bool isLate(const StageJob &job, const BatchRule &rule, model::TimePoint now);
+    static bool givesWay(const Job &job, const BatchRule &rule, model::TimePoint now);
     void expire(model::TimePoint now);
+    void releaseFetched(model::TimePoint now);
+    void releaseInputs(JobId job);
     const BatchRule *ruleOf(const model::PoolId &pool) const;
 
     UpstreamDirectory &m_directory;
     RelayConfigurationPtr m_configuration;
     std::map<model::PoolId, Pool> m_pools;
+    absl::flat_hash_map<model::UpstreamId, size_t> m_rooms; //!< Results that fit, where that binds.
     absl::flat_hash_map<JobId, Job> m_jobs;
     std::map<BatchId, Batch> m_batches;
     uint64_t m_lastJob = 0;
--- a/src/relay/internal/batchfilling.cpp
+++ b/src/relay/internal/batchfilling.cpp
@@ -20,10 +20,6 @@
 constexpr model::Duration batchTimeSpread = model::milliseconds(30);
 //! Of a job's slack, the part that such a wait may use up in one stage.
 constexpr double zoneWaitSlackShare = 0.33;
-//! How often a pool's queue is held against what the pool can do.
-constexpr model::Duration forecastInterval = model::milliseconds(100);
-//! Shorter waits than a batch are no use to a caller that comes back.
-constexpr model::Duration leastRetry = model::milliseconds(300);
 //! A job on time gives way to one of the next more urgent kind that is due this much later: about a
 //! batch, so that under a crest the more urgent kind is served and without one both are.
 constexpr model::Duration priorityStep = model::milliseconds(300);
@@ -34,10 +30,11 @@
 {
     const BatchRule *rule = ruleOf(id);
     if (pool.waiting.empty() || !rule) {
+        pool.forecast = {};
         return;
     }
     dropLate(pool, *rule, now);
-    dropHopeless(id, pool, *rule, now);
+    forecast(id, pool, *rule, now);
     pool.waitsUntil = model::TimePoint::max();
     std::vector<Upstream *> free = freeUpstreams(id, *rule, now);
     while (!pool.waiting.empty() && !free.empty()) {
@@ -71,60 +68,32 @@
         }
     }
     for (const JobId job : expired) {
-        finish(job, {.failure = JobFailure::InputsGone});
+        finish(job, {.failure = JobFailure::InputsGone}, now);
     }
     for (const JobId job : late) {
-        finish(job, {.failure = JobFailure::Late, .retryAfter = model::seconds(1)});
+        finish(job, {.failure = JobFailure::Late, .retryAfter = model::seconds(1)}, now);
     }
 }
 
-// A late job behind more work than its pool can do by its deadline is told so at once: its caller
-// can come back when the queue is shorter, and nobody is held for nothing.
-void BatchScheduler::dropHopeless(const model::PoolId &id, Pool &pool, const BatchRule &rule,
-                                  model::TimePoint now)
+bool BatchScheduler::isLate(const StageJob &job, const BatchRule &rule, model::TimePoint now)
 {
-    if (now < pool.nextForecast) {
-        return;
-    }
-    pool.nextForecast = now + forecastInterval;
-    size_t upstreams = 0;
-    for (const Upstream *upstream : m_directory.inPool(id)) {
-        upstreams += upstream->listing.isLeaving || now < upstream->avoidedUntil ? 0 : 1;
-    }
-    const model::Duration fullBatch = model::scaled(
-        rule.callTime + rule.itemTime * static_cast<int64_t>(rule.maxItems), pool.slowness);
-    const double perPiece = model::toSeconds(fullBatch)
-                            / static_cast<double>(std::max<size_t>(1, upstreams)
-                                                  * std::max(1U, rule.slots * rule.maxItems));
-    order(pool, rule, {}, now);
-    double ahead = 0.0;
-    std::vector<std::pair<JobId, model::Duration>> hopeless;
-    for (const JobId job : pool.waiting) {
-        const Job &row = m_jobs.at(job);
-        const model::Duration wait = model::scaled(model::seconds(1), ahead * perPiece);
-        if (isLate(row.content, rule, now) && now + wait + rule.callTime >= row.content.deadline) {
-            hopeless.emplace_back(job, wait);
-            continue;
-        }
-        ahead += row.queued;
-    }
-    for (const auto &[job, wait] : hopeless) {
-        finish(job, {.failure = JobFailure::Late, .retryAfter = std::max(wait, leastRetry)});
-    }
+    return now + rule.callTime > job.due;
 }
 
-bool BatchScheduler::isLate(const StageJob &job, const BatchRule &rule, model::TimePoint now)
+bool BatchScheduler::givesWay(const Job &job, const BatchRule &rule, model::TimePoint now)
 {
-    return now + rule.callTime > job.due;
+    return job.isDemoted || isLate(job.content, rule, now);
 }
 
-// Jobs that can still meet their target go first, the earliest due before others. Those that have
+// Jobs of which some pieces are made keep results that nobody can use yet: these end first. Then
+// come jobs that can still meet their target, the earliest due before others. Those that have
 // missed it are worth less: they take what room is left, the more urgent kind first and the nearest
 // deadline among equals. Results that would expire before they are used count as a deadline.
 void BatchScheduler::order(Pool &pool, const BatchRule &rule, const model::ZoneId &zone,
                            model::TimePoint now)
 {
     struct Rank {
+        bool holdsNothing = false;
         bool isLate = false;
         uint32_t priority = 0; //!< Of late jobs only.
         model::TimePoint at;
@@ -135,12 +104,13 @@
     std::vector<Rank> ranks;
     for (const JobId id : pool.waiting) {
         const Job &job = m_jobs.at(id);
-        const bool isLate = BatchScheduler::isLate(job.content, rule, now);
+        const bool isLate = givesWay(job, rule, now);
         const model::ZoneId &wanted = job.content.preferredZone;
         const bool isElsewhere = !zone.isEmpty() && !wanted.isEmpty() && wanted != zone;
         const model::TimePoint last = std::min(job.content.deadline, job.expiresAt());
         ranks.push_back(
-            {.isLate = isLate,
+            {.holdsNothing = job.done == 0,
+             .isLate = isLate,
              .priority = isLate ? job.content.priority : 0,
              .at = (isLate ? last : job.content.due)
                    + (isElsewhere ? otherZonePenalty : model::Duration::zero())
@@ -225,7 +195,7 @@
                                                            model::TimePoint now)
 {
     std::vector<PieceRef> batch;
-    const size_t room = std::max(1U, rule.maxItems);
+    const size_t room = roomOf(upstream, rule);
     for (const JobId id : pool.waiting) {
         Job &job = m_jobs.at(id);
         const size_t left = room - batch.size();
@@ -237,6 +207,18 @@
             takePieces(job, id, left, batch);
         }
     }
+    // Under saturation room is worth more than a job's pieces side by side: its rest goes with one
+    // of the next batches.
+    for (const JobId id : pool.waiting) {
+        const size_t left = room - batch.size();
+        if (left == 0 || queuedPieces(pool) < room) {
+            break;
+        }
+        Job &job = m_jobs.at(id);
+        if (job.queued > 0 && !isLeftToZone(job, rule, upstream, freeAt, now)) {
+            takePieces(job, id, left, batch);
+        }
+    }
     std::erase_if(pool.waiting, [this](JobId id) { return m_jobs.at(id).queued == 0; });
     return batch;
 }
--- /dev/null
+++ b/src/relay/internal/batchforecast.cpp
@@ -0,0 +1,200 @@
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "relay/batchscheduler.h"
+
+// What a pool's queue is held against: who will be in time, who has no chance, how long others
+// wait.
+
+namespace citronpick::relay
+{
+
+namespace
+{
+
+//! How often a pool's queue is held against what the pool can do.
+constexpr model::Duration forecastInterval = model::milliseconds(100);
+//! Shorter waits than a batch are no use to a caller that comes back.
+constexpr model::Duration leastRetry = model::milliseconds(300);
+
+//! Over which the load of jobs on time is averaged: some batches, and less than a crest lasts.
+constexpr model::Duration loadMemory = model::seconds(2);
+//! Of a pool's rate, what late jobs are taken to get even while others leave them nothing.
+constexpr double leastLateShare = 0.05;
+//! Keeps rates finite for pools whose configuration names no times.
+constexpr model::Duration shortestBatch = model::milliseconds(1);
+
+model::Duration timeOf(double pieces, double secondsPerPiece)
+{
+    return model::scaled(model::seconds(1), pieces * secondsPerPiece);
+}
+
+model::Duration batchTime(const BatchRule &rule, size_t pieces, double slowness)
+{
+    const model::Duration time = rule.callTime + rule.itemTime * static_cast<int64_t>(pieces);
+    return std::max(shortestBatch, model::scaled(time, slowness));
+}
+
+} // namespace
+
+void BatchScheduler::forecast(const model::PoolId &id, Pool &pool, const BatchRule &rule,
+                              model::TimePoint now)
+{
+    if (now < pool.nextForecast) {
+        return;
+    }
+    pool.nextForecast = now + forecastInterval;
+    PoolRate rate = rateOf(id, pool, rule, now);
+    learnOnTimeLoad(pool, rate, now);
+    rate.secondsPerLatePiece = 1.0
+                               / std::max(leastLateShare / rate.secondsPerPiece,
+                                          1.0 / rate.secondsPerPiece - pool.onTimePerSecond);
+    demote(pool, rate, firstFree(id, pool, rule, now));
+    order(pool, rule, {}, now);
+    dropHopeless(pool, rule, rate, now);
+    noteWaits(pool, rule, rate, now);
+}
+
+BatchScheduler::PoolRate BatchScheduler::rateOf(const model::PoolId &id, const Pool &pool,
+                                                const BatchRule &rule, model::TimePoint now) const
+{
+    double piecesPerSecond = 0.0;
+    PoolRate rate {.fullBatch = batchTime(rule, rule.maxItems, pool.slowness),
+                   .maxItems = static_cast<double>(rule.maxItems)};
+    for (const Upstream *upstream : m_directory.inPool(id)) {
+        if (upstream->listing.isLeaving || now < upstream->avoidedUntil) {
+            continue;
+        }
+        const size_t pieces = roomOf(*upstream, rule);
+        piecesPerSecond += static_cast<double>(pieces * std::max(1U, rule.slots))
+                           / model::toSeconds(batchTime(rule, pieces, pool.slowness));
+    }
+    const double oneUpstream
+        = static_cast<double>(std::max(1U, rule.maxItems)) / model::toSeconds(rate.fullBatch);
+    rate.secondsPerPiece = 1.0 / std::max(piecesPerSecond, oneUpstream);
+    return rate;
+}
+
+// What one round of batches holds may have come all at once, so only more than that tells of a load
+// that goes on.
+void BatchScheduler::learnOnTimeLoad(Pool &pool, const PoolRate &rate, model::TimePoint now)
+{
+    const double memory = model::toSeconds(loadMemory);
+    const double kept = std::exp(-model::toSeconds(now - pool.forecastAt) / memory);
+    pool.recentOnTime = kept * pool.recentOnTime + std::exchange(pool.startedOnTime, 0.0);
+    const double round = model::toSeconds(rate.fullBatch) / rate.secondsPerPiece;
+    pool.onTimePerSecond = std::max(0.0, pool.recentOnTime - round) / memory;
+}
+
+model::TimePoint BatchScheduler::firstFree(const model::PoolId &id, const Pool &pool,
+                                           const BatchRule &rule, model::TimePoint now) const
+{
+    if (!freeUpstreams(id, rule, now).empty()) {
+        return now;
+    }
+    model::TimePoint first = model::TimePoint::max();
+    for (const auto &[number, batch] : m_batches) {
+        if (batch.pool == id) {
+            first = std::min(first, batch.startedAt + model::scaled(batch.expected, pool.slowness));
+        }
+    }
+    return first == model::TimePoint::max() ? now : std::max(now, first);
+}
+
+// The most jobs are in time when they run by due time and, whenever one would miss its own, the
+// least urgent and then the largest so far gives way (Moore's rule, with priorities first). By due
+// time alone, everybody would be served at the last moment and a crest would make all late.
+void BatchScheduler::demote(Pool &pool, const PoolRate &rate, model::TimePoint firstFree)
+{
+    std::vector<std::pair<model::TimePoint, JobId>> byDue;
+    for (const JobId id : pool.waiting) {
+        m_jobs.at(id).isDemoted = false;
+        byDue.emplace_back(m_jobs.at(id).content.due, id);
+    }
+    std::sort(byDue.begin(), byDue.end());
+    const auto yieldsFirst = [this](JobId left, JobId right) {
+        const Job &a = m_jobs.at(left);
+        const Job &b = m_jobs.at(right);
+        return std::pair(a.content.priority, a.queued) < std::pair(b.content.priority, b.queued);
+    };
+    std::vector<JobId> kept; // A heap: the one that gives way next is on top.
+    double pieces = 0.0;
+    for (const auto &[due, id] : byDue) {
+        kept.push_back(id);
+        std::push_heap(kept.begin(), kept.end(), yieldsFirst);
+        pieces += m_jobs.at(id).queued;
+        // Batches begin one after the other as upstreams become free; the last one takes its time.
+        const double before = std::max(0.0, pieces - rate.maxItems);
+        if (firstFree + timeOf(before, rate.secondsPerPiece) + rate.fullBatch <= due) {
+            continue;
+        }
+        std::pop_heap(kept.begin(), kept.end(), yieldsFirst);
+        Job &yielding = m_jobs.at(kept.back());
+        yielding.isDemoted = true;
+        pieces -= yielding.queued;
+        kept.pop_back();
+    }
+}
+
+// A late job behind more work than its pool can do by its deadline, or before its inputs expire, is
+// told so at once: its caller
+// can come back when the queue is shorter, and nobody is held for nothing.
+void BatchScheduler::dropHopeless(Pool &pool, const BatchRule &rule, const PoolRate &rate,
+                                  model::TimePoint now)
+{
+    model::Duration wait {};
+    std::vector<std::pair<JobId, model::Duration>> hopeless;
+    for (const JobId job : pool.waiting) {
+        const Job &row = m_jobs.at(job);
+        const bool isLate = givesWay(row, rule, now);
+        const bool isInTime
+            = now + wait + rule.callTime < row.content.deadline && now + wait < row.expiresAt();
+        if (isLate && !isInTime) {
+            hopeless.emplace_back(job, wait);
+            continue;
+        }
+        wait += timeOf(row.queued, isLate ? rate.secondsPerLatePiece : rate.secondsPerPiece);
+    }
+    for (const auto &[job, wait] : hopeless) {
+        finish(job, {.failure = JobFailure::Late, .retryAfter = std::max(wait, leastRetry)}, now);
+    }
+}
+
+void BatchScheduler::noteWaits(Pool &pool, const BatchRule &rule, const PoolRate &rate,
+                               model::TimePoint now)
+{
+    std::array<double, QueueForecast::priorities> onTime {};
+    std::array<double, QueueForecast::priorities> late {};
+    for (const JobId id : pool.waiting) {
+        const Job &job = m_jobs.at(id);
+        auto &ahead = givesWay(job, rule, now) ? late : onTime;
+        ahead[std::min<size_t>(job.content.priority, ahead.size() - 1)] += job.queued;
+    }
+    double allOnTime = 0.0;
+    double moreUrgent = 0.0;
+    double lateUpTo = 0.0;
+    for (const double pieces : onTime) {
+        allOnTime += pieces;
+    }
+    for (size_t i = 0; i < onTime.size(); ++i) {
+        moreUrgent += onTime[i];
+        lateUpTo += late[i];
+        pool.forecast.waits[i] = {.onTime = timeOf(moreUrgent, rate.secondsPerPiece),
+                                  .late = timeOf(allOnTime, rate.secondsPerPiece)
+                                          + timeOf(lateUpTo, rate.secondsPerLatePiece)};
+    }
+    pool.forecastAt = now;
+}
+
+// A queue that nobody joins shrinks by a second a second.
+QueueForecast BatchScheduler::forecastOf(const model::PoolId &id, model::TimePoint now) const
+{
+    const auto it = m_pools.find(id);
+    if (it == m_pools.end()) {
+        return {};
+    }
+    return it->second.forecast.after(now - it->second.forecastAt);
+}
+
+} // namespace citronpick::relay
--- a/src/relay/internal/batchscheduler.cpp
+++ b/src/relay/internal/batchscheduler.cpp
@@ -16,7 +16,12 @@
 constexpr model::Duration refusalPause = model::milliseconds(100);
 //! An upstream without room for results gets some as those it holds are fetched.
 constexpr model::Duration fullPause = model::milliseconds(80);
+//! Batches without a failure after which an upstream is taken to have room for a full one again.
+constexpr uint32_t roomSteps = 16;
 constexpr uint32_t maxTries = 4;
+//! Inputs are fetched at the beginning of a call, over links that take some milliseconds for all of
+//! a batch's; after this much of a call's fixed time they are.
+constexpr double fetchShareOfCall = 0.5;
 //! Weight of the newest batch in a pool's slowness.
 constexpr double slownessWeight = 0.2;
 constexpr double maxSlowness = 3.0;
@@ -60,8 +65,12 @@
     row.pieces.resize(row.content.pieceCount);
     row.queued = row.content.pieceCount;
     const model::PoolId pool = row.content.pool;
+    if (row.content.isInquiry) {
+        finish(id, {}, now);
+        return id;
+    }
     if (!ruleOf(pool) || m_directory.inPool(pool).empty()) {
-        finish(id, {.failure = JobFailure::NoUpstream, .retryAfter = model::seconds(1)});
+        finish(id, {.failure = JobFailure::NoUpstream, .retryAfter = model::seconds(1)}, now);
         return id;
     }
     m_pools[pool].waiting.push_back(id);
@@ -86,6 +95,7 @@
 
 void BatchScheduler::run(model::TimePoint now)
 {
+    releaseFetched(now);
     expire(now);
     for (auto &[id, pool] : m_pools) {
         dispatch(id, pool, now);
@@ -99,7 +109,7 @@
         next = next ? std::min(*next, at) : at;
     };
     for (const auto &[id, batch] : m_batches) {
-        consider(batch.overdueAt);
+        consider(batch.hasFetched ? batch.overdueAt : batch.fetchedAt);
     }
     for (const auto &[id, pool] : m_pools) {
         const BatchRule *rule = ruleOf(id);
@@ -132,7 +142,7 @@
     }
 }
 
-void BatchScheduler::start(const model::PoolId &id, const Pool &pool, Upstream &upstream,
+void BatchScheduler::start(const model::PoolId &id, Pool &pool, Upstream &upstream,
                            const BatchRule &rule, std::vector<PieceRef> pieces,
                            model::TimePoint now)
 {
@@ -143,6 +153,7 @@
                       .pool = id};
     for (const PieceRef &piece : pieces) {
         const StageJob &job = m_jobs.at(piece.job).content;
+        pool.startedOnTime += givesWay(m_jobs.at(piece.job), rule, now) ? 0.0 : 1.0;
         command.items.push_back({.request = job.request,
                                  .stage = job.stage,
                                  .piece = piece.piece,
@@ -155,12 +166,14 @@
     const model::Duration patience
         = model::scaled(expected, overdueFactor * pool.slowness) + overdueMargin;
     ++upstream.inFlight;
-    m_batches.emplace(batch, Batch {.pool = id,
-                                    .upstream = upstream.listing.id,
-                                    .pieces = std::move(pieces),
-                                    .startedAt = now,
-                                    .expected = expected,
-                                    .overdueAt = now + patience});
+    m_batches.emplace(batch,
+                      Batch {.pool = id,
+                             .upstream = upstream.listing.id,
+                             .pieces = std::move(pieces),
+                             .startedAt = now,
+                             .expected = expected,
+                             .overdueAt = now + patience,
+                             .fetchedAt = now + model::scaled(rule.callTime, fetchShareOfCall)});
     m_commands.emplace_back(std::move(command));
 }
 
@@ -191,19 +204,53 @@
                          / std::max(model::toSeconds(batch->expected), 0.001);
     pool.slowness += slownessWeight * (std::clamp(ratio, 1.0, maxSlowness) - pool.slowness);
     m_directory.noteSuccess(batch->upstream);
-    const bool isFull = std::any_of(outcomes.begin(), outcomes.end(), [](const ItemOutcome &each) {
-        return each.failure == ItemFailure::NoRoom;
-    });
-    if (Upstream *upstream = m_directory.find(batch->upstream); upstream && isFull) {
-        // Room comes back as results are fetched, given back or expire.
-        upstream->avoidedUntil = std::max(upstream->avoidedUntil, now + fullPause);
-    }
+    learnRoom(*batch, outcomes, now);
     for (size_t i = 0; i < batch->pieces.size(); ++i) {
         settle(batch->pieces[i], i < outcomes.size() ? outcomes[i] : ItemOutcome {}, now);
     }
     dispatch(batch->pool, pool, now);
 }
 
+// Upstreams keep results until they are fetched and given back, and have room for a few batches of
+// them. What an upstream had room for is about what is given back during one batch, so that is what
+// the next one may bring. Pieces without room would hold up the others of their jobs, whose results
+// keep more room meanwhile.
+void BatchScheduler::learnRoom(const Batch &batch, const std::vector<ItemOutcome> &outcomes,
+                               model::TimePoint now)
+{
+    const BatchRule *rule = ruleOf(batch.pool);
+    Upstream *upstream = m_directory.find(batch.upstream);
+    const auto made = static_cast<size_t>(
+        std::count_if(outcomes.begin(), outcomes.end(), [](const ItemOutcome &outcome) {
+            return outcome.failure != ItemFailure::NoRoom;
+        }));
+    if (!rule || !upstream) {
+        m_rooms.erase(batch.upstream);
+        return;
+    }
+    if (made < outcomes.size()) {
+        m_rooms[batch.upstream] = std::max<size_t>(1, made);
+        if (2 * made <= outcomes.size()) {
+            upstream->avoidedUntil = std::max(upstream->avoidedUntil, now + fullPause);
+        }
+        return;
+    }
+    const auto known = m_rooms.find(batch.upstream);
+    if (known == m_rooms.end() || made < known->second) {
+        return;
+    }
+    known->second += std::max<size_t>(1, rule->maxItems / roomSteps);
+    if (known->second >= rule->maxItems) {
+        m_rooms.erase(known);
+    }
+}
+
+size_t BatchScheduler::roomOf(const Upstream &upstream, const BatchRule &rule) const
+{
+    const auto known = m_rooms.find(upstream.listing.id);
+    return known == m_rooms.end() ? std::max(1U, rule.maxItems) : known->second;
+}
+
 void BatchScheduler::onRefused(BatchId id, model::TimePoint now)
 {
     const std::optional<Batch> batch = take(id);
@@ -214,7 +261,7 @@
         upstream->avoidedUntil = std::max(upstream->avoidedUntil, now + refusalPause);
     }
     for (const PieceRef &piece : batch->pieces) {
-        requeue(piece, false);
+        requeue(piece, false, now);
     }
     dispatch(batch->pool, m_pools[batch->pool], now);
 }
@@ -230,11 +277,46 @@
         upstream->avoidedUntil = std::max(upstream->avoidedUntil, now + refusalPause);
     }
     for (const PieceRef &piece : batch->pieces) {
-        requeue(piece, true);
+        requeue(piece, true, now);
     }
     dispatch(batch->pool, m_pools[batch->pool], now);
 }
 
+// The makers of inputs have little room: what has been fetched is given back while the pieces that
+// took it are still worked on. A piece that fails after that costs its job the stages before.
+void BatchScheduler::releaseFetched(model::TimePoint now)
+{
+    for (auto &[id, batch] : m_batches) {
+        if (batch.hasFetched || now < batch.fetchedAt) {
+            continue;
+        }
+        batch.hasFetched = true;
+        if (m_rooms.contains(batch.upstream)) {
+            // Some of its pieces may find no room and take their inputs again.
+            continue;
+        }
+        for (const PieceRef &piece : batch.pieces) {
+            const auto job = m_jobs.find(piece.job);
+            if (job != m_jobs.end()) {
+                job->second.pieces[piece.piece].hasFetched = true;
+                releaseInputs(piece.job);
+            }
+        }
+    }
+}
+
+void BatchScheduler::releaseInputs(JobId id)
+{
+    Job &job = m_jobs.at(id);
+    const bool isReleased = job.content.releasesInputs && !job.areInputsReleased
+                            && std::all_of(job.pieces.begin(), job.pieces.end(),
+                                           [](const Piece &piece) { return piece.hasFetched; });
+    if (isReleased) {
+        job.areInputsReleased = true;
+        m_abandoned.insert(m_abandoned.end(), job.content.inputs.begin(), job.content.inputs.end());
+    }
+}
+
 void BatchScheduler::expire(model::TimePoint now)
 {
     std::vector<BatchId> overdue;
@@ -263,20 +345,20 @@
     case ItemFailure::None:
         break;
     case ItemFailure::InputsGone:
-        finish(ref.job, {.failure = JobFailure::InputsGone});
+        finish(ref.job, {.failure = JobFailure::InputsGone}, now);
         return;
     case ItemFailure::Late:
         if (now >= job.content.deadline) {
-            finish(ref.job, {.failure = JobFailure::Late, .retryAfter = model::seconds(1)});
+            finish(ref.job, {.failure = JobFailure::Late, .retryAfter = model::seconds(1)}, now);
             return;
         }
-        requeue(ref, true);
+        requeue(ref, true, now);
         return;
     case ItemFailure::NoRoom:
-        requeue(ref, false);
+        requeue(ref, false, now);
         return;
     case ItemFailure::Error:
-        requeue(ref, true);
+        requeue(ref, true, now);
         return;
     }
     Piece &piece = job.pieces[ref.piece];
@@ -293,14 +375,16 @@
         return;
     }
     JobResult result {.took = now - job.submittedAt,
-                      .wasLate = rule && isLate(job.content, *rule, job.submittedAt)};
+                      .wasLate
+                      = rule && (job.isDemoted || isLate(job.content, *rule, job.submittedAt)),
+                      .areInputsReleased = job.areInputsReleased};
     for (Piece &each : job.pieces) {
         result.handles.push_back(std::exchange(each.handle, {}));
     }
-    finish(ref.job, std::move(result));
+    finish(ref.job, std::move(result), now);
 }
 
-void BatchScheduler::requeue(const PieceRef &ref, bool countsAsTry)
+void BatchScheduler::requeue(const PieceRef &ref, bool countsAsTry, model::TimePoint now)
 {
     const auto it = m_jobs.find(ref.job);
     if (it == m_jobs.end()) {
@@ -311,9 +395,14 @@
     if (piece.state != PieceState::Running) {
         return;
     }
+    if (job.areInputsReleased) {
+        finish(ref.job, {.failure = JobFailure::InputsGone}, now);
+        return;
+    }
+    piece.hasFetched = false;
     piece.tries += countsAsTry ? 1 : 0;
     if (piece.tries >= maxTries) {
-        finish(ref.job, {.failure = JobFailure::Failed, .retryAfter = model::seconds(1)});
+        finish(ref.job, {.failure = JobFailure::Failed, .retryAfter = model::seconds(1)}, now);
         return;
     }
     piece.state = PieceState::Queued;
@@ -322,8 +411,12 @@
     }
 }
 
-void BatchScheduler::finish(JobId id, JobResult result)
+void BatchScheduler::finish(JobId id, JobResult result, model::TimePoint now)
 {
+    const auto it = m_jobs.find(id);
+    if (it != m_jobs.end()) {
+        result.forecast = forecastOf(it->second.content.pool, now);
+    }
     cancel(id);
     m_finished.push_back({.job = id, .result = std::move(result)});
 }
@@ -346,11 +439,14 @@
 size_t BatchScheduler::queuedPieces(const model::PoolId &pool) const
 {
     const auto it = m_pools.find(pool);
+    return it == m_pools.end() ? 0 : queuedPieces(it->second);
+}
+
+size_t BatchScheduler::queuedPieces(const Pool &pool) const
+{
     size_t count = 0;
-    if (it != m_pools.end()) {
-        for (const JobId job : it->second.waiting) {
-            count += m_jobs.at(job).queued;
-        }
+    for (const JobId job : pool.waiting) {
+        count += m_jobs.at(job).queued;
     }
     return count;
 }
--- a/src/relay/internal/relaystages.cpp
+++ b/src/relay/internal/relaystages.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <map>
 
 #include <absl/strings/str_cat.h>
 
@@ -30,10 +31,16 @@
 constexpr double stageTimeWeight = 0.15;
 //! Jobs that fell behind while they waited tell of the queue, up to this multiple of a batch.
 constexpr int64_t maxStageTimeInBatches = 4;
-//! A coordinator that has answered nothing for this long is taken for stuck; batches take less.
+//! A coordinator that has answered nothing for this long is taken for stuck.
 constexpr model::Duration peerSilence = model::milliseconds(1500);
+//! A coordinator that owes answers and has been quiet for this long is asked whether it is there:
+//! jobs may wait longer than that in its queue.
+constexpr model::Duration inquiryAfter = model::milliseconds(700);
 //! How long a stuck coordinator is passed over.
 constexpr model::Duration peerAvoidance = model::seconds(3);
+//! An upstream with room for the results of so many batches can keep them until their users are
+//! done.
+constexpr uint64_t ampleBatches = 4;
 //! Keeps numbers of forwarded jobs apart from those of the own scheduler.
 constexpr uint64_t forwardedBit = uint64_t {1} << 63U;
 
@@ -123,6 +130,21 @@
     return longest;
 }
 
+// Inputs are kept until their job is done, in case a piece has to be made again, unless that would
+// leave their makers no room for the next batches.
+bool RelaySystem::releasesInputs(const Exchange &exchange, uint32_t stage)
+{
+    const std::vector<StageRule> &stages = exchange.route->stages;
+    const std::vector<uint32_t> &after = stages[stage].after;
+    const bool isRoomTight = std::any_of(after.begin(), after.end(), [&](uint32_t before) {
+        const PoolRule *maker = exchange.configuration->findPool(stages[before].pool);
+        return maker && maker->batch
+               && stages[before].resultBytes * maker->batch->maxItems * ampleBatches
+                      > maker->batch->resultRoomBytes;
+    });
+    return isRoomTight && exchange.plan.isLastUser(stage);
+}
+
 StageJob RelaySystem::jobFor(const Exchange &exchange, uint32_t stage, model::TimePoint now) const
 {
     const StageRule &rule = exchange.route->stages[stage];
@@ -138,7 +160,8 @@
                   .deadline
                   = std::max(now, exchange.firstBy - timeAfter(exchange, stage, Estimate::Least)),
                   .preferredZone = exchange.homeZone,
-                  .inputsUntil = exchange.plan.inputsUntil(stage)};
+                  .inputsUntil = exchange.plan.inputsUntil(stage),
+                  .releasesInputs = releasesInputs(exchange, stage)};
     if (job.inputs.empty()) {
         job.key = exchange.arrived.pieceKey;
     }
@@ -244,7 +267,10 @@
     case JobFailure::None:
         exchange->plan.complete(owner.stage, std::move(result.handles),
                                 resultsUntil(*exchange, owner.stage, now));
-        release(exchange->plan.takeSpent());
+        if (std::vector<ResultHandle> spent = exchange->plan.takeSpent();
+            !result.areInputsReleased) {
+            release(std::move(spent));
+        }
         advance(owner.request, now);
         return;
     case JobFailure::InputsGone:
@@ -347,6 +373,10 @@
     const Forward forward = it->second;
     m_forwards.erase(it);
     m_peerHeardAt[forward.peer.id] = now;
+    noteForecast(forward.content.pool, result.forecast, now);
+    if (forward.content.isInquiry) {
+        return;
+    }
     const bool isRetriedHere = result.failure == JobFailure::NoUpstream;
     if (isRetriedHere && find(forward.owner.request)) {
         // A coordinator that has just started may not have read the list of upstreams.
@@ -365,6 +395,10 @@
     }
     const Forward forward = it->second;
     m_forwards.erase(it);
+    if (forward.content.isInquiry) {
+        // The jobs that the peer owes decide.
+        return;
+    }
     m_peerAvoidedUntil[forward.peer.id] = now + peerAvoidance;
     Exchange *exchange = find(forward.owner.request);
     if (!exchange) {
@@ -380,6 +414,7 @@
 void RelaySystem::checkPeers(model::TimePoint now)
 {
     std::vector<JobId> stuck;
+    std::map<model::DaemonId, const Forward *> quiet;
     for (const auto &[id, forward] : m_forwards) {
         const auto heard = m_peerHeardAt.find(forward.peer.id);
         const model::TimePoint last = heard == m_peerHeardAt.end()
@@ -387,12 +422,99 @@
                                           : std::max(forward.sentAt, heard->second);
         if (now - last >= peerSilence) {
             stuck.push_back(id);
+        } else if (now - last >= inquiryAfter) {
+            quiet.emplace(forward.peer.id, &forward);
         }
     }
+    for (const auto &[id, forward] : quiet) {
+        inquire(forward->peer, forward->content.pool, now);
+    }
+    std::sort(stuck.begin(), stuck.end());
     for (const JobId job : stuck) {
         m_commands.emplace_back(CancelForward {.job = job});
         onForwardFailed(job, now);
     }
 }
 
+void RelaySystem::inquire(const PeerDaemon &peer, const model::PoolId &pool, model::TimePoint now)
+{
+    const auto asked = m_peerAskedAt.find(peer.id);
+    if (asked != m_peerAskedAt.end() && now - asked->second < inquiryAfter) {
+        return;
+    }
+    m_peerAskedAt[peer.id] = now;
+    const JobId id(forwardedBit | ++m_lastForward);
+    StageJob inquiry {
+        .pool = pool, .pieceCount = 0, .due = now, .deadline = now, .isInquiry = true};
+    m_commands.emplace_back(ForwardJob {.job = id, .peer = peer, .content = inquiry});
+    m_forwards.emplace(
+        id, Forward {.owner = {}, .peer = peer, .content = std::move(inquiry), .sentAt = now});
+}
+
+void RelaySystem::noteForecast(const model::PoolId &pool, const QueueForecast &forecast,
+                               model::TimePoint now)
+{
+    m_forecasts[pool] = {.forecast = forecast, .at = now};
+}
+
+QueueForecast RelaySystem::forecastOf(const model::PoolId &pool, model::TimePoint now) const
+{
+    if (!coordinatorOf(pool, now)) {
+        return m_scheduler.forecastOf(pool, now);
+    }
+    const auto told = m_forecasts.find(pool);
+    return told == m_forecasts.end() ? QueueForecast {}
+                                     : told->second.forecast.after(now - told->second.at);
+}
+
+// The queue and the stage itself.
+QueueWait RelaySystem::queueWait(const Exchange &exchange, uint32_t stage,
+                                 model::TimePoint now) const
+{
+    const model::Duration work = stageTime(exchange, stage, Estimate::Least);
+    if (work == model::Duration::zero()) {
+        return {};
+    }
+    const QueueForecast forecast = forecastOf(exchange.route->stages[stage].pool, now);
+    const QueueWait &wait = forecast.at(exchange.priority);
+    return {.onTime = wait.onTime + work, .late = wait.late + work};
+}
+
+// Over the longest way through the stages.
+QueueWait RelaySystem::longestWait(const Exchange &exchange, model::TimePoint now) const
+{
+    const std::vector<StageRule> &stages = exchange.route->stages;
+    std::vector<QueueWait> until(stages.size());
+    QueueWait longest;
+    for (uint32_t i = 0; i < stages.size(); ++i) {
+        QueueWait before;
+        for (const uint32_t earlier : stages[i].after) {
+            if (earlier < i) {
+                before.onTime = std::max(before.onTime, until[earlier].onTime);
+                before.late = std::max(before.late, until[earlier].late);
+            }
+        }
+        const QueueWait own = queueWait(exchange, i, now);
+        until[i] = {.onTime = before.onTime + own.onTime, .late = before.late + own.late};
+        longest.onTime = std::max(longest.onTime, until[i].onTime);
+        longest.late = std::max(longest.late, until[i].late);
+    }
+    return longest;
+}
+
+// A request that would be late and then still not be done before its caller leaves has no chance.
+// Nothing is given for a request that has one; else for how long the queues are too long.
+std::optional<model::Duration> RelaySystem::excessWait(const Exchange &exchange,
+                                                       model::TimePoint now) const
+{
+    const QueueWait wait = longestWait(exchange, now);
+    const model::Duration engine = engineTime(exchange, Estimate::Least);
+    const model::TimePoint target = exchange.arrived.startedAt + exchange.route->latencyTarget;
+    const model::TimePoint end = now + wait.late + engine;
+    if (now + wait.onTime + engine <= target || end <= exchange.firstBy) {
+        return std::nullopt;
+    }
+    return end - exchange.firstBy;
+}
+
 } // namespace citronpick::relay
--- a/src/relay/internal/relaysystem.cpp
+++ b/src/relay/internal/relaysystem.cpp
@@ -33,6 +33,8 @@
 constexpr uint32_t strikesToQuarantine = 3;
 constexpr model::Duration strikeLifetime = model::seconds(60);
 constexpr model::Duration quarantineLifetime = model::seconds(600);
+//! A queue that is too long is not shorter any sooner: a batch takes about as much.
+constexpr model::Duration leastQueueRetry = model::milliseconds(300);
 //! Other daemons go on serving while this one stops.
 constexpr model::Duration stoppingRetry = model::milliseconds(50);
 
@@ -218,6 +220,10 @@
                         " pool=", exchange.pool.text(), " account=", exchange.account.text(),
                         " leftMs=", model::toMilliseconds(exchange.deadline - now),
                         " stages=", exchange.route->stages.size()));
+    if (const std::optional<model::Duration> excess = excessWait(exchange, now)) {
+        refuse(id, Refusal::TooLate, std::max(leastQueueRetry, *excess));
+        return;
+    }
     advance(id, now);
 }
 
--- a/src/relay/internal/stageplan.cpp
+++ b/src/relay/internal/stageplan.cpp
@@ -84,6 +84,24 @@
     return inputs;
 }
 
+bool StagePlan::isLastUser(uint32_t stage) const
+{
+    const std::vector<uint32_t> &after = m_stages[stage].after;
+    return std::all_of(after.begin(), after.end(), [this, stage](uint32_t before) {
+        // Past a stage that is left out, others may take the same.
+        if (m_stages[before].pieceCount == 0) {
+            return false;
+        }
+        for (uint32_t i = 0; i < m_stages.size(); ++i) {
+            const std::vector<uint32_t> &others = m_stages[i].after;
+            if (i != stage && std::find(others.begin(), others.end(), before) != others.end()) {
+                return false;
+            }
+        }
+        return true;
+    });
+}
+
 model::TimePoint StagePlan::inputsUntil(uint32_t stage) const
 {
     model::TimePoint until = model::TimePoint::max();
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -162,6 +162,11 @@
         uint64_t exchange = 0;
     };
     using JobOwner = std::variant<LocalStage, PeerExchange>;
+    //! What a coordinator last told of a pool's queue.
+    struct ToldForecast {
+        QueueForecast forecast;
+        model::TimePoint at;
+    };
     struct Forward {
         LocalStage owner;
         PeerDaemon peer;
@@ -186,6 +191,7 @@
 
     // Stages
     void advance(model::RequestId request, model::TimePoint now);
+    static bool releasesInputs(const Exchange &exchange, uint32_t stage);
     StageJob jobFor(const Exchange &exchange, uint32_t stage, model::TimePoint now) const;
     void submit(const LocalStage &owner, StageJob job, model::TimePoint now);
     void submitHere(const LocalStage &owner, StageJob job, model::TimePoint now);
@@ -198,6 +204,13 @@
     void takeScheduled(model::TimePoint now);
     void cancelJobs(Exchange &exchange);
     void checkPeers(model::TimePoint now);
+    void inquire(const PeerDaemon &peer, const model::PoolId &pool, model::TimePoint now);
+    void noteForecast(const model::PoolId &pool, const QueueForecast &forecast,
+                      model::TimePoint now);
+    QueueForecast forecastOf(const model::PoolId &pool, model::TimePoint now) const;
+    QueueWait queueWait(const Exchange &exchange, uint32_t stage, model::TimePoint now) const;
+    QueueWait longestWait(const Exchange &exchange, model::TimePoint now) const;
+    std::optional<model::Duration> excessWait(const Exchange &exchange, model::TimePoint now) const;
     void learnStageTime(const model::PoolId &pool, const JobResult &result);
     model::Duration engineTime(const Exchange &exchange, Estimate estimate) const;
     static model::Duration silenceLimit(const Exchange &exchange);
@@ -233,7 +246,9 @@
     pipeline::QuarantineTable m_quarantine;
     std::vector<PeerDaemon> m_peers;
     absl::flat_hash_map<model::DaemonId, model::TimePoint> m_peerHeardAt;
+    absl::flat_hash_map<model::DaemonId, model::TimePoint> m_peerAskedAt;
     absl::flat_hash_map<model::DaemonId, model::TimePoint> m_peerAvoidedUntil;
+    absl::flat_hash_map<model::PoolId, ToldForecast> m_forecasts; //!< Of pools scheduled by peers.
     absl::flat_hash_map<model::RequestId, std::unique_ptr<Exchange>> m_exchanges;
     absl::flat_hash_map<model::AttemptId, Attempt> m_attempts;
     absl::flat_hash_map<JobId, JobOwner> m_jobOwners; //!< Of jobs in this daemon's scheduler.
--- a/src/relay/stageplan.h
+++ b/src/relay/stageplan.h
@@ -35,6 +35,8 @@
     }
     //! Results that a stage takes: those of the stages before it, past stages left out.
     std::vector<ResultHandle> inputsOf(uint32_t stage) const;
+    //! Whether no other stage takes what this one does.
+    bool isLastUser(uint32_t stage) const;
     //! \a until is when its results expire.
     void complete(uint32_t stage, std::vector<ResultHandle> handles, model::TimePoint until);
     //! When the first result that a stage takes expires.
--- /dev/null
+++ b/src/relay/tests/batchcresttest.cpp
@@ -0,0 +1,187 @@
+#include "relay/tests/batchfixture.h"
+
+using namespace citronpick;
+using namespace citronpick::relay;
+using namespace citronpick::relay::testing;
+
+namespace
+{
+
+StageJob jobOf(const std::string &name, uint32_t priority, model::TimePoint due,
+               model::TimePoint deadline)
+{
+    return {.pool = pool,
+            .request = model::CallerRequestId(name),
+            .pieceCount = 8,
+            .priority = priority,
+            .due = due,
+            .deadline = deadline};
+}
+
+//! Answers a batch of which only some pieces found room.
+void answerPartly(BatchFixture &fixture, const RunBatch &batch, size_t made)
+{
+    std::vector<ItemOutcome> outcomes;
+    for (size_t i = 0; i < batch.items.size(); ++i) {
+        outcomes.push_back({.failure = i < made ? ItemFailure::None : ItemFailure::NoRoom,
+                            .handle = absl::StrCat("h", i)});
+    }
+    fixture.scheduler.onAnswered(batch.batch, outcomes, fixture.now);
+}
+
+} // namespace
+
+TEST_CASE("Load pattern: under a crest the least urgent give way so that the others are in time")
+{
+    BatchFixture fixture;
+    fixture.submit(8);
+    const RunBatch running = fixture.batch();
+    // Three batches of 360 ms for two that fit. By due time alone the note would go first and both
+    // replies would be late.
+    const model::TimePoint start = fixture.now;
+    const model::TimePoint deadline = start + model::seconds(9);
+    fixture.scheduler.submit(jobOf("note", 2, start + milliseconds(1100), deadline), start);
+    fixture.scheduler.submit(jobOf("reply-1", 0, start + milliseconds(1150), deadline), start);
+    fixture.scheduler.submit(jobOf("reply-2", 0, start + milliseconds(1160), deadline), start);
+    Names order;
+    RunBatch last = running;
+    for (int i = 0; i < 3; ++i) {
+        fixture.pass(milliseconds(360));
+        fixture.answer(last);
+        last = fixture.batch();
+        order.push_back(requestsOf(last).front());
+    }
+    CHECK(order == Names {"reply-1", "reply-2", "note"});
+}
+
+TEST_CASE("Load pattern: with more than a batch waiting, batches are full though a job is split")
+{
+    BatchFixture fixture;
+    fixture.submit(8);
+    const RunBatch running = fixture.batch();
+    for (int i = 0; i < 6; ++i) {
+        fixture.submit(5);
+    }
+    fixture.pass(milliseconds(360));
+    fixture.answer(running);
+    CHECK(requestsOf(fixture.batch()) == Names {"r2", "r2", "r2", "r2", "r2", "r3", "r3", "r3"});
+}
+
+TEST_CASE("Load pattern: an upstream short of room gets what it had room for, then more again")
+{
+    BatchFixture fixture;
+    fixture.submit(8);
+    for (int i = 0; i < 10; ++i) {
+        fixture.submit(8, model::seconds(20), {}, model::seconds(60));
+    }
+    answerPartly(fixture, fixture.batch(), 5);
+    const RunBatch next = fixture.batch();
+    CHECK(next.items.size() == 5);
+    // The pieces that found no room keep those made from being used, so they go first.
+    CHECK(requestsOf(next).front() == "r1");
+    fixture.answer(next);
+    const RunBatch after = fixture.batch();
+    CHECK(after.items.size() == 6);
+    fixture.answer(after);
+    CHECK(fixture.batch().items.size() == 7);
+}
+
+TEST_CASE("Load pattern: late jobs beside a steady load of others are told at once")
+{
+    BatchFixture fixture;
+    RunBatch running;
+    // Full batches of jobs on time, one after the other, leave nothing to anyone else.
+    for (int i = 0; i < 12; ++i) {
+        fixture.submit(8);
+        fixture.submit(8);
+        fixture.pass(milliseconds(360));
+        if (i > 0) {
+            fixture.answer(running);
+        }
+        running = fixture.batch();
+    }
+    fixture.scheduler.takeFinished();
+    const JobId late = fixture.submit(8, milliseconds(100), {}, model::seconds(8));
+    fixture.pass(milliseconds(100));
+    const std::vector<FinishedJob> finished = fixture.scheduler.takeFinished();
+    REQUIRE(!finished.empty());
+    CHECK(finished.back().job == late);
+    CHECK(finished.back().result.failure == JobFailure::Late);
+}
+
+TEST_CASE("Inputs of a short-lived kind are given back once they were fetched")
+{
+    BatchFixture fixture;
+    StageJob job = jobOf("r", 0, fixture.now + model::seconds(2), fixture.now + model::seconds(8));
+    job.inputs = {"i1", "i2"};
+    job.releasesInputs = true;
+    fixture.scheduler.submit(job, fixture.now);
+    const RunBatch batch = fixture.batch();
+    fixture.pass(milliseconds(99));
+    CHECK(fixture.scheduler.takeAbandoned().empty());
+    REQUIRE(fixture.scheduler.nextRun() == fixture.now + milliseconds(1));
+    fixture.pass(milliseconds(1));
+    CHECK(fixture.scheduler.takeAbandoned() == std::vector<ResultHandle> {"i1", "i2"});
+
+    SECTION("and the result says so")
+    {
+        fixture.answer(batch);
+        CHECK(fixture.scheduler.takeFinished().front().result.areInputsReleased);
+        CHECK(fixture.scheduler.takeAbandoned().empty());
+    }
+    SECTION("and a piece that fails then has none to be made from")
+    {
+        fixture.answer(batch, ItemFailure::Error);
+        CHECK(fixture.scheduler.takeFinished().front().result.failure == JobFailure::InputsGone);
+    }
+}
+
+TEST_CASE("Inputs are kept where a piece may have to be made again for want of room")
+{
+    BatchFixture fixture;
+    fixture.submit(8);
+    answerPartly(fixture, fixture.batch(), 5);
+    answerPartly(fixture, fixture.batch(), 3);
+    StageJob job = jobOf("r", 0, fixture.now + model::seconds(2), fixture.now + model::seconds(8));
+    job.pieceCount = 2;
+    job.inputs = {"i"};
+    job.releasesInputs = true;
+    fixture.scheduler.submit(job, fixture.now);
+    REQUIRE(fixture.batch().items.size() == 2);
+    fixture.pass(milliseconds(150));
+    CHECK(fixture.scheduler.takeAbandoned().empty());
+}
+
+TEST_CASE("A forecast tells each priority its wait, and shrinks while nobody joins")
+{
+    BatchFixture fixture;
+    fixture.submit(8);
+    const RunBatch running = fixture.batch();
+    const model::TimePoint deadline = fixture.now + model::seconds(9);
+    const model::TimePoint due = fixture.now + model::seconds(4);
+    fixture.scheduler.submit(jobOf("reply", 0, due, deadline), fixture.now);
+    fixture.scheduler.submit(jobOf("note", 2, due, deadline), fixture.now);
+    fixture.pass(milliseconds(100));
+    const QueueForecast forecast = fixture.scheduler.forecastOf(pool, fixture.now);
+    CHECK(forecast.at(0).onTime == milliseconds(360));
+    CHECK(forecast.at(1).onTime == milliseconds(360));
+    CHECK(forecast.at(2).onTime == milliseconds(720));
+    CHECK(forecast.at(9) == forecast.at(3));
+    CHECK(forecast.after(milliseconds(500)).at(0).onTime == model::Duration::zero());
+    CHECK(forecast.after(milliseconds(500)).at(2).onTime == milliseconds(220));
+    CHECK(fixture.scheduler.forecastOf(model::PoolId("other"), fixture.now) == QueueForecast {});
+    static_cast<void>(running);
+}
+
+TEST_CASE("An inquiry is answered at once with the pool's forecast")
+{
+    BatchFixture fixture;
+    fixture.submit(8);
+    fixture.submit(8);
+    fixture.pass(milliseconds(100));
+    fixture.scheduler.submit({.pool = pool, .pieceCount = 0, .isInquiry = true}, fixture.now);
+    const std::vector<FinishedJob> finished = fixture.scheduler.takeFinished();
+    REQUIRE(finished.size() == 1);
+    CHECK(finished.front().result.failure == JobFailure::None);
+    CHECK(finished.front().result.forecast.at(0).onTime == milliseconds(360));
+}
--- a/src/relay/tests/stageplantest.cpp
+++ b/src/relay/tests/stageplantest.cpp
@@ -98,3 +98,14 @@
     plan.takeReady();
     CHECK(plan.inputsOf(1) == Handles {"new"});
 }
+
+TEST_CASE("A stage is the last user of its inputs unless another stage takes them too")
+{
+    const StagePlan chain({stage({}), stage({0})}, {1, 1});
+    CHECK(chain.isLastUser(1));
+    const StagePlan fork({stage({}), stage({0}), stage({0})}, {1, 1, 1});
+    CHECK(!fork.isLastUser(1));
+    CHECK(!fork.isLastUser(2));
+    const StagePlan gap({stage({}), stage({0}), stage({1})}, {1, 0, 1});
+    CHECK(!gap.isLastUser(2));
+}
--- a/src/relay/tests/stagestest.cpp
+++ b/src/relay/tests/stagestest.cpp
@@ -153,6 +153,63 @@
     CHECK(fixture.count<RunBatch>() == 1);
 }
 
+TEST_CASE("Load pattern: a coordinator with a long queue that still answers is not taken for stuck")
+{
+    RelayFixture fixture;
+    peersWithCoordinator(fixture);
+    fixture.arrive("/staged/x");
+    fixture.take<ForwardJob>();
+    for (int i = 0; i < 5; ++i) {
+        fixture.pass(milliseconds(700));
+        const auto inquiry = fixture.take<ForwardJob>();
+        REQUIRE(inquiry.content.isInquiry);
+        fixture.pass(milliseconds(2));
+        CHECK(fixture.count<ForwardJob>() == 0);
+        fixture.system.onForwardAnswered(inquiry.job, {}, fixture.now);
+        fixture.collect();
+    }
+    CHECK(fixture.count<CancelForward>() == 0);
+    CHECK(fixture.count<RunBatch>() == 0);
+}
+
+TEST_CASE("An inquiry that fails leaves it to the jobs to find their coordinator stuck")
+{
+    RelayFixture fixture;
+    peersWithCoordinator(fixture);
+    fixture.arrive("/staged/x");
+    fixture.take<ForwardJob>();
+    fixture.pass(milliseconds(700));
+    fixture.system.onForwardFailed(fixture.take<ForwardJob>().job, fixture.now);
+    fixture.collect();
+    CHECK(fixture.count<RunBatch>() == 0);
+    fixture.pass(milliseconds(800));
+    CHECK(fixture.count<RunBatch>() == 1);
+}
+
+TEST_CASE("Load pattern: a request that the queues leave no chance is refused on arrival")
+{
+    RelayFixture fixture;
+    peersWithCoordinator(fixture);
+    const model::RequestId first = fixture.arrive("/staged/x");
+    QueueForecast full;
+    full.waits.fill({.onTime = model::seconds(3), .late = model::seconds(9)});
+    fixture.system.onForwardAnswered(fixture.take<ForwardJob>().job,
+                                     {.handles = {"h"}, .forecast = full}, fixture.now);
+    fixture.system.onCallerGone(first, fixture.now);
+    fixture.collect();
+    fixture.commands.clear();
+    // Two stages of nine seconds each against a caller that waits for eight.
+    fixture.arrive("/staged/x");
+    CHECK(fixture.count<ForwardJob>() == 0);
+    const auto refusal = fixture.take<RefuseRequest>();
+    CHECK(refusal.refusal == Refusal::TooLate);
+    CHECK(refusal.retryAfter > model::seconds(10));
+    // Nobody joins, so the queue is short again after some seconds.
+    fixture.pass(model::seconds(7));
+    fixture.arrive("/staged/x");
+    CHECK(fixture.count<ForwardJob>() == 1);
+}
+
 TEST_CASE("A coordinator without upstreams yet hands stages back")
 {
     RelayFixture fixture;
