Log lines are written without waiting for their reader

Cause: easylogging++ writes to standard output and waits; a collector that stops reading would stop the daemon's loop. A second attempt was a debug line, so the account of a request at the default level lacked it. Ruled out: making standard output non-blocking, which is shared with whoever started the process. Change: lines are held and written once a turn, as far as the descriptor is ready; those that do not fit into 512 KB are dropped whole and counted with the suppressed ones. attempt-retried is an info line.

--- a/src/apps/citronpickd/main.cpp
+++ b/src/apps/citronpickd/main.cpp
@@ -98,6 +98,7 @@
     }
     int seenStops = 0;
     while (daemon.runOnce()) {
+        observability::flushLog();
         if (stopSignals > seenStops) {
             ++seenStops;
             daemon.requestStop();
@@ -107,6 +108,7 @@
             reload(daemon, path);
         }
     }
+    observability::flushLog();
     return 0;
 }
 
@@ -124,6 +126,7 @@
     }
     int seenStops = 0;
     while (daemon.runOnce()) {
+        observability::flushLog();
         if (stopSignals > seenStops) {
             ++seenStops;
             daemon.requestStop();
@@ -136,6 +139,7 @@
             ignoredSignal = 0;
         }
     }
+    observability::flushLog();
     return 0;
 }
 
--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -167,6 +167,7 @@
         askPeersForListing(now);
         checkReady(now);
         checkDrain(now);
+        m_logLimiter.noteDropped(observability::takeDroppedLines());
         if (const uint64_t suppressed = m_logLimiter.takeSuppressed(now)) {
             observability::writeLog(m_settings.daemon.text(),
                                     {.code = EventCode::LinesSuppressed,
--- a/src/observability/internal/event.cpp
+++ b/src/observability/internal/event.cpp
@@ -41,7 +41,7 @@
     EventDescription {RequestRefused, Debug, "request-refused"},
     EventDescription {RequestFailed, Warning, "request-failed"},
     EventDescription {RequestUnknown, Error, "request-unknown"},
-    EventDescription {AttemptRetried, Debug, "attempt-retried"},
+    EventDescription {AttemptRetried, Info, "attempt-retried"},
     EventDescription {AttemptHedged, Debug, "attempt-hedged"},
     EventDescription {AnswerDropped, Debug, "answer-dropped"},
     EventDescription {RequestStruck, Warning, "request-struck"},
--- a/src/observability/internal/log.cpp
+++ b/src/observability/internal/log.cpp
@@ -2,10 +2,13 @@
 
 #include <algorithm>
 
+#include <unistd.h>
+
 #include <absl/strings/str_cat.h>
 #include <easylogging++.h>
 
 #include "model/abslview.h"
+#include "observability/internal/linewriter.h"
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -17,6 +20,27 @@
 
 EventLevel lowestLevel = EventLevel::Info;
 
+//! Lines held for a slow reader: some thousand, small beside a daemon's memory.
+constexpr size_t maxHeldBytes = 512U << 10U;
+constexpr const char *writerName = "line-writer";
+
+LineWriter &lineWriter()
+{
+    static LineWriter writer(STDOUT_FILENO, maxHeldBytes);
+    return writer;
+}
+
+//! Takes lines that the logging library has built; its own writer would wait for a slow reader.
+class LineDispatch : public el::LogDispatchCallback
+{
+protected:
+    void handle(const el::LogDispatchData *data) override
+    {
+        const el::LogMessage *message = data->logMessage();
+        lineWriter().add(message->logger()->logBuilder()->build(message, true));
+    }
+};
+
 EventLevel levelNamed(std::string_view name)
 {
     for (const EventLevel level : {EventLevel::Debug, EventLevel::Warning, EventLevel::Error}) {
@@ -53,6 +77,9 @@
     settings.set(el::Level::Info, el::ConfigurationType::Enabled, hasInfo ? "true" : "false");
     settings.set(el::Level::Warning, el::ConfigurationType::Enabled, hasWarning ? "true" : "false");
     el::Loggers::reconfigureLogger("default", settings);
+    el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
+        "DefaultLogDispatchCallback");
+    el::Helpers::installLogDispatchCallback<LineDispatch>(writerName);
 }
 
 std::string formatEvent(std::string_view daemon, const Event &event)
@@ -73,6 +100,16 @@
     return oneLine(std::move(line));
 }
 
+void flushLog()
+{
+    lineWriter().flush();
+}
+
+uint64_t takeDroppedLines()
+{
+    return lineWriter().takeDropped();
+}
+
 void writeLog(std::string_view daemon, const Event &event)
 {
     if (describe(event.code).level < lowestLevel) {
--- a/src/observability/internal/loglimiter.cpp
+++ b/src/observability/internal/loglimiter.cpp
@@ -34,6 +34,12 @@
     return true;
 }
 
+void LogLimiter::noteDropped(uint64_t lines)
+{
+    m_suppressed += lines;
+    m_total += lines;
+}
+
 uint64_t LogLimiter::takeSuppressed(model::TimePoint now)
 {
     if (m_suppressed == 0 || now - m_toldAt < tellInterval) {
--- a/src/observability/loglimiter.h
+++ b/src/observability/loglimiter.h
@@ -17,6 +17,9 @@
 
     bool allows(model::TimePoint now);
 
+    //! Counts lines that were let through and then not written.
+    void noteDropped(uint64_t lines);
+
     //! Lines not written since the last call; zero more often than once a second.
     uint64_t takeSuppressed(model::TimePoint now);
     uint64_t suppressedTotal() const
--- /dev/null
+++ b/src/observability/tests/linewritertest.cpp
@@ -0,0 +1,82 @@
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <string>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include "observability/internal/linewriter.h"
+
+using namespace citronpick::observability;
+
+namespace
+{
+
+//! A pipe whose reader reads when it is told to.
+struct Pipe {
+    Pipe()
+    {
+        REQUIRE(pipe(ends.data()) == 0);
+        fcntl(ends[0], F_SETFL, O_NONBLOCK);
+    }
+    Pipe(const Pipe &) = delete;
+    Pipe &operator=(const Pipe &) = delete;
+    ~Pipe()
+    {
+        close(ends[0]);
+        close(ends[1]);
+    }
+    std::string read() const
+    {
+        std::string text;
+        std::array<char, 4096> part {};
+        for (ssize_t count = ::read(ends[0], part.data(), part.size()); count > 0;
+             count = ::read(ends[0], part.data(), part.size())) {
+            text.append(part.data(), static_cast<size_t>(count));
+        }
+        return text;
+    }
+
+    std::array<int, 2> ends {};
+};
+
+constexpr size_t capacity = 256U << 10U;
+
+} // namespace
+
+TEST_CASE("Lines come through in order, at the next flush")
+{
+    const Pipe pipe;
+    LineWriter writer(pipe.ends[1], capacity);
+    writer.add("one\n");
+    writer.add("two\n");
+    CHECK(pipe.read().empty());
+    writer.flush();
+    CHECK(pipe.read() == "one\ntwo\n");
+    CHECK(writer.heldBytes() == 0);
+}
+
+TEST_CASE("Load pattern: a reader that has stopped costs lines, not the daemon's time")
+{
+    const Pipe pipe;
+    LineWriter writer(pipe.ends[1], capacity);
+    const std::string line(99, 'x');
+    constexpr size_t lines = 10000;
+    for (size_t i = 0; i < lines; ++i) {
+        writer.add(line + "\n");
+        writer.flush();
+    }
+    CHECK(writer.heldBytes() <= capacity);
+    const uint64_t dropped = writer.takeDropped();
+    CHECK(dropped > 0);
+    CHECK(writer.takeDropped() == 0);
+    std::string text;
+    while (writer.heldBytes() > 0) {
+        text += pipe.read();
+        writer.flush();
+    }
+    text += pipe.read();
+    // Every line is whole or missing.
+    CHECK(text.size() == (lines - dropped) * (line.size() + 1));
+}
--- a/src/observability/tests/loglimitertest.cpp
+++ b/src/observability/tests/loglimitertest.cpp
@@ -21,3 +21,12 @@
     CHECK(limiter.allows(start + model::seconds(1)));
     CHECK(limiter.suppressedTotal() == 71);
 }
+
+TEST_CASE("Lines that could not be written are told with those not let through")
+{
+    LogLimiter limiter(10);
+    const model::TimePoint start(model::seconds(100));
+    limiter.noteDropped(4);
+    CHECK(limiter.takeSuppressed(start) == 4);
+    CHECK(limiter.suppressedTotal() == 4);
+}
