Full batches where results find little room, early release but for their last pieces

Cause: batches cut to what an upstream had room for kept the pool of the second stage at 1,050 of 1,536 pieces/s and the third at 43 of 54 pieces a batch; jobs forecast at the full rate then ended up to 1.1 s late. Change: full batches; inputs of the last fifth of a full batch are kept until their job is done; forecasts allow for the part of pieces that find room; on arrival the queues are held against the due times that the schedulers use.

--- a/src/relay/batchscheduler.h
+++ b/src/relay/batchscheduler.h
@@ -133,6 +133,7 @@
         double startedOnTime = 0.0; //!< Pieces of jobs on time, since the last forecast.
         double recentOnTime = 0.0; //!< The same over a longer time, older ones fading.
         double onTimePerSecond = 0.0; //!< Load that goes on; what came in one go left out.
+        double yield = 1.0; //!< Part of the pieces that find room for their results; smoothed.
         double slowness = 1.0; //!< Time of batches over what the configuration says; smoothed.
     };
     //! What a pool can do.
@@ -167,9 +168,8 @@
     static bool isLeftToZone(const Job &job, const BatchRule &rule, const Upstream &upstream,
                              const ZoneTimes &freeAt, model::TimePoint now);
     void takePieces(Job &job, JobId id, size_t count, std::vector<PieceRef> &batch);
-    size_t roomOf(const Upstream &upstream, const BatchRule &rule) const;
-    void learnRoom(const Batch &batch, const std::vector<ItemOutcome> &outcomes,
-                   model::TimePoint now);
+    void noteRoom(const Batch &batch, const std::vector<ItemOutcome> &outcomes,
+                  model::TimePoint now);
     void start(const model::PoolId &id, Pool &pool, Upstream &upstream, const BatchRule &rule,
                std::vector<PieceRef> pieces, model::TimePoint now);
     std::optional<Batch> take(BatchId id);
@@ -186,7 +186,6 @@
     UpstreamDirectory &m_directory;
     RelayConfigurationPtr m_configuration;
     std::map<model::PoolId, Pool> m_pools;
-    absl::flat_hash_map<model::UpstreamId, size_t> m_rooms; //!< Results that fit, where that binds.
     absl::flat_hash_map<JobId, Job> m_jobs;
     std::map<BatchId, Batch> m_batches;
     uint64_t m_lastJob = 0;
--- a/src/relay/internal/batchfilling.cpp
+++ b/src/relay/internal/batchfilling.cpp
@@ -195,15 +195,15 @@
                                                            model::TimePoint now)
 {
     std::vector<PieceRef> batch;
-    const size_t room = roomOf(upstream, rule);
+    const size_t room = std::max(1U, rule.maxItems);
+    const auto mayTake = [&](const Job &job) {
+        return job.queued > 0 && !isLeftToZone(job, rule, upstream, freeAt, now);
+    };
     for (const JobId id : pool.waiting) {
         Job &job = m_jobs.at(id);
         const size_t left = room - batch.size();
-        if (left == 0) {
-            break;
-        }
         const bool fits = batch.empty() || job.queued <= left;
-        if (fits && !isLeftToZone(job, rule, upstream, freeAt, now)) {
+        if (left > 0 && fits && mayTake(job)) {
             takePieces(job, id, left, batch);
         }
     }
@@ -214,8 +214,7 @@
         if (left == 0 || queuedPieces(pool) < room) {
             break;
         }
-        Job &job = m_jobs.at(id);
-        if (job.queued > 0 && !isLeftToZone(job, rule, upstream, freeAt, now)) {
+        if (Job &job = m_jobs.at(id); mayTake(job)) {
             takePieces(job, id, left, batch);
         }
     }
--- a/src/relay/internal/batchforecast.cpp
+++ b/src/relay/internal/batchforecast.cpp
@@ -59,20 +59,16 @@
 BatchScheduler::PoolRate BatchScheduler::rateOf(const model::PoolId &id, const Pool &pool,
                                                 const BatchRule &rule, model::TimePoint now) const
 {
-    double piecesPerSecond = 0.0;
     PoolRate rate {.fullBatch = batchTime(rule, rule.maxItems, pool.slowness),
                    .maxItems = static_cast<double>(rule.maxItems)};
+    const double each = pool.yield * static_cast<double>(rule.maxItems * std::max(1U, rule.slots))
+                        / model::toSeconds(rate.fullBatch);
+    double piecesPerSecond = 0.0;
     for (const Upstream *upstream : m_directory.inPool(id)) {
-        if (upstream->listing.isLeaving || now < upstream->avoidedUntil) {
-            continue;
-        }
-        const size_t pieces = roomOf(*upstream, rule);
-        piecesPerSecond += static_cast<double>(pieces * std::max(1U, rule.slots))
-                           / model::toSeconds(batchTime(rule, pieces, pool.slowness));
+        const bool isOut = upstream->listing.isLeaving || now < upstream->avoidedUntil;
+        piecesPerSecond += isOut ? 0.0 : each;
     }
-    const double oneUpstream
-        = static_cast<double>(std::max(1U, rule.maxItems)) / model::toSeconds(rate.fullBatch);
-    rate.secondsPerPiece = 1.0 / std::max(piecesPerSecond, oneUpstream);
+    rate.secondsPerPiece = 1.0 / std::max(piecesPerSecond, each);
     return rate;
 }
 
--- a/src/relay/internal/batchscheduler.cpp
+++ b/src/relay/internal/batchscheduler.cpp
@@ -16,15 +16,17 @@
 constexpr model::Duration refusalPause = model::milliseconds(100);
 //! An upstream without room for results gets some as those it holds are fetched.
 constexpr model::Duration fullPause = model::milliseconds(80);
-//! Batches without a failure after which an upstream is taken to have room for a full one again.
-constexpr uint32_t roomSteps = 16;
 constexpr uint32_t maxTries = 4;
 //! Inputs are fetched at the beginning of a call, over links that take some milliseconds for all of
 //! a batch's; after this much of a call's fixed time they are.
 constexpr double fetchShareOfCall = 0.5;
+//! Pieces beyond this part of a full batch are the first to find no room for their results.
+constexpr double safeShareOfBatch = 0.8;
 //! Weight of the newest batch in a pool's slowness.
 constexpr double slownessWeight = 0.2;
 constexpr double maxSlowness = 3.0;
+//! Weight of the newest batch in the part of pieces that find room.
+constexpr double yieldWeight = 0.05;
 
 } // namespace
 
@@ -204,53 +206,33 @@
                          / std::max(model::toSeconds(batch->expected), 0.001);
     pool.slowness += slownessWeight * (std::clamp(ratio, 1.0, maxSlowness) - pool.slowness);
     m_directory.noteSuccess(batch->upstream);
-    learnRoom(*batch, outcomes, now);
+    noteRoom(*batch, outcomes, now);
     for (size_t i = 0; i < batch->pieces.size(); ++i) {
         settle(batch->pieces[i], i < outcomes.size() ? outcomes[i] : ItemOutcome {}, now);
     }
     dispatch(batch->pool, pool, now);
 }
 
-// Upstreams keep results until they are fetched and given back, and have room for a few batches of
-// them. What an upstream had room for is about what is given back during one batch, so that is what
-// the next one may bring. Pieces without room would hold up the others of their jobs, whose results
-// keep more room meanwhile.
-void BatchScheduler::learnRoom(const Batch &batch, const std::vector<ItemOutcome> &outcomes,
-                               model::TimePoint now)
+// Pieces without room cost their job time, and others the time that they were given. Room comes
+// back as results are fetched, given back or expire.
+void BatchScheduler::noteRoom(const Batch &batch, const std::vector<ItemOutcome> &outcomes,
+                              model::TimePoint now)
 {
-    const BatchRule *rule = ruleOf(batch.pool);
-    Upstream *upstream = m_directory.find(batch.upstream);
-    const auto made = static_cast<size_t>(
+    const auto failed = static_cast<size_t>(
         std::count_if(outcomes.begin(), outcomes.end(), [](const ItemOutcome &outcome) {
-            return outcome.failure != ItemFailure::NoRoom;
+            return outcome.failure == ItemFailure::NoRoom;
         }));
-    if (!rule || !upstream) {
-        m_rooms.erase(batch.upstream);
-        return;
-    }
-    if (made < outcomes.size()) {
-        m_rooms[batch.upstream] = std::max<size_t>(1, made);
-        if (2 * made <= outcomes.size()) {
-            upstream->avoidedUntil = std::max(upstream->avoidedUntil, now + fullPause);
-        }
-        return;
-    }
-    const auto known = m_rooms.find(batch.upstream);
-    if (known == m_rooms.end() || made < known->second) {
-        return;
-    }
-    known->second += std::max<size_t>(1, rule->maxItems / roomSteps);
-    if (known->second >= rule->maxItems) {
-        m_rooms.erase(known);
+    const double made
+        = 1.0
+          - static_cast<double>(failed) / static_cast<double>(std::max<size_t>(1, outcomes.size()));
+    Pool &pool = m_pools[batch.pool];
+    pool.yield += yieldWeight * (made - pool.yield);
+    Upstream *upstream = m_directory.find(batch.upstream);
+    if (upstream && failed > 0 && 2 * failed >= outcomes.size()) {
+        upstream->avoidedUntil = std::max(upstream->avoidedUntil, now + fullPause);
     }
 }
 
-size_t BatchScheduler::roomOf(const Upstream &upstream, const BatchRule &rule) const
-{
-    const auto known = m_rooms.find(upstream.listing.id);
-    return known == m_rooms.end() ? std::max(1U, rule.maxItems) : known->second;
-}
-
 void BatchScheduler::onRefused(BatchId id, model::TimePoint now)
 {
     const std::optional<Batch> batch = take(id);
@@ -291,11 +273,11 @@
             continue;
         }
         batch.hasFetched = true;
-        if (m_rooms.contains(batch.upstream)) {
-            // Some of its pieces may find no room and take their inputs again.
-            continue;
-        }
-        for (const PieceRef &piece : batch.pieces) {
+        const BatchRule *rule = ruleOf(batch.pool);
+        const double most = safeShareOfBatch * static_cast<double>(rule ? rule->maxItems : 1);
+        const size_t safe = std::min(batch.pieces.size(), static_cast<size_t>(most));
+        for (size_t i = 0; i < safe; ++i) {
+            const PieceRef &piece = batch.pieces[i];
             const auto job = m_jobs.find(piece.job);
             if (job != m_jobs.end()) {
                 job->second.pieces[piece.piece].hasFetched = true;
--- a/src/relay/internal/relaystages.cpp
+++ b/src/relay/internal/relaystages.cpp
@@ -130,6 +130,13 @@
     return longest;
 }
 
+// When a stage should be finished for its request to meet its target.
+model::TimePoint RelaySystem::dueOf(const Exchange &exchange, uint32_t stage) const
+{
+    return exchange.arrived.startedAt + exchange.route->latencyTarget
+           - timeAfter(exchange, stage, Estimate::Usual);
+}
+
 // Inputs are kept until their job is done, in case a piece has to be made again, unless that would
 // leave their makers no room for the next batches.
 bool RelaySystem::releasesInputs(const Exchange &exchange, uint32_t stage)
@@ -148,15 +155,13 @@
 StageJob RelaySystem::jobFor(const Exchange &exchange, uint32_t stage, model::TimePoint now) const
 {
     const StageRule &rule = exchange.route->stages[stage];
-    const model::Duration after = timeAfter(exchange, stage, Estimate::Usual);
-    const model::TimePoint due = exchange.arrived.startedAt + exchange.route->latencyTarget - after;
     StageJob job {.pool = rule.pool,
                   .request = exchange.arrived.callerId,
                   .stage = stage,
                   .pieceCount = exchange.plan.pieceCount(stage),
                   .inputs = exchange.plan.inputsOf(stage),
                   .priority = exchange.priority,
-                  .due = due,
+                  .due = dueOf(exchange, stage),
                   .deadline
                   = std::max(now, exchange.firstBy - timeAfter(exchange, stage, Estimate::Least)),
                   .preferredZone = exchange.homeZone,
@@ -480,12 +485,12 @@
     return {.onTime = wait.onTime + work, .late = wait.late + work};
 }
 
-// Over the longest way through the stages.
-QueueWait RelaySystem::longestWait(const Exchange &exchange, model::TimePoint now) const
+// What the queues of all stages let a request that arrives now expect.
+RelaySystem::Prospect RelaySystem::prospectOf(const Exchange &exchange, model::TimePoint now) const
 {
     const std::vector<StageRule> &stages = exchange.route->stages;
     std::vector<QueueWait> until(stages.size());
-    QueueWait longest;
+    Prospect prospect;
     for (uint32_t i = 0; i < stages.size(); ++i) {
         QueueWait before;
         for (const uint32_t earlier : stages[i].after) {
@@ -496,10 +501,11 @@
         }
         const QueueWait own = queueWait(exchange, i, now);
         until[i] = {.onTime = before.onTime + own.onTime, .late = before.late + own.late};
-        longest.onTime = std::max(longest.onTime, until[i].onTime);
-        longest.late = std::max(longest.late, until[i].late);
+        prospect.lateEnd = std::max(prospect.lateEnd, until[i].late);
+        const bool isInTime = now + until[i].onTime <= dueOf(exchange, i);
+        prospect.canBeInTime = prospect.canBeInTime && isInTime;
     }
-    return longest;
+    return prospect;
 }
 
 // A request that would be late and then still not be done before its caller leaves has no chance.
@@ -507,11 +513,9 @@
 std::optional<model::Duration> RelaySystem::excessWait(const Exchange &exchange,
                                                        model::TimePoint now) const
 {
-    const QueueWait wait = longestWait(exchange, now);
-    const model::Duration engine = engineTime(exchange, Estimate::Least);
-    const model::TimePoint target = exchange.arrived.startedAt + exchange.route->latencyTarget;
-    const model::TimePoint end = now + wait.late + engine;
-    if (now + wait.onTime + engine <= target || end <= exchange.firstBy) {
+    const Prospect prospect = prospectOf(exchange, now);
+    const model::TimePoint end = now + prospect.lateEnd + engineTime(exchange, Estimate::Least);
+    if (prospect.canBeInTime || end <= exchange.firstBy) {
         return std::nullopt;
     }
     return end - exchange.firstBy;
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -162,6 +162,11 @@
         uint64_t exchange = 0;
     };
     using JobOwner = std::variant<LocalStage, PeerExchange>;
+    //! What the queues let a request expect.
+    struct Prospect {
+        bool canBeInTime = true;
+        model::Duration lateEnd {}; //!< Until its stages are done if it has to give way to others.
+    };
     //! What a coordinator last told of a pool's queue.
     struct ToldForecast {
         QueueForecast forecast;
@@ -209,7 +214,8 @@
                       model::TimePoint now);
     QueueForecast forecastOf(const model::PoolId &pool, model::TimePoint now) const;
     QueueWait queueWait(const Exchange &exchange, uint32_t stage, model::TimePoint now) const;
-    QueueWait longestWait(const Exchange &exchange, model::TimePoint now) const;
+    Prospect prospectOf(const Exchange &exchange, model::TimePoint now) const;
+    model::TimePoint dueOf(const Exchange &exchange, uint32_t stage) const;
     std::optional<model::Duration> excessWait(const Exchange &exchange, model::TimePoint now) const;
     void learnStageTime(const model::PoolId &pool, const JobResult &result);
     model::Duration engineTime(const Exchange &exchange, Estimate estimate) const;
--- a/src/relay/tests/batchfixture.h
+++ b/src/relay/tests/batchfixture.h
@@ -24,6 +24,7 @@
                                                      .maxItems = 8,
                                                      .callTime = milliseconds(200),
                                                      .itemTime = milliseconds(20),
+
                                                      .resultLifetime = model::seconds(4)}});
         scheduler.setConfiguration(std::make_shared<RelayConfiguration>(std::move(content)));
         for (size_t i = 0; i < zones.size(); ++i) {
