Pools are scheduled by daemons with wide links

Batches that should take 373 ms took 430 to 630: the scheduler of kit-store stood on an instance with a link of 10 Mbit/s, which 30 batches a second of 96 pieces with six inputs each (about 1 MB/s) fill. Ruled out: slow upstreams (the batches of other pools with wide schedulers took their time); the processor (0.03 cores). Change: members tell the bandwidth of their instance; only daemons with at least half of the widest schedule pools for others, by rendezvous among these.

--- a/src/config/internal/relaysettings.cpp
+++ b/src/config/internal/relaysettings.cpp
@@ -81,6 +81,7 @@
         .registryWatch = millisecondsAt(document, "registryWatchMs", fallback.registryWatch),
         .entryLifetime = millisecondsAt(document, "entryLifetimeMs", fallback.entryLifetime),
         .maxConnections = document.value("maxConnections", fallback.maxConnections),
+        .linkMbps = static_cast<uint32_t>(document.value("linkMbps", 0.0)),
         .retryRatio = retries.value("ratio", fallback.retryRatio),
         .retrySlack = retries.value("slack", fallback.retrySlack),
         .retryWindow = millisecondsAt(retries, "windowMs", fallback.retryWindow),
--- a/src/config/internal/schemas.cpp
+++ b/src/config/internal/schemas.cpp
@@ -104,6 +104,7 @@
     "registry": { "$ref": "#/definitions/address" },
     "registryWatchMs": { "$ref": "#/definitions/milliseconds" },
     "entryLifetimeMs": { "$ref": "#/definitions/milliseconds" },
+    "linkMbps": { "type": "number", "minimum": 0, "maximum": 1000000 },
     "maxConnections": { "type": "integer", "minimum": 1, "maximum": 1000000 },
     "retries": {
       "type": "object", "additionalProperties": false,
--- a/src/config/relaysettings.h
+++ b/src/config/relaysettings.h
@@ -23,6 +23,7 @@
     model::Duration registryWatch = model::milliseconds(2000); //!< How long one watch waits.
     model::Duration entryLifetime = model::seconds(1);
     size_t maxConnections = 3000;
+    uint32_t linkMbps = 0; //!< Of the instance; zero when it is not known.
     double retryRatio = 0.2; //!< Repeats over requests of a pool, over the whole fleet.
     double retrySlack = 50.0; //!< Repeats in a window whatever the number of requests.
     model::Duration retryWindow = model::seconds(10);
--- a/src/config/tests/configtest.cpp
+++ b/src/config/tests/configtest.cpp
@@ -124,7 +124,7 @@
   "mode": "relay", "daemon": "d1", "zone": "z", "callers": "10.0.0.1:80",
   "readiness": "10.0.0.1:81", "directory": "10.0.0.1:82", "fleet": "10.0.0.1:83",
   "fleetKey": "at-least-eight", "fleetPorts": [90, 91], "seeds": ["10.0.0.2:83"],
-  "registry": "10.0.0.9:84", "registryWatchMs": 1500,
+  "registry": "10.0.0.9:84", "registryWatchMs": 1500, "linkMbps": 200.0,
   "retries": { "ratio": 0.1, "slack": 20, "windowMs": 5000 }
 })";
 
@@ -147,6 +147,7 @@
     CHECK(settings->metricsPort == 91);
     CHECK(settings->seeds.size() == 1);
     CHECK(settings->registryWatch == model::milliseconds(1500));
+    CHECK(settings->linkMbps == 200);
     CHECK(settings->retryRatio == Approx(0.1));
     CHECK(settings->retryWindow == model::seconds(5));
     CHECK(settings->entryLifetime == RelaySettings {}.entryLifetime);
--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -105,7 +105,8 @@
                                                               .state = fleet::MemberState::Joining,
                                                               .zone = m_settings.zone,
                                                               .fleet = m_settings.fleet,
-                                                              .caller = m_settings.callers},
+                                                              .caller = m_settings.callers,
+                                                              .linkMbps = m_settings.linkMbps},
                                                seed);
     m_fleetApi = std::make_unique<FleetApi>(
         m_loop, m_fleetClient,
@@ -210,7 +211,9 @@
     std::vector<relay::PeerDaemon> peers;
     for (const auto &[id, row] : m_fleet->members().rows()) {
         if (row.member.isUsable() || id == m_settings.daemon) {
-            peers.push_back({.id = id, .address = config::toText(row.member.fleet)});
+            peers.push_back({.id = id,
+                             .address = config::toText(row.member.fleet),
+                             .linkMbps = row.member.linkMbps});
         }
     }
     m_relay->setPeers(std::move(peers));
--- a/src/fleet/member.h
+++ b/src/fleet/member.h
@@ -31,6 +31,7 @@
     model::ZoneId zone;
     config::Endpoint fleet;
     config::Endpoint caller;
+    uint32_t linkMbps = 0; //!< Of its instance; zero when it is not known.
 
     friend bool operator==(const Member &, const Member &) = default;
 
--- a/src/net/internal/fleetcodec.cpp
+++ b/src/net/internal/fleetcodec.cpp
@@ -116,12 +116,13 @@
     value.append(member.fleet.port);
     value.append(member.caller.host);
     value.append(member.caller.port);
+    value.append(member.linkMbps);
     return value;
 }
 
 fleet::Member decodeMember(const Json::Value &given, FieldReader &reader)
 {
-    const Json::Value &value = reader.fields(given, 9);
+    const Json::Value &value = reader.fields(given, 10);
     if (value.empty()) {
         return {};
     }
@@ -135,6 +136,7 @@
                   .port = static_cast<uint16_t>(reader.smallNumber(value[6], maxPort))},
         .caller = {.host = reader.text(value[7]),
                    .port = static_cast<uint16_t>(reader.smallNumber(value[8], maxPort))},
+        .linkMbps = reader.smallNumber(value[9], UINT32_MAX),
     };
 }
 
--- a/src/relay/internal/relaystages.cpp
+++ b/src/relay/internal/relaystages.cpp
@@ -178,17 +178,24 @@
 // moment only fill batches less well.
 const PeerDaemon *RelaySystem::coordinatorOf(const model::PoolId &pool, model::TimePoint now) const
 {
-    const PeerDaemon *best = nullptr;
-    uint64_t bestRank = 0;
-    const uint64_t seed = model::hash64(pool.text());
+    std::vector<const PeerDaemon *> candidates;
+    uint32_t bestLink = 0;
     for (const PeerDaemon &peer : m_peers) {
         const auto avoided = m_peerAvoidedUntil.find(peer.id);
-        if (avoided != m_peerAvoidedUntil.end() && now < avoided->second) {
-            continue;
+        if (avoided == m_peerAvoidedUntil.end() || now >= avoided->second) {
+            candidates.push_back(&peer);
+            bestLink = std::max(bestLink, peer.linkMbps);
         }
-        const uint64_t rank = model::hash64(peer.id.text(), seed);
-        if (!best || rank > bestRank) {
-            best = &peer;
+    }
+    const PeerDaemon *best = nullptr;
+    uint64_t bestRank = 0;
+    const uint64_t seed = model::hash64(pool.text());
+    for (const PeerDaemon *peer : candidates) {
+        const uint64_t rank = model::hash64(peer->id.text(), seed);
+        // Batches of a whole pool would fill a narrow link.
+        const bool isStrong = peer->linkMbps >= bestLink / 2;
+        if (isStrong && (!best || rank > bestRank)) {
+            best = peer;
             bestRank = rank;
         }
     }
--- a/src/relay/relayevents.h
+++ b/src/relay/relayevents.h
@@ -65,6 +65,7 @@
 struct PeerDaemon {
     model::DaemonId id;
     std::string address; //!< Of its listener for other daemons, as "host:port".
+    uint32_t linkMbps = 0; //!< Zero when it is not known.
 
     friend auto operator<=>(const PeerDaemon &, const PeerDaemon &) = default;
 };
--- a/src/relay/tests/stagestest.cpp
+++ b/src/relay/tests/stagestest.cpp
@@ -123,6 +123,26 @@
     CHECK(fixture.take<ForwardJob>().content.inputs == Handles {"h"});
 }
 
+TEST_CASE("Load pattern: batches of a whole pool are left to daemons with wide links")
+{
+    RelayFixture fixture;
+    const PeerDaemon narrow {.id = model::DaemonId("d1"), .address = "10.0.0.1:1", .linkMbps = 10};
+    std::vector<PeerDaemon> peers {narrow};
+    for (int i = 2; i < 30; ++i) {
+        peers.push_back({.id = model::DaemonId(absl::StrCat("d", i)),
+                         .address = absl::StrCat("10.0.0.", i, ":1"),
+                         .linkMbps = i == 17 ? 200U : 10U});
+    }
+    fixture.system.setPeers(peers);
+    fixture.arrive("/staged/x");
+    CHECK(fixture.take<ForwardJob>().peer.id == model::DaemonId("d17"));
+    // Without it the others are as good as each other.
+    std::erase_if(peers, [](const PeerDaemon &peer) { return peer.linkMbps == 200; });
+    fixture.system.setPeers(peers);
+    fixture.arrive("/staged/x");
+    CHECK(fixture.count<ForwardJob>() + fixture.count<RunBatch>() == 1);
+}
+
 TEST_CASE("A coordinator that fails is passed over for a while and its stages run here")
 {
     RelayFixture fixture;
