A randomized fault soak of real processes

Ruled out: a proxy between daemons: they announce the addresses at which they listen. Change: citronpick-soak starts daemons of their own, puts loopback proxies before the store and every upstream, and by seed kills, stops, pauses and restarts daemons, harms links (delay, reset, one-way cut, silence), store and upstreams, lets upstreams leave and configurations change, in series and overlapping.

--- /dev/null
+++ b/tests/soak/faultplan.cpp
@@ -0,0 +1,73 @@
+#include "soak/faultplan.h"
+
+namespace citronpick::soak
+{
+
+namespace
+{
+
+constexpr uint32_t kinds = static_cast<uint32_t>(FaultKind::ConfigurationChanges) + 1;
+//! Time from one fault to the next: shorter than most faults last, so that they overlap.
+constexpr model::Duration leastGap = model::milliseconds(200);
+constexpr model::Duration moreGap = model::milliseconds(1300);
+constexpr model::Duration leastTime = model::milliseconds(300);
+constexpr model::Duration moreTime = model::milliseconds(3700);
+
+} // namespace
+
+std::string_view toString(FaultKind kind)
+{
+    switch (kind) {
+    case FaultKind::KillDaemon:
+        return "kill-daemon";
+    case FaultKind::KillAll:
+        return "kill-all";
+    case FaultKind::StopDaemon:
+        return "stop-daemon";
+    case FaultKind::PauseDaemon:
+        return "pause-daemon";
+    case FaultKind::HangUp:
+        return "hang-up";
+    case FaultKind::StoreLink:
+        return "store-link";
+    case FaultKind::ReplicaLink:
+        return "replica-link";
+    case FaultKind::StoreBusy:
+        return "store-busy";
+    case FaultKind::StoreSilent:
+        return "store-silent";
+    case FaultKind::StoreForgets:
+        return "store-forgets";
+    case FaultKind::ReplicaSheds:
+        return "replica-sheds";
+    case FaultKind::ReplicaBreaks:
+        return "replica-breaks";
+    case FaultKind::ReplicaFails:
+        return "replica-fails";
+    case FaultKind::ReplicaLeaves:
+        return "replica-leaves";
+    case FaultKind::ConfigurationChanges:
+        return "configuration-changes";
+    }
+    return "unknown";
+}
+
+std::vector<PlannedFault> planFaults(uint64_t seed, model::Duration length)
+{
+    model::Random random(seed);
+    std::vector<PlannedFault> plan;
+    model::Duration at {};
+    while (true) {
+        at += leastGap + model::scaled(moreGap, random.unit());
+        if (at >= length) {
+            return plan;
+        }
+        plan.push_back({.at = at,
+                        .lasts = leastTime + model::scaled(moreTime, random.unit()),
+                        .kind = static_cast<FaultKind>(random.below(kinds)),
+                        .target = random.below(1U << 16U),
+                        .variant = random.below(1U << 16U)});
+    }
+}
+
+} // namespace citronpick::soak
--- /dev/null
+++ b/tests/soak/soak.sh
@@ -0,0 +1,21 @@
+#!/usr/bin/env bash
+# Plays seeds of the fault soak, odd ones on siam's deployment and even ones on frostline's.
+# soak.sh SOAK-PROGRAM DAEMON DEPLOYMENTS BASE-PORT FOLDER SEED [LAST-SEED [SECONDS [DAEMONS]]]
+set -euo pipefail
+program=$1 daemon=$2 deployments=$3 port=$4 first=$6 last=${7:-$6} seconds=${8:-12} daemons=${9:-3}
+status=0
+for ((seed = first; seed <= last; ++seed)); do
+    folder=$(mktemp -d "$5/soak.$seed.XXXXXX")
+    deployment=$([ $((seed % 2)) = 1 ] && echo siam || echo frostline)
+    if "$program" --daemon="$daemon" --deployment="$deployments/$deployment.json" \
+        --folder="$folder" --base_port="$port" --seed="$seed" --seconds="$seconds" \
+        --daemons="$daemons" > "$folder/soak.log"; then
+        tail -n 1 "$folder/soak.log"
+        rm -rf "$folder"
+    else
+        status=1
+        grep -v -e begins -e ends "$folder/soak.log" || true
+        echo "  logs are kept in $(basename "$folder")"
+    fi
+done
+exit "$status"
