--- a/src/daemon/internal/stagejobcodec.cpp
+++ b/src/daemon/internal/stagejobcodec.cpp
@@ -96,6 +96,7 @@
 {
     return Json {{"failure", static_cast<int>(result.failure)},
                  {"handles", result.handles},
+                 {"zone", result.zone.text()},
                  {"retryAfterUs", result.retryAfter.count()},
                  {"tookUs", result.took.count()},
                  {"wasLate", result.wasLate},
@@ -114,6 +115,7 @@
         }
         return relay::JobResult {.failure = static_cast<relay::JobFailure>(failure),
                                  .handles = document.at("handles"),
+                                 .zone = model::ZoneId(document.at("zone")),
                                  .retryAfter
                                  = model::Duration(document.at("retryAfterUs").get<int64_t>()),
                                  .took = model::Duration(document.at("tookUs").get<int64_t>()),
--- a/src/daemon/tests/codectest.cpp
+++ b/src/daemon/tests/codectest.cpp
@@ -90,6 +90,7 @@
     forecast.waits[3].late = model::seconds(3);
     const relay::JobResult result {.failure = relay::JobFailure::Late,
                                    .handles = {"a", "b"},
+                                   .zone = model::ZoneId("z"),
                                    .retryAfter = model::milliseconds(300),
                                    .took = model::milliseconds(20),
                                    .wasLate = true,
--- a/src/relay/batchscheduler.h
+++ b/src/relay/batchscheduler.h
@@ -91,6 +91,7 @@
         uint32_t tries = 0;
         bool hasFetched = false; //!< Its upstream has fetched the inputs.
         ResultHandle handle;
+        model::ZoneId zone; //!< Of its maker.
     };
     struct Job {
         StageJob content;
@@ -174,7 +175,9 @@
                std::vector<PieceRef> pieces, model::TimePoint now);
     std::optional<Batch> take(BatchId id);
     void requeue(const PieceRef &piece, bool countsAsTry, model::TimePoint now);
-    void settle(const PieceRef &piece, const ItemOutcome &outcome, model::TimePoint now);
+    void settle(const PieceRef &piece, const ItemOutcome &outcome, const model::ZoneId &zone,
+                model::TimePoint now);
+    static model::ZoneId zoneOf(const Job &job);
     void finish(JobId job, JobResult result, model::TimePoint now);
     static bool isLate(const StageJob &job, const BatchRule &rule, model::TimePoint now);
     static bool givesWay(const Job &job, const BatchRule &rule, model::TimePoint now);
--- a/src/relay/internal/batchfilling.cpp
+++ b/src/relay/internal/batchfilling.cpp
@@ -13,7 +13,7 @@
 
 //! What a way between zones is worth: a job gives way to one of the zone that is due this much
 //! later.
-constexpr model::Duration otherZonePenalty = model::milliseconds(100);
+constexpr model::Duration otherZonePenalty = model::milliseconds(300);
 //! Longest wait for an upstream of the wanted zone: about half a batch.
 constexpr model::Duration zoneWait = model::milliseconds(150);
 //! Batches end this much around their expected time; one beyond it may take any time longer.
--- a/src/relay/internal/batchscheduler.cpp
+++ b/src/relay/internal/batchscheduler.cpp
@@ -207,8 +207,10 @@
     pool.slowness += slownessWeight * (std::clamp(ratio, 1.0, maxSlowness) - pool.slowness);
     m_directory.noteSuccess(batch->upstream);
     noteRoom(*batch, outcomes, now);
+    const Upstream *maker = m_directory.find(batch->upstream);
+    const model::ZoneId zone = maker ? maker->listing.zone : model::ZoneId();
     for (size_t i = 0; i < batch->pieces.size(); ++i) {
-        settle(batch->pieces[i], i < outcomes.size() ? outcomes[i] : ItemOutcome {}, now);
+        settle(batch->pieces[i], i < outcomes.size() ? outcomes[i] : ItemOutcome {}, zone, now);
     }
     dispatch(batch->pool, pool, now);
 }
@@ -313,7 +315,8 @@
     }
 }
 
-void BatchScheduler::settle(const PieceRef &ref, const ItemOutcome &outcome, model::TimePoint now)
+void BatchScheduler::settle(const PieceRef &ref, const ItemOutcome &outcome,
+                            const model::ZoneId &zone, model::TimePoint now)
 {
     const auto it = m_jobs.find(ref.job);
     if (it == m_jobs.end()) {
@@ -349,6 +352,7 @@
     }
     piece.state = PieceState::Done;
     piece.handle = outcome.handle;
+    piece.zone = zone;
     const BatchRule *rule = ruleOf(job.content.pool);
     if (rule && rule->resultLifetime > model::Duration::zero()) {
         job.resultsUntil = std::min(job.resultsUntil, now + rule->resultLifetime);
@@ -356,7 +360,8 @@
     if (++job.done < job.pieces.size()) {
         return;
     }
-    JobResult result {.took = now - job.submittedAt,
+    JobResult result {.zone = zoneOf(job),
+                      .took = now - job.submittedAt,
                       .wasLate
                       = rule && (job.isDemoted || isLate(job.content, *rule, job.submittedAt)),
                       .areInputsReleased = job.areInputsReleased};
@@ -366,6 +371,19 @@
     finish(ref.job, std::move(result), now);
 }
 
+model::ZoneId BatchScheduler::zoneOf(const Job &job)
+{
+    std::map<model::ZoneId, size_t> counts;
+    for (const Piece &piece : job.pieces) {
+        ++counts[piece.zone];
+    }
+    const auto most
+        = std::max_element(counts.begin(), counts.end(), [](const auto &left, const auto &right) {
+              return left.second < right.second;
+          });
+    return most == counts.end() ? model::ZoneId() : most->first;
+}
+
 void BatchScheduler::requeue(const PieceRef &ref, bool countsAsTry, model::TimePoint now)
 {
     const auto it = m_jobs.find(ref.job);
--- a/src/relay/internal/relaystages.cpp
+++ b/src/relay/internal/relaystages.cpp
@@ -155,6 +155,8 @@
 StageJob RelaySystem::jobFor(const Exchange &exchange, uint32_t stage, model::TimePoint now) const
 {
     const StageRule &rule = exchange.route->stages[stage];
+    // Each piece fetches all inputs, so they are worth more than the way of the results.
+    const model::ZoneId inputsZone = exchange.plan.inputsZone(stage);
     StageJob job {.pool = rule.pool,
                   .request = exchange.arrived.callerId,
                   .stage = stage,
@@ -164,7 +166,7 @@
                   .due = dueOf(exchange, stage),
                   .deadline
                   = std::max(now, exchange.firstBy - timeAfter(exchange, stage, Estimate::Least)),
-                  .preferredZone = exchange.homeZone,
+                  .preferredZone = inputsZone.isEmpty() ? exchange.homeZone : inputsZone,
                   .inputsUntil = exchange.plan.inputsUntil(stage),
                   .releasesInputs = releasesInputs(exchange, stage)};
     if (job.inputs.empty()) {
@@ -278,7 +280,7 @@
     switch (result.failure) {
     case JobFailure::None:
         exchange->plan.complete(owner.stage, std::move(result.handles),
-                                resultsUntil(*exchange, owner.stage, now));
+                                resultsUntil(*exchange, owner.stage, now), result.zone);
         if (std::vector<ResultHandle> spent = exchange->plan.takeSpent();
             !result.areInputsReleased) {
             release(std::move(spent));
--- a/src/relay/internal/stageplan.cpp
+++ b/src/relay/internal/stageplan.cpp
@@ -112,8 +112,19 @@
     return until;
 }
 
-void StagePlan::complete(uint32_t stage, std::vector<ResultHandle> handles, model::TimePoint until)
+model::ZoneId StagePlan::inputsZone(uint32_t stage) const
 {
+    model::ZoneId zone;
+    for (const uint32_t before : m_stages[stage].after) {
+        zone = m_stages[before].pieceCount == 0 ? inputsZone(before) : m_stages[before].zone;
+    }
+    return zone;
+}
+
+void StagePlan::complete(uint32_t stage, std::vector<ResultHandle> handles, model::TimePoint until,
+                         model::ZoneId zone)
+{
+    m_stages[stage].zone = std::move(zone);
     m_stages[stage].until = until;
     m_stages[stage].phase = Phase::Done;
     m_stages[stage].handles = std::move(handles);
--- a/src/relay/stagejob.h
+++ b/src/relay/stagejob.h
@@ -85,6 +85,7 @@
 struct JobResult {
     JobFailure failure = JobFailure::None;
     std::vector<ResultHandle> handles; //!< One a piece, in order.
+    model::ZoneId zone; //!< Where most of them were made.
     model::Duration retryAfter {}; //!< For a job that failed: when there is room again.
     model::Duration took {}; //!< From its arrival at the scheduler to its end.
     bool wasLate
--- a/src/relay/stageplan.h
+++ b/src/relay/stageplan.h
@@ -37,8 +37,11 @@
     std::vector<ResultHandle> inputsOf(uint32_t stage) const;
     //! Whether no other stage takes what this one does.
     bool isLastUser(uint32_t stage) const;
-    //! \a until is when its results expire.
-    void complete(uint32_t stage, std::vector<ResultHandle> handles, model::TimePoint until);
+    //! Its results expire at \a until and lie in \a zone.
+    void complete(uint32_t stage, std::vector<ResultHandle> handles, model::TimePoint until,
+                  model::ZoneId zone = {});
+    //! Where what a stage takes lies; empty when it takes nothing.
+    model::ZoneId inputsZone(uint32_t stage) const;
     //! When the first result that a stage takes expires.
     model::TimePoint inputsUntil(uint32_t stage) const;
 
@@ -63,6 +66,7 @@
         Phase phase = Phase::Waiting;
         std::vector<ResultHandle> handles;
         model::TimePoint until = model::TimePoint::max();
+        model::ZoneId zone; //!< Of its results.
         bool isReleased = false;
         bool hasFollower = false;
     };
--- a/src/relay/tests/batchschedulertest.cpp
+++ b/src/relay/tests/batchschedulertest.cpp
@@ -100,6 +100,16 @@
     CHECK(fixture.batch().upstream == model::UpstreamId("u1"));
 }
 
+TEST_CASE("A result tells the zone in which most of it was made")
+{
+    Fixture fixture({"a", "b"});
+    fixture.submit(9, milliseconds(900), "b");
+    for (const RunBatch &batch : fixture.batches()) {
+        fixture.answer(batch);
+    }
+    CHECK(fixture.scheduler.takeFinished().front().result.zone == model::ZoneId("b"));
+}
+
 TEST_CASE("A request without slack takes an upstream of any zone")
 {
     Fixture fixture({"a", "b"});
--- a/src/relay/tests/stageplantest.cpp
+++ b/src/relay/tests/stageplantest.cpp
@@ -109,3 +109,12 @@
     const StagePlan gap({stage({}), stage({0}), stage({1})}, {1, 0, 1});
     CHECK(!gap.isLastUser(2));
 }
+
+TEST_CASE("A stage's inputs lie where they were made, past stages left out")
+{
+    StagePlan plan({stage({}), stage({0}), stage({1})}, {1, 0, 1});
+    CHECK(plan.inputsZone(0).isEmpty());
+    plan.takeReady();
+    plan.complete(0, {"a"}, never, model::ZoneId("z2"));
+    CHECK(plan.inputsZone(2) == model::ZoneId("z2"));
+}
--- a/src/relay/tests/stagestest.cpp
+++ b/src/relay/tests/stagestest.cpp
@@ -230,6 +230,19 @@
     CHECK(fixture.count<ForwardJob>() == 1);
 }
 
+TEST_CASE("Load pattern: a stage runs where its large inputs were made")
+{
+    RelayFixture fixture;
+    peersWithCoordinator(fixture);
+    fixture.arrive("/staged/x");
+    const auto first = fixture.take<ForwardJob>();
+    CHECK(first.content.preferredZone == model::ZoneId("a"));
+    fixture.system.onForwardAnswered(first.job, {.handles = {"h"}, .zone = model::ZoneId("b")},
+                                     fixture.now);
+    fixture.collect();
+    CHECK(fixture.take<ForwardJob>().content.preferredZone == model::ZoneId("b"));
+}
+
 TEST_CASE("A coordinator without upstreams yet hands stages back")
 {
     RelayFixture fixture;
