--- a/src/core/tests/fleettest.cpp
+++ b/src/core/tests/fleettest.cpp
@@ -277,3 +277,30 @@
     }
     world.checkPromises();
 }
+
+TEST_CASE("Load pattern: a hundred daemons that start at once know each other within 11 s, and a "
+          "strike within two")
+{
+    constexpr size_t many = 120;
+    WorldOptions options;
+    options.daemons = many;
+    options.zones = {"a", "b", "c", "d", "e", "f", "g"};
+    options.pipelines = onePoolFile(10, 16);
+    World world(options);
+    world.runFor(model::seconds(11));
+    for (size_t daemon = 0; daemon < many; ++daemon) {
+        CHECK(world.core(daemon).fleet().members().usableCount() == many);
+    }
+    for (auto &[name, upstream] : world.upstreams()) {
+        upstream->setBehaviour({.crashWord = "poison"});
+    }
+    world.submit(0, {.route = "call", .label = "poison", .body = "poison"});
+    world.runFor(model::seconds(2));
+    for (size_t daemon = 0; daemon < many; ++daemon) {
+        size_t strikes = 0;
+        for (const auto &[key, row] : world.core(daemon).fleet().facts().rows()) {
+            strikes += std::holds_alternative<fleet::StrikeFact>(row.fact.body) ? 1 : 0;
+        }
+        CHECK(strikes >= 1);
+    }
+}
--- a/src/fleet/fleetoptions.h
+++ b/src/fleet/fleetoptions.h
@@ -25,7 +25,7 @@
     double bytesPerSecond = 5000.0; //!< Of members and facts sent, estimated.
     double burstBytes = 16000.0;
     model::Duration fullExchangeInterval = model::seconds(2); //!< Least time between two.
-    double fullExchangeBytesPerSecond = 4000.0; //!< Spreads them further in large fleets.
+    double fullExchangeBytesPerSecond = 7000.0; //!< Spreads them further in large fleets.
     std::vector<config::Endpoint> seeds;
 
     friend bool operator==(const FleetOptions &, const FleetOptions &) = default;
--- a/src/fleet/fleetsystem.h
+++ b/src/fleet/fleetsystem.h
@@ -93,6 +93,9 @@
     }
 
 private:
+    //! Estimated length of one member in a message.
+    static constexpr double memberBytes = 95.0;
+
     struct OpenExchange {
         model::DaemonId peer; //!< Empty while a seed has not said who it is.
         model::TimePoint startedAt;
@@ -115,9 +118,11 @@
     uint64_t tableDigest() const;
     void addEverything(FleetMessage &message);
     double fullExchangeBytes() const;
+    bool isFarBehind() const;
     void spend(double bytes);
     void absorb(const FleetMessage &message, model::TimePoint now);
     void applyMember(const Member &member, model::TimePoint now);
+    void noteKnown(const Member &member);
     void refute(const Member &claim, model::TimePoint now);
     void applyFact(const Fact &fact, model::TimePoint now);
     void noteRevision(const FleetMessage &message);
@@ -157,6 +162,7 @@
     double m_byteTokens;
     double m_urgentTokens;
     bool m_hasUrgent = false;
+    bool m_isAbsorbingMany = false; //!< Members of a full exchange.
     uint64_t m_sentBytes = 0;
     std::vector<FleetCommand> m_commands;
     FleetNews m_news;
--- a/src/fleet/internal/fleetexchange.cpp
+++ b/src/fleet/internal/fleetexchange.cpp
@@ -8,8 +8,7 @@
 namespace
 {
 
-//! Estimated length of one member or fact in a message.
-constexpr double memberBytes = 95.0;
+//! Estimated length of one fact in a message.
 constexpr double factBytes = 60.0;
 constexpr double messageBytes = 500.0;
 //! Members and facts are looked through this often; a tick is much shorter.
--- a/src/fleet/internal/fleetsystem.cpp
+++ b/src/fleet/internal/fleetsystem.cpp
@@ -13,6 +13,19 @@
 
 using observability::EventCode;
 
+namespace
+{
+
+//! Telling what is new takes longer than this at the byte budget: a full exchange of hundreds of
+//! members is spaced by about as much.
+constexpr double behindSeconds = 8.0;
+//! A message with more members than this is a full exchange. What it brings is known to whole
+//! groups of daemons and comes to the others in the same way, so it is hardly told one by one.
+constexpr size_t manyMembers = 50;
+constexpr uint32_t sendsOfMany = 2;
+
+} // namespace
+
 FleetSystem::FleetSystem(FleetOptions options, Member self, uint64_t seed)
     : m_options(std::move(options))
     , m_self(std::move(self))
@@ -128,8 +141,10 @@
         addEverything(reply);
     } else {
         addDeltas(reply, true);
-        // Tables that differ although all deltas were passed on are compared as a whole.
-        reply.wantsAll = differs && m_pendingMembers.empty() && now >= m_nextFullExchange;
+        // Tables that differ although all deltas were passed on are compared as a whole; so are
+        // those of which so much is new that telling it piece by piece would take longer.
+        reply.wantsAll
+            = differs && (m_pendingMembers.empty() || isFarBehind()) && now >= m_nextFullExchange;
         if (reply.wantsAll) {
             const double seconds = fullExchangeBytes() / m_options.fullExchangeBytesPerSecond;
             m_nextFullExchange = now
@@ -218,9 +233,11 @@
 void FleetSystem::absorb(const FleetMessage &message, model::TimePoint now)
 {
     applyMember(message.from, now);
+    m_isAbsorbingMany = message.members.size() > manyMembers;
     for (const Member &member : message.members) {
         applyMember(member, now);
     }
+    m_isAbsorbingMany = false;
     for (const Fact &fact : message.facts) {
         applyFact(fact, now);
     }
@@ -238,6 +255,7 @@
     }
     const auto change = m_members.apply(member, now);
     if (!change) {
+        noteKnown(member);
         return;
     }
     tellMember(member.id);
@@ -267,6 +285,22 @@
     }
 }
 
+// What another daemon tells and is known here has got around without this one: it is told less
+// often from here, so that the news of hundreds of members at once does not fill the byte budget
+// for minutes (feedback as in Demers et al., "Epidemic algorithms for replicated database
+// maintenance").
+void FleetSystem::noteKnown(const Member &member)
+{
+    const MemberTable::Row *row = m_members.find(member.id);
+    const auto pending = m_pendingMembers.find(member.id);
+    if (!row || pending == m_pendingMembers.end() || row->member != member) {
+        return;
+    }
+    if (--pending->second == 0) {
+        m_pendingMembers.erase(pending);
+    }
+}
+
 // A daemon that was paused or cut off hears that it is held for dead and says otherwise.
 void FleetSystem::refute(const Member &claim, model::TimePoint now)
 {
@@ -320,7 +354,7 @@
 
 void FleetSystem::tellMember(const model::DaemonId &id)
 {
-    m_pendingMembers[id] = sendsPerItem();
+    m_pendingMembers[id] = m_isAbsorbingMany ? sendsOfMany : sendsPerItem();
 }
 
 void FleetSystem::tellFact(const FactKey &key)
@@ -328,6 +362,15 @@
     m_pendingFacts[key] = sendsPerItem();
 }
 
+bool FleetSystem::isFarBehind() const
+{
+    double tellings = 0.0;
+    for (const auto &[id, sends] : m_pendingMembers) {
+        tellings += sends;
+    }
+    return tellings * memberBytes > m_options.bytesPerSecond * behindSeconds;
+}
+
 uint32_t FleetSystem::sendsPerItem() const
 {
     constexpr uint32_t safetyFactor = 3;
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -194,7 +194,7 @@
 {
     std::cout << model::toMilliseconds(m_now - m_begin) << " ms " << what << ' '
               << toString(fault.kind) << " target=" << fault.target << " variant=" << fault.variant
-              << '\n';
+              << std::endl;
 }
 
 SoakRun::Replica &SoakRun::replicaOf(const PlannedFault &fault)
