--- a/src/relay/internal/batchscheduler.cpp
+++ b/src/relay/internal/batchscheduler.cpp
@@ -14,19 +14,12 @@
 constexpr model::Duration overdueMargin = model::milliseconds(250);
 //! An upstream that was full is asked again after about half a batch.
 constexpr model::Duration refusalPause = model::milliseconds(100);
-//! An upstream without room for results gets some as those it holds are fetched.
-constexpr model::Duration fullPause = model::milliseconds(80);
-constexpr uint32_t maxTries = 4;
 //! Inputs are fetched at the beginning of a call, over links that take some milliseconds for all of
 //! a batch's; after this much of a call's fixed time they are.
 constexpr double fetchShareOfCall = 0.5;
-//! Pieces beyond this part of a full batch are the first to find no room for their results.
-constexpr double safeShareOfBatch = 0.8;
 //! Weight of the newest batch in a pool's slowness.
 constexpr double slownessWeight = 0.2;
 constexpr double maxSlowness = 3.0;
-//! Weight of the newest batch in the part of pieces that find room.
-constexpr double yieldWeight = 0.05;
 
 } // namespace
 
@@ -215,26 +208,6 @@
     dispatch(batch->pool, pool, now);
 }
 
-// Pieces without room cost their job time, and others the time that they were given. Room comes
-// back as results are fetched, given back or expire.
-void BatchScheduler::noteRoom(const Batch &batch, const std::vector<ItemOutcome> &outcomes,
-                              model::TimePoint now)
-{
-    const auto failed = static_cast<size_t>(
-        std::count_if(outcomes.begin(), outcomes.end(), [](const ItemOutcome &outcome) {
-            return outcome.failure == ItemFailure::NoRoom;
-        }));
-    const double made
-        = 1.0
-          - static_cast<double>(failed) / static_cast<double>(std::max<size_t>(1, outcomes.size()));
-    Pool &pool = m_pools[batch.pool];
-    pool.yield += yieldWeight * (made - pool.yield);
-    Upstream *upstream = m_directory.find(batch.upstream);
-    if (upstream && failed > 0 && 2 * failed >= outcomes.size()) {
-        upstream->avoidedUntil = std::max(upstream->avoidedUntil, now + fullPause);
-    }
-}
-
 void BatchScheduler::onRefused(BatchId id, model::TimePoint now)
 {
     const std::optional<Batch> batch = take(id);
@@ -266,41 +239,6 @@
     dispatch(batch->pool, m_pools[batch->pool], now);
 }
 
-// The makers of inputs have little room: what has been fetched is given back while the pieces that
-// took it are still worked on. A piece that fails after that costs its job the stages before.
-void BatchScheduler::releaseFetched(model::TimePoint now)
-{
-    for (auto &[id, batch] : m_batches) {
-        if (batch.hasFetched || now < batch.fetchedAt) {
-            continue;
-        }
-        batch.hasFetched = true;
-        const BatchRule *rule = ruleOf(batch.pool);
-        const double most = safeShareOfBatch * static_cast<double>(rule ? rule->maxItems : 1);
-        const size_t safe = std::min(batch.pieces.size(), static_cast<size_t>(most));
-        for (size_t i = 0; i < safe; ++i) {
-            const PieceRef &piece = batch.pieces[i];
-            const auto job = m_jobs.find(piece.job);
-            if (job != m_jobs.end()) {
-                job->second.pieces[piece.piece].hasFetched = true;
-                releaseInputs(piece.job);
-            }
-        }
-    }
-}
-
-void BatchScheduler::releaseInputs(JobId id)
-{
-    Job &job = m_jobs.at(id);
-    const bool isReleased = job.content.releasesInputs && !job.areInputsReleased
-                            && std::all_of(job.pieces.begin(), job.pieces.end(),
-                                           [](const Piece &piece) { return piece.hasFetched; });
-    if (isReleased) {
-        job.areInputsReleased = true;
-        m_abandoned.insert(m_abandoned.end(), job.content.inputs.begin(), job.content.inputs.end());
-    }
-}
-
 void BatchScheduler::expire(model::TimePoint now)
 {
     std::vector<BatchId> overdue;
@@ -315,102 +253,6 @@
     }
 }
 
-void BatchScheduler::settle(const PieceRef &ref, const ItemOutcome &outcome,
-                            const model::ZoneId &zone, model::TimePoint now)
-{
-    const auto it = m_jobs.find(ref.job);
-    if (it == m_jobs.end()) {
-        if (outcome.failure == ItemFailure::None) {
-            m_abandoned.push_back(outcome.handle);
-        }
-        return;
-    }
-    Job &job = it->second;
-    switch (outcome.failure) {
-    case ItemFailure::None:
-        break;
-    case ItemFailure::InputsGone:
-        finish(ref.job, {.failure = JobFailure::InputsGone}, now);
-        return;
-    case ItemFailure::Late:
-        if (now >= job.content.deadline) {
-            finish(ref.job, {.failure = JobFailure::Late, .retryAfter = model::seconds(1)}, now);
-            return;
-        }
-        requeue(ref, true, now);
-        return;
-    case ItemFailure::NoRoom:
-        requeue(ref, false, now);
-        return;
-    case ItemFailure::Error:
-        requeue(ref, true, now);
-        return;
-    }
-    Piece &piece = job.pieces[ref.piece];
-    if (piece.state == PieceState::Done) {
-        return;
-    }
-    piece.state = PieceState::Done;
-    piece.handle = outcome.handle;
-    piece.zone = zone;
-    const BatchRule *rule = ruleOf(job.content.pool);
-    if (rule && rule->resultLifetime > model::Duration::zero()) {
-        job.resultsUntil = std::min(job.resultsUntil, now + rule->resultLifetime);
-    }
-    if (++job.done < job.pieces.size()) {
-        return;
-    }
-    JobResult result {.zone = zoneOf(job),
-                      .took = now - job.submittedAt,
-                      .wasLate
-                      = rule && (job.isDemoted || isLate(job.content, *rule, job.submittedAt)),
-                      .areInputsReleased = job.areInputsReleased};
-    for (Piece &each : job.pieces) {
-        result.handles.push_back(std::exchange(each.handle, {}));
-    }
-    finish(ref.job, std::move(result), now);
-}
-
-model::ZoneId BatchScheduler::zoneOf(const Job &job)
-{
-    std::map<model::ZoneId, size_t> counts;
-    for (const Piece &piece : job.pieces) {
-        ++counts[piece.zone];
-    }
-    const auto most
-        = std::max_element(counts.begin(), counts.end(), [](const auto &left, const auto &right) {
-              return left.second < right.second;
-          });
-    return most == counts.end() ? model::ZoneId() : most->first;
-}
-
-void BatchScheduler::requeue(const PieceRef &ref, bool countsAsTry, model::TimePoint now)
-{
-    const auto it = m_jobs.find(ref.job);
-    if (it == m_jobs.end()) {
-        return;
-    }
-    Job &job = it->second;
-    Piece &piece = job.pieces[ref.piece];
-    if (piece.state != PieceState::Running) {
-        return;
-    }
-    if (job.areInputsReleased) {
-        finish(ref.job, {.failure = JobFailure::InputsGone}, now);
-        return;
-    }
-    piece.hasFetched = false;
-    piece.tries += countsAsTry ? 1 : 0;
-    if (piece.tries >= maxTries) {
-        finish(ref.job, {.failure = JobFailure::Failed, .retryAfter = model::seconds(1)}, now);
-        return;
-    }
-    piece.state = PieceState::Queued;
-    if (job.queued++ == 0) {
-        m_pools[job.content.pool].waiting.push_back(ref.job);
-    }
-}
-
 void BatchScheduler::finish(JobId id, JobResult result, model::TimePoint now)
 {
     const auto it = m_jobs.find(id);
--- /dev/null
+++ b/src/relay/internal/relaycoordination.cpp
@@ -0,0 +1,190 @@
+#include <algorithm>
+#include <map>
+
+#include <absl/strings/str_cat.h>
+
+#include "model/hash.h"
+#include "relay/relaysystem.h"
+
+// Which daemon schedules a pool, and what is handed to it or comes from others.
+
+namespace citronpick::relay
+{
+
+using observability::EventCode;
+
+namespace
+{
+
+//! A coordinator that has answered nothing for this long is taken for stuck.
+constexpr model::Duration peerSilence = model::milliseconds(1500);
+//! A coordinator that owes answers and has been quiet for this long is asked whether it is there:
+//! jobs may wait longer than that in its queue.
+constexpr model::Duration inquiryAfter = model::milliseconds(700);
+//! How long a stuck coordinator is passed over.
+constexpr model::Duration peerAvoidance = model::seconds(3);
+//! Keeps numbers of forwarded jobs apart from those of the own scheduler.
+constexpr uint64_t forwardedBit = uint64_t {1} << 63U;
+
+} // namespace
+
+// One daemon schedules a pool for all, so that its upstreams get full batches and no two daemons
+// collide there. Who that is follows from the members alone; daemons that differ about it for a
+// moment only fill batches less well.
+const PeerDaemon *RelaySystem::coordinatorOf(const model::PoolId &pool, model::TimePoint now) const
+{
+    std::vector<const PeerDaemon *> candidates;
+    uint32_t bestLink = 0;
+    for (const PeerDaemon &peer : m_peers) {
+        const auto avoided = m_peerAvoidedUntil.find(peer.id);
+        if (avoided == m_peerAvoidedUntil.end() || now >= avoided->second) {
+            candidates.push_back(&peer);
+            bestLink = std::max(bestLink, peer.linkMbps);
+        }
+    }
+    const PeerDaemon *best = nullptr;
+    uint64_t bestRank = 0;
+    const uint64_t seed = model::hash64(pool.text());
+    for (const PeerDaemon *peer : candidates) {
+        const uint64_t rank = model::hash64(peer->id.text(), seed);
+        // Batches of a whole pool would fill a narrow link.
+        const bool isStrong = peer->linkMbps >= bestLink / 2;
+        if (isStrong && (!best || rank > bestRank)) {
+            best = peer;
+            bestRank = rank;
+        }
+    }
+    return best && best->id != m_options.daemon ? best : nullptr;
+}
+
+void RelaySystem::submit(const LocalStage &owner, StageJob job, model::TimePoint now)
+{
+    const PeerDaemon *coordinator = coordinatorOf(job.pool, now);
+    if (!coordinator) {
+        submitHere(owner, std::move(job), now);
+        return;
+    }
+    const JobId id(forwardedBit | ++m_lastForward);
+    ++m_counters.forwardedJobs;
+    find(owner.request)->jobs.push_back(id);
+    m_commands.emplace_back(ForwardJob {.job = id, .peer = *coordinator, .content = job});
+    m_forwards.emplace(
+        id,
+        Forward {.owner = owner, .peer = *coordinator, .content = std::move(job), .sentAt = now});
+}
+
+void RelaySystem::submitHere(const LocalStage &owner, StageJob job, model::TimePoint now)
+{
+    const JobId id = m_scheduler.submit(std::move(job), now);
+    m_jobOwners.emplace(id, owner);
+    find(owner.request)->jobs.push_back(id);
+    takeScheduled(now);
+}
+
+void RelaySystem::onPeerJob(uint64_t exchange, StageJob job, model::TimePoint now)
+{
+    const JobId id = m_scheduler.submit(std::move(job), now);
+    m_jobOwners.emplace(id, PeerExchange {.exchange = exchange});
+    m_peerJobs.emplace(exchange, id);
+    takeScheduled(now);
+}
+
+void RelaySystem::onPeerGone(uint64_t exchange)
+{
+    const auto it = m_peerJobs.find(exchange);
+    if (it == m_peerJobs.end()) {
+        return;
+    }
+    m_scheduler.cancel(it->second);
+    m_jobOwners.erase(it->second);
+    m_peerJobs.erase(it);
+}
+
+void RelaySystem::onForwardAnswered(JobId job, JobResult result, model::TimePoint now)
+{
+    const auto it = m_forwards.find(job);
+    if (it == m_forwards.end()) {
+        return;
+    }
+    const Forward forward = it->second;
+    m_forwards.erase(it);
+    m_peerHeardAt[forward.peer.id] = now;
+    noteForecast(forward.content.pool, result.forecast, now);
+    if (forward.content.isInquiry) {
+        return;
+    }
+    const bool isRetriedHere = result.failure == JobFailure::NoUpstream;
+    if (isRetriedHere && find(forward.owner.request)) {
+        // A coordinator that has just started may not have read the list of upstreams.
+        std::erase(find(forward.owner.request)->jobs, job);
+        submitHere(forward.owner, forward.content, now);
+        return;
+    }
+    onStageFinished(forward.owner, job, std::move(result), now);
+}
+
+void RelaySystem::onForwardFailed(JobId job, model::TimePoint now)
+{
+    const auto it = m_forwards.find(job);
+    if (it == m_forwards.end()) {
+        return;
+    }
+    const Forward forward = it->second;
+    m_forwards.erase(it);
+    if (forward.content.isInquiry) {
+        // The jobs that the peer owes decide.
+        return;
+    }
+    m_peerAvoidedUntil[forward.peer.id] = now + peerAvoidance;
+    Exchange *exchange = find(forward.owner.request);
+    if (!exchange) {
+        return;
+    }
+    std::erase(exchange->jobs, job);
+    record(EventCode::CoordinatorAvoided, *exchange, forward.peer.id.text(),
+           absl::StrCat("pool=", forward.content.pool.text(),
+                        " afterMs=", model::toMilliseconds(now - forward.sentAt)));
+    submit(forward.owner, forward.content, now);
+}
+
+void RelaySystem::checkPeers(model::TimePoint now)
+{
+    std::vector<JobId> stuck;
+    std::map<model::DaemonId, const Forward *> quiet;
+    for (const auto &[id, forward] : m_forwards) {
+        const auto heard = m_peerHeardAt.find(forward.peer.id);
+        const model::TimePoint last = heard == m_peerHeardAt.end()
+                                          ? forward.sentAt
+                                          : std::max(forward.sentAt, heard->second);
+        if (now - last >= peerSilence) {
+            stuck.push_back(id);
+        } else if (now - last >= inquiryAfter) {
+            quiet.emplace(forward.peer.id, &forward);
+        }
+    }
+    for (const auto &[id, forward] : quiet) {
+        inquire(forward->peer, forward->content.pool, now);
+    }
+    std::sort(stuck.begin(), stuck.end());
+    for (const JobId job : stuck) {
+        m_commands.emplace_back(CancelForward {.job = job});
+        onForwardFailed(job, now);
+    }
+}
+
+void RelaySystem::inquire(const PeerDaemon &peer, const model::PoolId &pool, model::TimePoint now)
+{
+    const auto asked = m_peerAskedAt.find(peer.id);
+    if (asked != m_peerAskedAt.end() && now - asked->second < inquiryAfter) {
+        return;
+    }
+    m_peerAskedAt[peer.id] = now;
+    const JobId id(forwardedBit | ++m_lastForward);
+    StageJob inquiry {
+        .pool = pool, .pieceCount = 0, .due = now, .deadline = now, .isInquiry = true};
+    m_commands.emplace_back(ForwardJob {.job = id, .peer = peer, .content = inquiry});
+    m_forwards.emplace(
+        id, Forward {.owner = {}, .peer = peer, .content = std::move(inquiry), .sentAt = now});
+}
+
+} // namespace citronpick::relay
