--- a/tests/soak/daemonprocess.cpp
+++ b/tests/soak/daemonprocess.cpp
@@ -49,6 +49,9 @@
     posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, m_log.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+    // A socket that a daemon inherits stays open when the soak closes it, and the soak's event loop
+    // is told of it for ever.
+    posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
     if (posix_spawn(&m_process, m_program.c_str(), &files, nullptr, arguments, environ) != 0) {
         m_process = 0;
     }
