The soak's plans reach each pool, and every third one is mild

Change: faults choose a pool first; twice as many; every third seed changes upstreams and configurations only; upstreams leave for 4 s and more.

--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -7,9 +7,16 @@
 {
 
 constexpr uint32_t kinds = static_cast<uint32_t>(FaultKind::ConfigurationChanges) + 1;
+//! The kinds from this one on concern upstreams and configurations only.
+constexpr auto firstMildKind = static_cast<uint32_t>(FaultKind::ReplicaSheds);
+//! One plan in so many is mild: most bounds hold only for daemons that nothing has harmed for
+//! seconds.
+constexpr uint64_t mildEvery = 3;
+//! Upstreams leave for longer than their bound.
+constexpr model::Duration leavingTime = model::seconds(4);
 //! Time from one fault to the next: shorter than most faults last, so that they overlap.
-constexpr model::Duration leastGap = model::milliseconds(200);
-constexpr model::Duration moreGap = model::milliseconds(1300);
+constexpr model::Duration leastGap = model::milliseconds(100);
+constexpr model::Duration moreGap = model::milliseconds(700);
 constexpr model::Duration leastTime = model::milliseconds(300);
 constexpr model::Duration moreTime = model::milliseconds(3700);
 
@@ -55,6 +62,7 @@
 std::vector<PlannedFault> planFaults(uint64_t seed, model::Duration length)
 {
     model::Random random(seed);
+    const uint32_t firstKind = seed % mildEvery == 0 ? firstMildKind : 0;
     std::vector<PlannedFault> plan;
     model::Duration at {};
     while (true) {
@@ -62,9 +70,11 @@
         if (at >= length) {
             return plan;
         }
+        const auto kind = static_cast<FaultKind>(firstKind + random.below(kinds - firstKind));
+        const model::Duration least = kind == FaultKind::ReplicaLeaves ? leavingTime : leastTime;
         plan.push_back({.at = at,
-                        .lasts = leastTime + model::scaled(moreTime, random.unit()),
-                        .kind = static_cast<FaultKind>(random.below(kinds)),
+                        .lasts = least + model::scaled(moreTime, random.unit()),
+                        .kind = kind,
                         .target = random.below(1U << 16U),
                         .variant = random.below(1U << 16U)});
     }
--- a/tests/soak/faultplantest.cpp
+++ b/tests/soak/faultplantest.cpp
@@ -13,6 +13,13 @@
     CHECK_FALSE(planFaults(7, model::seconds(30)) == planFaults(8, model::seconds(30)));
 }
 
+TEST_CASE("Each third plan harms neither daemons nor the store")
+{
+    for (const PlannedFault &fault : planFaults(9, model::seconds(300))) {
+        CHECK(fault.kind >= FaultKind::ReplicaSheds);
+    }
+}
+
 TEST_CASE("Faults of a long plan overlap and are of every kind")
 {
     const std::vector<PlannedFault> plan = planFaults(1, model::seconds(300));
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -199,7 +199,15 @@
 
 SoakRun::Replica &SoakRun::replicaOf(const PlannedFault &fault)
 {
-    return m_replicas[fault.target % m_replicas.size()];
+    // Pools evenly, however many upstreams each has.
+    const std::string &pool = m_spec.pools[fault.target % m_spec.pools.size()].name;
+    std::vector<Replica *> ofPool;
+    for (Replica &replica : m_replicas) {
+        if (replica.standIn->id().starts_with(pool + "-")) {
+            ofPool.push_back(&replica);
+        }
+    }
+    return *ofPool[fault.variant % ofPool.size()];
 }
 
 void SoakRun::begin(const PlannedFault &fault)
