Signals have handlers from the start of main

Handlers were installed after the settings had been read and the log opened. Ruled out: the settings file: it did not change. Change: handlers are installed first in main.

--- a/src/apps/citronpickd/main.cpp
+++ b/src/apps/citronpickd/main.cpp
@@ -90,7 +90,6 @@
     net::EventLoop loop;
     const platform::WireFormat format;
     daemon::RelayDaemon daemon(loop, std::move(settings), format);
-    installSignalHandlers();
     const absl::Status status = daemon.start();
     if (!status.ok()) {
         std::cerr << "citronpickd: " << status.message() << '\n';
@@ -118,7 +117,6 @@
     observability::openLog(settings.logLevel);
     net::EventLoop loop;
     daemon::Daemon daemon(loop, std::move(settings));
-    installSignalHandlers();
     const absl::Status status = daemon.start();
     if (!status.ok()) {
         std::cerr << "citronpickd: " << status.message() << '\n';
@@ -147,6 +145,8 @@
 
 int main(int argc, char **argv)
 {
+    // First of all: a signal that came before would end the process.
+    installSignalHandlers();
     absl::SetProgramUsageMessage("Serves multi-stage model pipelines.\n"
                                  "  citronpickd --settings=FILE");
     absl::FlagsUsageConfig usage;
