A peer's listing no longer cuts a paged listing short; relistings are spread

Cause: onPeerListing() cleared the page position while a page was still being read, so onPage() took that page for a whole listing and reported every key of the earlier pages as removed. A compacted answer was retried at once: hundreds of daemons list again in the same moment, and a registry that keeps dropping its history is asked without pause.

Change: a page that belongs to a replaced listing is discarded. The first listing after a compacted answer starts within 500 ms, spread at random; further ones back off like failed calls.

--- a/src/registry/internal/registryfollower.cpp
+++ b/src/registry/internal/registryfollower.cpp
@@ -60,6 +60,9 @@
 void RegistryFollower::onPage(const RegistryPage &page, model::TimePoint now)
 {
     recordAnswer(now);
+    if (std::exchange(m_isPendingPageObsolete, false)) {
+        return;
+    }
     if (m_afterKey.empty()) {
         m_listedKeys.clear();
         m_listRevision = page.revision;
@@ -104,6 +107,7 @@
     }
     removeUnlisted(listing.revision, now);
     m_revision = listing.revision;
+    m_isPendingPageObsolete = m_isCallPending && m_isListing;
     m_isListing = false;
     m_afterKey.clear();
     markSynchronized();
@@ -138,6 +142,7 @@
         applyItem(item, now);
     }
     m_revision = std::max(m_revision, changes.revision);
+    m_compactions = 0;
     m_nextCallAt = changes.items.empty() ? now : now + m_options.coalescingDelay;
 }
 
@@ -176,10 +181,9 @@
 void RegistryFollower::onError(CallError error, model::TimePoint now)
 {
     m_isCallPending = false;
-    if (error == CallError::Compacted) {
-        m_isListing = true;
-        m_afterKey.clear();
-        m_nextCallAt = now;
+    const bool wasPageObsolete = std::exchange(m_isPendingPageObsolete, false);
+    if (error == CallError::Compacted && !wasPageObsolete) {
+        restartListing(now);
         return;
     }
     ++m_failures;
@@ -193,6 +197,19 @@
     m_nextCallAt = now + model::scaled(backoff, 0.5 + 0.5 * m_random.uniformDouble());
 }
 
+// A registry that drops its history answers the watches of all daemons at once, and each listing
+// takes several calls. A registry that keeps dropping it is asked no more often than a failing one.
+void RegistryFollower::restartListing(model::TimePoint now)
+{
+    m_isListing = true;
+    m_afterKey.clear();
+    ++m_compactions;
+    const double share = m_random.uniformDouble();
+    m_nextCallAt = now
+                   + (m_compactions == 1 ? model::scaled(m_options.relistSpread, share)
+                                         : model::scaled(m_options.maxBackoff, 0.5 + 0.5 * share));
+}
+
 std::vector<FollowerUpdate> RegistryFollower::takeUpdates(model::TimePoint now)
 {
     std::vector<std::string> expired;
--- a/src/registry/registryfollower.h
+++ b/src/registry/registryfollower.h
@@ -26,6 +26,8 @@
     //! Delay after the first failed call; doubles with each further failure up to maxBackoff.
     model::Duration initialBackoff = model::milliseconds(100);
     model::Duration maxBackoff = model::milliseconds(800);
+    //! Daemons whose revision was compacted at the same time list again spread over this period.
+    model::Duration relistSpread = model::milliseconds(500);
     //! Keys that expired during a registry outage are kept for this long after it ends, so that
     //! their owners can write them again.
     model::Duration recoveryGracePeriod = model::milliseconds(2200);
@@ -124,12 +126,15 @@
     void applyItem(const RegistryItem &item, model::TimePoint now);
     void removeUnlisted(uint64_t revision, model::TimePoint now);
     void markSynchronized();
+    void restartListing(model::TimePoint now);
     void removeKey(const std::string &key, uint64_t revision, model::TimePoint now);
 
     FollowerOptions m_options;
     model::Random m_random;
     bool m_isListing = true;
     bool m_isCallPending = false;
+    //! The pending call reads a page of a listing that a peer's listing has replaced.
+    bool m_isPendingPageObsolete = false;
     bool m_isSynchronized = false;
     std::string m_afterKey;
     uint64_t m_revision = 0;
@@ -139,6 +144,7 @@
     //! Missing keys and when each is removed.
     std::map<std::string, model::TimePoint> m_pendingRemovals;
     uint32_t m_failures = 0;
+    uint32_t m_compactions = 0; //!< Compacted answers since the last successful watch.
     model::TimePoint m_nextCallAt;
     model::TimePoint m_answeredAt;
     model::TimePoint m_graceEndsAt; //!< Missing keys are kept until then.
--- a/src/registry/tests/registryfollowertest.cpp
+++ b/src/registry/tests/registryfollowertest.cpp
@@ -2,6 +2,8 @@
 
 #include "registry/registryfollower.h"
 
+#include <set>
+
 using namespace citronpick;
 using namespace citronpick::registry;
 using model::milliseconds;
@@ -122,6 +124,7 @@
     fixture.list({item("u/a", "1", 3), item("u/b", "1", 4)}, 5);
     fixture.changes();
     fixture.failCall(CallError::Compacted);
+    fixture.now = *fixture.follower.nextRun();
     fixture.list({item("u/a", "2", 8)}, 9);
     CHECK(fixture.changes() == Changes {"u/a=2", "-u/b"});
 }
@@ -185,6 +188,68 @@
     CHECK(fixture.follower.listing().revision == 12);
 }
 
+TEST_CASE("A peer's listing replaces a listing that is being read page by page")
+{
+    Fixture fixture;
+    fixture.call();
+    fixture.follower.onPage({.items = {item("u/a", "1", 3)}, .hasMore = true, .revision = 10},
+                            fixture.now);
+    CHECK(std::get<ReadPage>(fixture.call()).afterKey == "u/a");
+    fixture.follower.onPeerListing(
+        {.items = {item("u/a", "1", 3), item("u/b", "1", 4), item("u/c", "1", 5)}, .revision = 12},
+        fixture.now);
+    CHECK(fixture.changes() == Changes {"u/a=1", "u/b=1", "u/c=1"});
+    // The page was read before u/d was removed and without u/a, which the first page holds.
+    fixture.follower.onPage(
+        {.items = {item("u/b", "1", 4), item("u/c", "1", 5), item("u/d", "1", 6)}, .revision = 11},
+        fixture.now);
+    CHECK(fixture.changes().empty());
+    CHECK(fixture.follower.revision() == 12);
+    CHECK(std::get<WatchChanges>(fixture.call()).afterRevision == 12);
+}
+
+TEST_CASE("A page that fails after a peer's listing does not restart the listing")
+{
+    Fixture fixture;
+    fixture.call();
+    fixture.follower.onPage({.items = {item("u/a", "1", 3)}, .hasMore = true, .revision = 10},
+                            fixture.now);
+    fixture.call();
+    fixture.follower.onPeerListing({.items = {item("u/a", "1", 3)}, .revision = 12}, fixture.now);
+    fixture.follower.onError(CallError::Unreachable, fixture.now);
+    fixture.now += model::seconds(1);
+    CHECK(std::get<WatchChanges>(fixture.call()).afterRevision == 12);
+}
+
+TEST_CASE("Load pattern: all daemons list again after the registry dropped its history")
+{
+    std::set<model::TimePoint> starts;
+    for (uint64_t seed = 1; seed <= 50; ++seed) {
+        Fixture fixture;
+        fixture.follower = RegistryFollower({.prefix = "u/"}, seed);
+        fixture.list({}, 5);
+        fixture.failCall(CallError::Compacted);
+        REQUIRE(fixture.follower.nextRun());
+        starts.insert(*fixture.follower.nextRun());
+        CHECK(*fixture.follower.nextRun() <= fixture.now + milliseconds(500));
+    }
+    CHECK(starts.size() == 50);
+}
+
+TEST_CASE("Calls that keep meeting dropped history are retried with backoff")
+{
+    Fixture fixture;
+    const model::TimePoint start = fixture.now;
+    int calls = 0;
+    while (fixture.now < start + model::seconds(20)) {
+        fixture.failCall(CallError::Compacted);
+        ++calls;
+        fixture.now = std::max(fixture.now, *fixture.follower.nextRun());
+    }
+    CHECK(calls <= 60);
+    CHECK(std::get<ReadPage>(fixture.call()).afterKey.empty());
+}
+
 TEST_CASE("Load pattern: changes in quick succession are fetched with one call")
 {
     Fixture fixture;
