--- a/src/daemon/internal/batchrunner.cpp
+++ b/src/daemon/internal/batchrunner.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/str_cat.h>
 
 #include "model/abslview.h"
+#include "model/hash.h"
 
 namespace citronpick::daemon
 {
@@ -16,6 +17,18 @@
 constexpr model::Duration releaseTimeout = model::seconds(2);
 //! Only a safeguard: the scheduler cancels batches much earlier.
 constexpr model::Duration batchTimeout = model::seconds(20);
+//! Exceeds the answer to the largest batch, which holds a short handle for each piece.
+constexpr uint64_t maxAnswerBytes = 1U << 20U;
+
+uint64_t digestOf(const std::vector<relay::BatchItem> &items)
+{
+    uint64_t digest = 0;
+    for (const relay::BatchItem &item : items) {
+        digest = model::hash64(item.request.text(), digest);
+        digest = model::hash64(absl::StrCat(item.stage, "/", item.piece), digest);
+    }
+    return digest;
+}
 
 } // namespace
 
@@ -32,10 +45,13 @@
 {
     net::UpstreamCall call = m_format.encodeBatch(command);
     call.timeout = batchTimeout;
+    call.maxBodyBytes = maxAnswerBytes;
     const uint64_t number = m_client.start(std::move(call), *this);
     m_calls[number] = {.batch = command.batch,
                        .upstream = command.upstream,
+                       .address = command.address,
                        .items = command.items.size(),
+                       .itemsDigest = digestOf(command.items),
                        .startedAt = net::EventLoop::now()};
     m_callsByBatch[command.batch] = number;
 }
@@ -73,6 +89,7 @@
     for (const auto &[producer, handles] : std::exchange(m_releases, {})) {
         net::UpstreamCall call = m_format.encodeRelease(producer, handles);
         call.timeout = releaseTimeout;
+        call.maxBodyBytes = maxAnswerBytes;
         m_calls[m_client.start(std::move(call), *this)] = {};
     }
 }
@@ -110,6 +127,11 @@
     if (call.facts.wasNotRun) {
         record(call, absl::StrCat("refused-", call.facts.status));
         m_system.onBatchRefused(call.batch, now);
+    } else if (isLateCopy(call)) {
+        // The right answer may still arrive on that connection.
+        m_client.closeIdleConnections(call.address);
+        record(call, "late-copy");
+        m_system.onBatchBroken(call.batch, now);
     } else if (auto outcomes = m_format.decodeBatch(call.body);
                call.facts.status == success && outcomes.ok() && outcomes->size() == call.items) {
         size_t succeeded = 0;
@@ -125,6 +147,22 @@
     m_host.execute();
 }
 
+// Answers to batches name no request, so a copy that arrives on a reused connection can only be
+// recognized by its content: handles are unique, so no two batches have the same answer.
+bool BatchRunner::isLateCopy(const Call &call)
+{
+    const LastAnswer answer {.itemsDigest = call.itemsDigest,
+                             .bodyDigest = model::hash64(call.body)};
+    const bool hasHandles = call.body.find("handle") != std::string::npos;
+    const auto [last, isFirst] = m_lastAnswers.emplace(call.upstream, answer);
+    const bool isCopy = !isFirst && hasHandles && last->second.bodyDigest == answer.bodyDigest
+                        && last->second.itemsDigest != answer.itemsDigest;
+    if (!isCopy) {
+        last->second = answer;
+    }
+    return isCopy;
+}
+
 void BatchRunner::onFailure(uint64_t number, net::CallFailure failure)
 {
     const auto it = m_calls.find(number);
--- a/src/daemon/internal/batchrunner.h
+++ b/src/daemon/internal/batchrunner.h
@@ -42,12 +42,22 @@
     struct Call {
         relay::BatchId batch; //!< Zero if the call is a release.
         model::UpstreamId upstream;
+        config::Endpoint address;
         size_t items = 0;
+        uint64_t itemsDigest = 0; //!< Hash of which pieces the batch contains.
         model::TimePoint startedAt;
         relay::AnswerFacts facts;
         std::string body;
     };
 
+    //! The last answer of an upstream, by hashes.
+    struct LastAnswer {
+        uint64_t itemsDigest = 0;
+        uint64_t bodyDigest = 0;
+    };
+
+    //! Whether \a call was answered with a copy of the answer to the upstream's previous batch.
+    bool isLateCopy(const Call &call);
     void record(const Call &call, std::string_view outcome);
 
     net::UpstreamClient &m_client;
@@ -56,6 +66,7 @@
     IRelayHost &m_host;
     absl::flat_hash_map<uint64_t, Call> m_calls;
     absl::flat_hash_map<relay::BatchId, uint64_t> m_callsByBatch;
+    absl::flat_hash_map<model::UpstreamId, LastAnswer> m_lastAnswers;
     std::map<config::Endpoint, std::vector<relay::ResultHandle>> m_releases;
     model::TimePoint m_nextFlush = model::TimePoint::max();
 };
--- a/src/daemon/internal/exchangerunner.cpp
+++ b/src/daemon/internal/exchangerunner.cpp
@@ -15,6 +15,11 @@
 
 //! If more bytes than this are buffered for a slow caller, reading from the upstream is paused.
 constexpr size_t maxBufferedBytes = 256U << 10U;
+//! Answers that are not streams are held back up to this size, so that a broken one can be replaced
+//! by that of another upstream. Larger answers are forwarded while they arrive.
+constexpr size_t maxHeldBytes = 1U << 20U;
+//! A longer event does not occur; such bytes are not a stream of events.
+constexpr size_t maxEventBytes = 256U << 10U;
 //! The relay system cancels a call that exceeds its deadline; the call timeout ends this period
 //! later and acts only if the relay system has not cancelled the call.
 constexpr model::Duration gracePeriod = model::seconds(5);
@@ -27,6 +32,7 @@
     case net::CallFailure::ConnectionLost:
         return relay::AttemptFailure::Broken;
     case net::CallFailure::Malformed:
+    case net::CallFailure::TooLarge:
         return relay::AttemptFailure::Malformed;
     case net::CallFailure::TimedOut:
         return relay::AttemptFailure::TimedOut;
@@ -109,10 +115,16 @@
         return;
     }
     if (const Attempt *attempt = find(relayed->second)) {
-        m_client.setPaused(attempt->call, false);
+        setPaused(relayed->second, *attempt, false);
     }
 }
 
+void ExchangeRunner::setPaused(model::AttemptId id, const Attempt &attempt, bool isPaused)
+{
+    m_client.setPaused(attempt.call, isPaused);
+    m_system.onAttemptPaused(id, isPaused, net::EventLoop::now());
+}
+
 ExchangeRunner::Attempt *ExchangeRunner::find(model::AttemptId attempt)
 {
     const auto it = m_attempts.find(attempt);
@@ -197,15 +209,36 @@
     }
     if (!attempt->isRelaying) {
         attempt->unsentBody.append(bytes);
+        if (attempt->unsentBody.size() > maxHeldBytes) {
+            m_system.onAnswerBufferFull(id, net::EventLoop::now());
+            m_host.execute();
+        }
         return;
     }
     write(*attempt, bytes);
-    m_system.onAttemptProgress(id, attempt->splitter.lastEventId(), net::EventLoop::now());
+    if (attempt->splitter.partialEvent().size() > maxEventBytes) {
+        failMalformed(id, *attempt);
+        return;
+    }
+    // Single bytes or comments do not show that the upstream makes progress.
+    if (attempt->events.feed(bytes)) {
+        m_system.onAttemptProgress(id, attempt->splitter.lastEventId(), net::EventLoop::now());
+    }
     if (m_server.buffered(attempt->request.value()) > maxBufferedBytes) {
-        m_client.setPaused(call, true);
+        setPaused(id, *attempt, true);
     }
 }
 
+void ExchangeRunner::failMalformed(model::AttemptId id, const Attempt &attempt)
+{
+    const std::string lastEventId = attempt.splitter.lastEventId();
+    m_client.cancel(attempt.call);
+    removeAttempt(id);
+    m_system.onAttemptFailed(id, relay::AttemptFailure::Malformed, lastEventId,
+                             net::EventLoop::now());
+    m_host.execute();
+}
+
 void ExchangeRunner::write(Attempt &attempt, std::string_view bytes)
 {
     const uint64_t exchange = attempt.request.value();
@@ -262,7 +295,9 @@
     }
     attempt->isRelaying = true;
     m_relayedAttempts[command.request] = command.attempt;
-    write(*attempt, std::exchange(attempt->unsentBody, {}));
+    const std::string held = std::exchange(attempt->unsentBody, {});
+    attempt->events.feed(held);
+    write(*attempt, held);
     m_system.onAttemptProgress(command.attempt, attempt->splitter.lastEventId(),
                                net::EventLoop::now());
 }
--- a/src/daemon/internal/exchangerunner.h
+++ b/src/daemon/internal/exchangerunner.h
@@ -6,6 +6,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include "daemon/internal/eventdetector.h"
 #include "daemon/internal/eventsplitter.h"
 #include "daemon/internal/irelayhost.h"
 #include "daemon/iwireformat.h"
@@ -60,11 +61,14 @@
         bool isRelaying = false;
         bool forwardsWholeEvents = false;
         EventSplitter splitter;
+        EventDetector events;
     };
 
     Attempt *find(model::AttemptId attempt);
     Attempt *attemptOf(uint64_t call, model::AttemptId &id);
     void write(Attempt &attempt, std::string_view bytes);
+    void setPaused(model::AttemptId id, const Attempt &attempt, bool isPaused);
+    void failMalformed(model::AttemptId id, const Attempt &attempt);
     void removeAttempt(model::AttemptId attempt);
     void removeRequest(model::RequestId request);
 
--- a/src/daemon/internal/peerjobs.cpp
+++ b/src/daemon/internal/peerjobs.cpp
@@ -14,6 +14,8 @@
 //! Daemons of the same deployment accept a connection within milliseconds.
 constexpr model::Duration connectTimeout = model::milliseconds(300);
 constexpr model::Duration jobTimeout = model::seconds(30);
+//! Exceeds the result of the largest job, which holds a short handle for each piece.
+constexpr uint64_t maxResultBytes = 1U << 20U;
 constexpr uint16_t success = 200;
 
 } // namespace
@@ -40,6 +42,7 @@
     call.hasBody = true;
     call.connectTimeout = connectTimeout;
     call.timeout = jobTimeout;
+    call.maxBodyBytes = maxResultBytes;
     const net::Signature signature = m_auth.sign(stagePath, call.body);
     call.headers = {{.name = stampHeader, .value = signature.stamp},
                     {.name = codeHeader, .value = signature.code}};
--- a/src/daemon/internal/stagejobcodec.cpp
+++ b/src/daemon/internal/stagejobcodec.cpp
@@ -10,9 +10,6 @@
 
 using Json = nlohmann::json;
 
-//! Exceeds the piece count of every deployed stage; bounds the memory that a peer's job can claim.
-constexpr uint32_t maxPieces = 4096;
-
 } // namespace
 
 std::string encodeStageJob(const relay::StageJob &job, model::TimePoint now)
@@ -34,7 +31,8 @@
     if (job.isInquiry) {
         document["isInquiry"] = true;
     }
-    return document.dump();
+    // Texts from callers' headers may hold bytes that are not valid UTF-8.
+    return document.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 absl::StatusOr<relay::StageJob> decodeStageJob(std::string_view text, model::TimePoint now)
@@ -57,7 +55,7 @@
             job.inputsExpireAt = now + model::Duration(document.at("inputsLeftUs").get<int64_t>());
         }
         job.isInquiry = document.value("isInquiry", false);
-        if (job.isInquiry != (job.pieceCount == 0) || job.pieceCount > maxPieces) {
+        if (job.isInquiry != (job.pieceCount == 0) || job.pieceCount > relay::maxPiecesPerStage) {
             return absl::InvalidArgumentError(
                 "stage job has no pieces, too many pieces, or pieces although it is an inquiry");
         }
--- a/src/net/exchangeserver.h
+++ b/src/net/exchangeserver.h
@@ -90,6 +90,9 @@
     //! Ends connections that have exceeded their timeout. Must be called a few times per second.
     void sweep(model::TimePoint now);
 
+    //! Whether bytes of a complete response have not been passed to the network yet.
+    bool hasUnsentResponses() const;
+
     size_t connectionCount() const;
     size_t exchangeCount() const;
 
--- a/src/net/internal/exchangeserver.cpp
+++ b/src/net/internal/exchangeserver.cpp
@@ -1,5 +1,6 @@
 #include "net/exchangeserver.h"
 
+#include <algorithm>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -22,6 +23,10 @@
 //! Time for which a connection lingers after its last response, so that the caller can read the
 //! response before the socket is closed.
 constexpr model::Duration lingerTimeout = model::seconds(2);
+//! A caller that reads a large answer slowly may read nothing for some seconds.
+constexpr model::Duration unacknowledgedTimeout = model::seconds(8);
+//! A lingering connection discards no more bytes than this.
+constexpr size_t maxLingerBytes = 1U << 20U;
 
 } // namespace
 
@@ -81,6 +86,7 @@
         bool isReadPaused = false;
         bool closesAfterWrite = false;
         bool isLingering = false;
+        size_t lingerBytes = 0; //!< Bytes discarded while lingering.
         bool hasSentContinue = false;
         bool hadExchange = false;
         //! When the current timeout began: at the accept, the first byte of a request, the end of a
@@ -126,7 +132,7 @@
             h2o_socket_close(socket);
             return;
         }
-        internal::setSocketOptions(socket);
+        internal::setSocketOptions(socket, unacknowledgedTimeout);
         const uint64_t id = ++m_lastConnection;
         auto connection = std::make_unique<Connection>(*this, id, socket);
         connection->timeoutStart = EventLoop::now();
@@ -145,8 +151,9 @@
     void handleReadable(Connection &connection, bool hasEnded)
     {
         if (connection.isLingering) {
+            connection.lingerBytes += connection.socket->input->size;
             h2o_buffer_consume(&connection.socket->input, connection.socket->input->size);
-            if (hasEnded) {
+            if (hasEnded || connection.lingerBytes > maxLingerBytes) {
                 destroy(connection);
             }
             return;
@@ -337,6 +344,8 @@
             connection.owner.destroy(connection);
             return;
         }
+        // Releases the memory as well, because most connections stay open without traffic.
+        connection.sending = {};
         Impl &self = connection.owner;
         const uint64_t exchange = connection.exchange;
         self.flush(connection);
@@ -499,6 +508,12 @@
     m_impl->sweep(now);
 }
 
+bool ExchangeServer::hasUnsentResponses() const
+{
+    return std::any_of(m_impl->m_connections.begin(), m_impl->m_connections.end(),
+                       [](const auto &entry) { return entry.second->isWriting; });
+}
+
 size_t ExchangeServer::connectionCount() const
 {
     return m_impl->m_connections.size();
--- a/src/net/internal/httpclient.cpp
+++ b/src/net/internal/httpclient.cpp
@@ -27,6 +27,8 @@
 // connection while a request is being sent on it.
 constexpr uint64_t idleConnectionTimeoutMs = 4000;
 constexpr size_t maxPooledConnections = 1024;
+// H2O buffers a response head without a limit of its own.
+constexpr size_t maxHeadBytes = 64U << 10U;
 
 // H2O reads the whole receive buffer of a socket at once. Without a limit the kernel would let that
 // buffer grow to many megabytes while reading a stream is paused.
@@ -61,6 +63,7 @@
         std::array<h2o_iovec_t, 2> buffers {};
         bool isStreamed = false;
         bool isSent = false; //!< Connected, and the request was passed to H2O.
+        bool isHeadReceived = false;
         bool isHeadRequest = false;
         bool isInCallback = false;
         uint64_t maxBodyBytes = 0;
@@ -83,6 +86,8 @@
     static void handleHead(Call &call, int status, const h2o_header_t *headers, size_t count);
     static bool handleBody(Call &call, h2o_socket_t *socket);
     static void resumeReading(Call &call);
+    static bool exceedsHeadLimit(const Call &call);
+    std::vector<uint64_t> callsWithOversizedHead() const;
     void finish(Call &call);
     void fail(Call &call, HttpError error);
     std::unique_ptr<Call> detach(uint64_t number);
@@ -248,6 +253,7 @@
 
 void HttpClient::Impl::handleHead(Call &call, int status, const h2o_header_t *headers, size_t count)
 {
+    call.isHeadReceived = true;
     call.answer.status = static_cast<uint16_t>(status);
     call.answer.headers.reserve(count);
     for (size_t i = 0; i < count; ++i) {
@@ -342,8 +348,34 @@
     call.pausedReadCallback = nullptr;
 }
 
+bool HttpClient::Impl::exceedsHeadLimit(const Call &call)
+{
+    return call.isSent && !call.isHeadReceived && call.client && call.client->sock
+           && call.client->sock->input->size > maxHeadBytes;
+}
+
+std::vector<uint64_t> HttpClient::Impl::callsWithOversizedHead() const
+{
+    std::vector<uint64_t> numbers;
+    for (const auto &[number, call] : m_calls) {
+        if (exceedsHeadLimit(*call)) {
+            numbers.push_back(number);
+        }
+    }
+    return numbers;
+}
+
 void HttpClient::Impl::expire(model::TimePoint now)
 {
+    for (const uint64_t number : callsWithOversizedHead()) {
+        const auto it = m_calls.find(number);
+        if (it == m_calls.end()) {
+            continue;
+        }
+        const HttpCallbacks callbacks = it->second->callbacks;
+        cancel(number);
+        callbacks.onError(HttpError::TooLarge);
+    }
     std::vector<uint64_t> expiredCalls;
     for (const auto &[number, call] : m_calls) {
         const model::TimePoint deadline = call->isSent
--- a/src/net/internal/socketoptions.cpp
+++ b/src/net/internal/socketoptions.cpp
@@ -7,10 +7,10 @@
 namespace citronpick::net::internal
 {
 
-void setSocketOptions(h2o_socket_t *socket)
+void setSocketOptions(h2o_socket_t *socket, model::Duration unacknowledgedTimeout)
 {
-    // Long enough for several retransmissions on a link with packet loss.
-    constexpr unsigned unacknowledgedTimeoutMs = 3000;
+    const auto unacknowledgedTimeoutMs
+        = static_cast<unsigned>(model::toMilliseconds(unacknowledgedTimeout));
     constexpr int on = 1;
     // Keep-alive probes detect a peer that became unreachable while the connection was idle.
     constexpr int probeIdleSeconds = 1;
--- a/src/net/internal/socketoptions.h
+++ b/src/net/internal/socketoptions.h
@@ -1,14 +1,16 @@
 #ifndef CITRONPICK_NET_INTERNAL_SOCKETOPTIONS_H
 #define CITRONPICK_NET_INTERNAL_SOCKETOPTIONS_H
 
+#include "model/time.h"
 #include "net/internal/h2o.h"
 
 namespace citronpick::net::internal
 {
 
 //! Disables Nagle's algorithm, so that small writes are sent at once, and makes the connection fail
-//! if the peer stops acknowledging data or keep-alive probes.
-void setSocketOptions(h2o_socket_t *socket);
+//! if for \a unacknowledgedTimeout the peer acknowledges neither data nor keep-alive probes, or has
+//! no room for more data.
+void setSocketOptions(h2o_socket_t *socket, model::Duration unacknowledgedTimeout);
 
 } // namespace citronpick::net::internal
 
--- a/src/net/internal/upstreamclient.cpp
+++ b/src/net/internal/upstreamclient.cpp
@@ -23,6 +23,11 @@
 constexpr model::Duration idleTimeoutMargin = model::milliseconds(700);
 //! Enough for the concurrent calls of one daemon to one upstream.
 constexpr size_t maxIdleConnectionsPerEndpoint = 8;
+//! Long enough for several retransmissions on a link with packet loss.
+constexpr model::Duration unacknowledgedTimeout = model::seconds(3);
+//! Responses to earlier requests are discarded up to this size, so that one without an end cannot
+//! occupy a call until its timeout.
+constexpr uint64_t maxStaleBytes = 1U << 20U;
 
 model::Duration idleTimeoutOf(const Headers &headers)
 {
@@ -38,7 +43,10 @@
     if (result.ec != std::errc() || announcedSeconds < 0) {
         return defaultIdleTimeout;
     }
-    return std::min(defaultIdleTimeout, model::seconds(announcedSeconds) - idleTimeoutMargin);
+    constexpr int64_t maxAnnouncedSeconds = 3600;
+    return std::min(defaultIdleTimeout,
+                    model::seconds(std::min(announcedSeconds, maxAnnouncedSeconds))
+                        - idleTimeoutMargin);
 }
 
 } // namespace
@@ -54,6 +62,8 @@
         return "malformed";
     case CallFailure::TimedOut:
         return "timed-out";
+    case CallFailure::TooLarge:
+        return "too-large";
     }
     return "broken";
 }
@@ -95,7 +105,12 @@
         }
         void onBody(std::string_view bytes) override
         {
-            if (!isStaleResponse && call != 0) {
+            if (isStaleResponse) {
+                staleBytes += bytes.size();
+                return;
+            }
+            bodyBytes += bytes.size();
+            if (call != 0 && bodyBytes <= maxBodyBytes) {
                 handler->onBody(call, bytes);
             }
         }
@@ -113,6 +128,9 @@
         std::string correlationHeader;
         std::string correlationValue;
         std::string requestBytes;
+        uint64_t maxBodyBytes = 0;
+        uint64_t bodyBytes = 0;
+        uint64_t staleBytes = 0;
         bool isConnected = false;
         bool isWriting = false;
         bool isStaleResponse = false; //!< The current response belongs to an earlier request.
@@ -142,6 +160,8 @@
         connection->handler = &handler;
         connection->correlationHeader = std::move(call.correlationHeader);
         connection->correlationValue = std::move(call.correlationValue);
+        connection->maxBodyBytes = call.maxBodyBytes;
+        connection->bodyBytes = 0;
         connection->connectDeadline = now + call.connectTimeout;
         connection->callDeadline = now + call.timeout;
         connection->parser.reset();
@@ -225,7 +245,7 @@
             return;
         }
         connection.isConnected = true;
-        internal::setSocketOptions(socket);
+        internal::setSocketOptions(socket, unacknowledgedTimeout);
         connection.owner.send(connection);
         if (!connection.isPaused) {
             h2o_socket_read_start(socket, &Impl::onRead);
@@ -272,7 +292,8 @@
             return;
         }
         if (connection.parser.isComplete()) {
-            if (!connection.isWriting) {
+            // While the request is still being sent, further bytes would accumulate unread.
+            if (!connection.isWriting || connection.socket->input->size != 0) {
                 complete(connection);
             }
             return;
@@ -295,10 +316,15 @@
                 return false;
             }
             h2o_buffer_consume(&input, consumed);
-            if (connection.parser.error() != ParseError::None) {
+            if (connection.parser.error() != ParseError::None
+                || connection.staleBytes > maxStaleBytes) {
                 fail(connection, CallFailure::Malformed);
                 return false;
             }
+            if (connection.bodyBytes > connection.maxBodyBytes) {
+                fail(connection, CallFailure::TooLarge);
+                return false;
+            }
             if (connection.parser.isComplete() && connection.isStaleResponse) {
                 connection.parser.reset();
                 connection.isStaleResponse = false;
@@ -342,7 +368,7 @@
         m_calls.erase(call);
         connection.call = 0;
         const bool isReusable = connection.isKeepAlive && !connection.hadStaleResponse
-                                && connection.socket->input->size == 0
+                                && !connection.isWriting && connection.socket->input->size == 0
                                 && connection.idleTimeout > model::Duration::zero();
         if (isReusable) {
             releaseToPool(connection);
@@ -380,6 +406,18 @@
         close(connection);
     }
 
+    void closeIdleConnections(const config::Endpoint &to)
+    {
+        const auto it = m_idle.find(to);
+        if (it == m_idle.end()) {
+            return;
+        }
+        const std::vector<Connection *> connections = it->second;
+        for (Connection *connection : connections) {
+            closeIdle(*connection);
+        }
+    }
+
     void fail(Connection &connection, CallFailure failure)
     {
         const uint64_t call = connection.call;
@@ -495,6 +533,11 @@
     m_impl->cancel(call);
 }
 
+void UpstreamClient::closeIdleConnections(const config::Endpoint &to)
+{
+    m_impl->closeIdleConnections(to);
+}
+
 void UpstreamClient::setPaused(uint64_t call, bool isPaused)
 {
     m_impl->setPaused(call, isPaused);
--- a/src/net/tests/exchangeservertest.cpp
+++ b/src/net/tests/exchangeservertest.cpp
@@ -170,3 +170,31 @@
     CHECK(fixture.waitFor(peer, "bye"));
     CHECK(runUntil(fixture.loop, [&] { return peer.hasEnded(); }));
 }
+
+TEST_CASE("Bytes that have been sent do not count as buffered")
+{
+    Fixture fixture;
+    RawPeer peer = fixture.sendRequest(simpleRequest);
+    const uint64_t exchange = fixture.handler.exchanges.at(0);
+    fixture.server.begin(exchange, 200, {}, std::nullopt);
+    fixture.server.write(exchange, std::string(1U << 20U, 'x'));
+    CHECK(fixture.server.buffered(exchange) > 0);
+    CHECK(runUntil(fixture.loop, [&] {
+        peer.received();
+        return fixture.server.buffered(exchange) == 0;
+    }));
+}
+
+TEST_CASE("A response counts as unsent until the network has taken all of it")
+{
+    Fixture fixture;
+    RawPeer peer = fixture.sendRequest(simpleRequest);
+    constexpr size_t bodyBytes = 64U << 20U;
+    fixture.server.respond(fixture.handler.exchanges.at(0), 200, {}, std::string(bodyBytes, 'x'));
+    fixture.loop.runOnce(model::milliseconds(1));
+    CHECK(fixture.server.hasUnsentResponses());
+    CHECK(runUntil(fixture.loop, [&] {
+        peer.received();
+        return !fixture.server.hasUnsentResponses();
+    }));
+}
--- /dev/null
+++ b/src/net/tests/httpclienttest.cpp
@@ -0,0 +1,95 @@
+#include <catch2/catch.hpp>
+
+#include "net/httpclient.h"
+#include "net/tests/rawpeer.h"
+
+using namespace citronpick;
+using namespace citronpick::net;
+using net::testing::RawListener;
+using net::testing::RawPeer;
+using net::testing::runUntil;
+
+namespace
+{
+
+struct Fixture {
+    Fixture()
+        : client(loop)
+    {
+    }
+
+    RawPeer startAndAccept()
+    {
+        HttpCall call {.to = {.host = "127.0.0.1", .port = listener.port()}};
+        call.maxBodyBytes = 100000;
+        HttpCallbacks callbacks;
+        callbacks.onResponse = [this](const HttpResponse &value) {
+            response = value;
+        };
+        callbacks.onError = [this](HttpError value) {
+            error = value;
+        };
+        client.start(call, std::move(callbacks));
+        RawPeer peer;
+        REQUIRE(runUntil(loop, [&] { return listener.accept(peer); }));
+        return peer;
+    }
+    //! Sends \a filler until the call ends or \a limit bytes were sent; returns their number.
+    size_t sendUntilEnd(RawPeer &peer, const std::string &filler, size_t limit)
+    {
+        std::string block;
+        constexpr size_t blockBytes = 16U << 10U;
+        while (block.size() < blockBytes) {
+            block.append(filler);
+        }
+        size_t sent = 0;
+        while (sent < limit && !response && !error) {
+            sent += peer.sendSome(block);
+            loop.runOnce(model::Duration::zero());
+            client.expire(EventLoop::now());
+        }
+        return sent;
+    }
+
+    EventLoop loop;
+    RawListener listener;
+    std::optional<HttpResponse> response;
+    std::optional<HttpError> error;
+    HttpClient client;
+};
+
+constexpr size_t limit = 8U << 20U;
+
+} // namespace
+
+TEST_CASE("A response head without an end fails the call")
+{
+    Fixture fixture;
+    RawPeer peer = fixture.startAndAccept();
+    peer.send("HTTP/1.1 200 OK\r\nx-a: ");
+    CHECK(fixture.sendUntilEnd(peer, "a", limit) < limit);
+    CHECK(fixture.error == HttpError::TooLarge);
+}
+
+TEST_CASE("A response body without an end fails the call at its limit")
+{
+    for (const char *framing : {"\r\n", "content-length: 1000000000000\r\n\r\n"}) {
+        CAPTURE(framing);
+        Fixture fixture;
+        RawPeer peer = fixture.startAndAccept();
+        peer.send(std::string("HTTP/1.1 200 OK\r\n") + framing);
+        CHECK(fixture.sendUntilEnd(peer, "b", limit) < limit);
+        CHECK(fixture.error.has_value());
+        CHECK_FALSE(fixture.response);
+    }
+}
+
+TEST_CASE("A response body that is cut off is not a complete response")
+{
+    Fixture fixture;
+    RawPeer peer = fixture.startAndAccept();
+    peer.send("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart");
+    peer.close();
+    REQUIRE(runUntil(fixture.loop, [&] { return fixture.response || fixture.error; }));
+    CHECK(fixture.error.has_value());
+}
--- a/src/net/tests/rawpeer.h
+++ b/src/net/tests/rawpeer.h
@@ -71,6 +71,19 @@
         static_cast<void>(::send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL));
     }
 
+    //! Sends as many bytes as the connection takes at once, and returns their number.
+    size_t sendSome(std::string_view bytes)
+    {
+        const ssize_t count = ::send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        m_isRefused = count < 0 && errno != EAGAIN;
+        return count < 0 ? 0 : static_cast<size_t>(count);
+    }
+    //! Whether the other end no longer takes bytes, as the last call of sendSome() found.
+    bool isRefused() const
+    {
+        return m_isRefused;
+    }
+
     //! All bytes received so far.
     const std::string &received()
     {
@@ -118,6 +131,7 @@
     int m_descriptor = -1;
     std::string m_received;
     bool m_hasEnded = false;
+    bool m_isRefused = false;
 };
 
 //! Listening socket on a free port that accepts connections one by one.
--- a/src/net/tests/upstreamclienttest.cpp
+++ b/src/net/tests/upstreamclienttest.cpp
@@ -46,14 +46,18 @@
 
     uint64_t start(bool needsFreshConnection = false)
     {
-        return client.start({.to = {.host = "127.0.0.1", .port = listener.port()},
-                             .method = "GET",
-                             .target = "/x",
-                             .headers = {{.name = "x-id", .value = "7"}},
-                             .needsFreshConnection = needsFreshConnection,
-                             .correlationHeader = "x-id",
-                             .correlationValue = "7"},
-                            handler);
+        UpstreamCall request = call();
+        request.needsFreshConnection = needsFreshConnection;
+        return client.start(std::move(request), handler);
+    }
+    UpstreamCall call() const
+    {
+        return {.to = {.host = "127.0.0.1", .port = listener.port()},
+                .method = "GET",
+                .target = "/x",
+                .headers = {{.name = "x-id", .value = "7"}},
+                .correlationHeader = "x-id",
+                .correlationValue = "7"};
     }
     RawPeer accept()
     {
@@ -80,6 +84,28 @@
     UpstreamClient client;
 };
 
+//! Sends \a head and then \a filler until the call ends or \a limit bytes were sent. Returns the
+//! number of bytes sent.
+size_t sendUntilEnd(Fixture &fixture, RawPeer &peer, std::string_view head, std::string_view filler,
+                    size_t limit)
+{
+    std::string block;
+    constexpr size_t blockBytes = 16U << 10U;
+    while (block.size() < blockBytes) {
+        block.append(filler);
+    }
+    peer.send(head);
+    size_t sent = 0;
+    const auto isEnded = [&] {
+        return fixture.handler.ends > 0 || fixture.handler.failure;
+    };
+    while (sent < limit && !isEnded()) {
+        sent += peer.sendSome(block);
+        fixture.loop.runOnce(model::Duration::zero());
+    }
+    return sent;
+}
+
 constexpr std::string_view validResponse
     = "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 4\r\n\r\ngood";
 
@@ -225,3 +251,170 @@
     fixture.client.sweep(EventLoop::now() + model::milliseconds(1400));
     CHECK(fixture.client.idleCount() == 0);
 }
+
+TEST_CASE("A head without an end is reported as malformed")
+{
+    constexpr size_t limit = 4U << 20U;
+    const std::vector<std::pair<std::string, std::string>> endlessHeads {
+        {"HTTP/1.1 200 OK\r\nx-a: ", "a"},
+        {"HTTP/1.1 200 OK\r\n", "x-a: b\r\n"},
+        {"HTTP/1.1 200 ", "OK"},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"", "\r\n"},
+    };
+    for (const auto &[head, filler] : endlessHeads) {
+        CAPTURE(head, filler);
+        Fixture fixture;
+        fixture.start();
+        RawPeer peer = fixture.accept();
+        CHECK(sendUntilEnd(fixture, peer, head, filler, limit) < limit);
+        CHECK(fixture.handler.failure == CallFailure::Malformed);
+    }
+}
+
+TEST_CASE("A chunk extension or trailer without an end is reported as malformed")
+{
+    constexpr size_t limit = 4U << 20U;
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 7\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const auto &[start, filler] :
+         {std::pair<std::string, std::string>("4;", "x"), {"0\r\n", "x-a: b\r\n"}}) {
+        CAPTURE(start);
+        Fixture fixture;
+        fixture.start();
+        RawPeer peer = fixture.accept();
+        CHECK(sendUntilEnd(fixture, peer, head + start, filler, limit) < limit);
+        CHECK(fixture.handler.failure == CallFailure::Malformed);
+    }
+}
+
+TEST_CASE("A collected body without an end fails at its limit")
+{
+    constexpr size_t limit = 4U << 20U;
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 7\r\n";
+    const std::vector<std::pair<std::string, std::string>> framings {
+        {"\r\n", "x"},
+        {"Content-Length: 1000000000000\r\n\r\n", "x"},
+        {"Transfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"},
+    };
+    for (const auto &[framing, filler] : framings) {
+        CAPTURE(framing);
+        Fixture fixture;
+        UpstreamCall call = fixture.call();
+        call.maxBodyBytes = 100000;
+        fixture.client.start(std::move(call), fixture.handler);
+        RawPeer peer = fixture.accept();
+        CHECK(sendUntilEnd(fixture, peer, head + framing, filler, limit) < limit);
+        CHECK(fixture.handler.failure == CallFailure::TooLarge);
+        CHECK(fixture.handler.body.size() <= 100000);
+    }
+}
+
+TEST_CASE("A late response without an end is not discarded for ever")
+{
+    constexpr size_t limit = 16U << 20U;
+    Fixture fixture;
+    fixture.start();
+    RawPeer peer = fixture.accept();
+    CHECK(sendUntilEnd(fixture, peer, "HTTP/1.1 200 OK\r\nX-Id: 6\r\n\r\n", "x", limit) < limit);
+    CHECK(fixture.handler.failure == CallFailure::Malformed);
+    CHECK(fixture.handler.body.empty());
+}
+
+TEST_CASE("Bytes without an end after a complete response end the connection")
+{
+    constexpr size_t limit = 16U << 20U;
+    for (const bool readsRequest : {true, false}) {
+        CAPTURE(readsRequest);
+        Fixture fixture;
+        UpstreamCall call = fixture.call();
+        if (!readsRequest) {
+            // More than the buffers of the connection hold, so that sending it does not end.
+            call.method = "POST";
+            call.body.assign(32U << 20U, 'b');
+            call.hasBody = true;
+        }
+        fixture.client.start(std::move(call), fixture.handler);
+        RawPeer peer;
+        REQUIRE(runUntil(fixture.loop, [&] { return fixture.listener.accept(peer); }));
+        if (readsRequest) {
+            fixture.waitForRequest(peer);
+        }
+        CHECK(sendUntilEnd(fixture, peer, validResponse, "x", limit) < limit);
+        CHECK(fixture.handler.body == "good");
+        CHECK(fixture.handler.ends == 1);
+        CHECK(fixture.client.idleCount() == 0);
+    }
+}
+
+TEST_CASE("A truncated response is never complete, whatever its framing")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 7\r\n";
+    struct Truncated {
+        std::string bytes;
+        bool resets;
+    };
+    const std::vector<Truncated> responses {
+        {"Content-Length: 9\r\n\r\npart", false},
+        {"Content-Length: 9\r\n\r\npart", true},
+        {"Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", false},
+        {"Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n", false},
+        {"Transfer-Encoding: chunked\r\n\r\n8\r\npart", true},
+        {"\r\npart", true},
+    };
+    for (const Truncated &response : responses) {
+        CAPTURE(response.bytes, response.resets);
+        Fixture fixture;
+        fixture.start();
+        RawPeer peer = fixture.accept();
+        peer.send(head + response.bytes);
+        REQUIRE(runUntil(fixture.loop, [&] { return fixture.handler.body == "part"; }));
+        response.resets ? peer.reset() : peer.close();
+        REQUIRE(fixture.waitForEnd());
+        CHECK(fixture.handler.ends == 0);
+        CHECK(fixture.handler.failure == CallFailure::ConnectionLost);
+    }
+}
+
+TEST_CASE("A second copy of a response on a reused connection does not reach the next caller")
+{
+    Fixture fixture;
+    fixture.start();
+    RawPeer peer = fixture.accept();
+    peer.send(validResponse);
+    REQUIRE(fixture.waitForEnd());
+    fixture.handler = {};
+    UpstreamCall next = fixture.call();
+    next.correlationValue = "8";
+    fixture.client.start(std::move(next), fixture.handler);
+    fixture.waitForRequest(peer);
+    CHECK(fixture.client.connectsStarted() == 1);
+    peer.send(validResponse);
+    peer.send("HTTP/1.1 200 OK\r\nX-Id: 8\r\nContent-Length: 4\r\n\r\nnext");
+    REQUIRE(fixture.waitForEnd());
+    CHECK(fixture.handler.body == "next");
+    CHECK(fixture.client.idleCount() == 0);
+}
+
+TEST_CASE("An absurd keep-alive timeout is limited")
+{
+    Fixture fixture;
+    fixture.start();
+    RawPeer peer = fixture.accept();
+    peer.send("HTTP/1.1 200 OK\r\nX-Id: 7\r\nKeep-Alive: timeout=9000000000000000000\r\n"
+              "Content-Length: 0\r\n\r\n");
+    REQUIRE(fixture.waitForEnd());
+    CHECK(fixture.client.idleCount() == 1);
+}
+
+TEST_CASE("Idle connections to an upstream can be closed")
+{
+    Fixture fixture;
+    fixture.start();
+    RawPeer peer = fixture.accept();
+    peer.send(validResponse);
+    REQUIRE(fixture.waitForEnd());
+    fixture.client.closeIdleConnections({.host = "127.0.0.1", .port = 1});
+    CHECK(fixture.client.idleCount() == 1);
+    fixture.client.closeIdleConnections(fixture.call().to);
+    CHECK(fixture.client.idleCount() == 0);
+}
--- a/src/net/upstreamclient.h
+++ b/src/net/upstreamclient.h
@@ -2,6 +2,7 @@
 #define CITRONPICK_NET_UPSTREAMCLIENT_H
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -28,6 +29,8 @@
     std::string correlationValue;
     model::Duration connectTimeout = model::milliseconds(800);
     model::Duration timeout = model::seconds(60); //!< Covers the whole call.
+    //! Limit on the response body, for handlers that collect it in memory.
+    uint64_t maxBodyBytes = std::numeric_limits<uint64_t>::max();
 };
 
 //! Reason why a call has no complete response.
@@ -36,6 +39,7 @@
     ConnectionLost, //!< The connection was closed or reset before the response was complete.
     Malformed, //!< The received bytes are not an HTTP response.
     TimedOut,
+    TooLarge, //!< The response body exceeds UpstreamCall::maxBodyBytes.
 };
 
 std::string_view toString(CallFailure failure);
@@ -73,6 +77,8 @@
     uint64_t start(UpstreamCall call, IUpstreamHandler &handler);
     //! Ends a call and closes its connection without any further callback.
     void cancel(uint64_t call);
+    //! Closes the idle connections to an upstream, so that no later call uses them.
+    void closeIdleConnections(const config::Endpoint &to);
     //! Pauses or resumes reading a response.
     void setPaused(uint64_t call, bool isPaused);
 
--- /dev/null
+++ b/src/relay/internal/relayanswers.cpp
@@ -0,0 +1,136 @@
+#include <absl/strings/str_cat.h>
+
+#include "relay/relaysystem.h"
+
+// The part of RelaySystem that follows an answer from its head until it ends.
+
+namespace citronpick::relay
+{
+
+using observability::EventCode;
+
+namespace
+{
+
+//! A resumable stream without progress is resumed on another upstream after this multiple of the
+//! maximum pause between events. The margin allows for long prompts in the same engine, which delay
+//! the stream.
+constexpr int64_t resumeTimeoutInPauses = 3;
+constexpr model::Duration minResumeTimeout = model::milliseconds(1000);
+//! Weight of the newest request in the moving average of a route's first event time.
+constexpr double firstEventWeight = 0.1;
+
+} // namespace
+
+void RelaySystem::onAttemptHead(model::AttemptId id, const AnswerFacts &facts, model::TimePoint now)
+{
+    const auto it = m_attempts.find(id);
+    if (it == m_attempts.end()) {
+        return;
+    }
+    it->second.facts = facts;
+    Exchange &exchange = *find(it->second.request);
+    if (!facts.isSuccess() || !isStream(exchange.route->kind)) {
+        return;
+    }
+    m_directory.noteSuccess(it->second.upstream);
+    it->second.lastProgressAt = now;
+    m_timeouts.add(now + progressTimeout(exchange), exchange.arrived.request);
+    if (exchange.isAnswerStarted) {
+        m_commands.emplace_back(ResumeStream {.request = exchange.arrived.request, .attempt = id});
+        return;
+    }
+    exchange.isAnswerStarted = true;
+    const model::Duration took = now - it->second.startedAt;
+    const auto [measured, isNew] = m_firstEventTimes.emplace(exchange.route->id, took);
+    measured->second += model::scaled(took - measured->second, firstEventWeight);
+    m_counters.firstEvents.add(now - exchange.arrived.startedAt);
+    record(EventCode::AnswerBegan, exchange, it->second.upstream.text(),
+           absl::StrCat("firstEventMs=", model::toMilliseconds(took),
+                        " afterMs=", model::toMilliseconds(now - exchange.arrived.startedAt),
+                        " targetMs=", model::toMilliseconds(exchange.route->latencyTarget)));
+    m_commands.emplace_back(StartStream {.request = exchange.arrived.request, .attempt = id});
+    if (exchange.route->kind == RequestKind::Stream) {
+        // The upstream fetches its inputs before it answers, and a stream that cannot resume is
+        // not sent to another upstream.
+        releaseResults(exchange.plan.takeAllResults());
+    }
+}
+
+void RelaySystem::onAttemptProgress(model::AttemptId id, const std::string &lastEvent,
+                                    model::TimePoint now)
+{
+    const auto it = m_attempts.find(id);
+    if (it == m_attempts.end()) {
+        return;
+    }
+    it->second.lastProgressAt = now;
+    if (!lastEvent.empty()) {
+        find(it->second.request)->lastEvent = lastEvent;
+    }
+}
+
+// A stream that another upstream can resume times out early. For any other stream, an earlier
+// timeout than the caller's own would gain nothing.
+model::Duration RelaySystem::progressTimeout(const Exchange &exchange)
+{
+    const bool isResumable = exchange.route->kind == RequestKind::ResumableStream
+                             && exchange.sentAttempts < exchange.route->maxAttempts;
+    return isResumable
+               ? std::max(minResumeTimeout, resumeTimeoutInPauses * exchange.route->pauseTarget)
+               : callerTimeout(*exchange.route);
+}
+
+// A caller that reads slowly delays its stream; the upstream is not to blame for that.
+void RelaySystem::onAttemptPaused(model::AttemptId id, bool isPaused, model::TimePoint now)
+{
+    const auto it = m_attempts.find(id);
+    if (it != m_attempts.end()) {
+        it->second.isPaused = isPaused;
+        it->second.lastProgressAt = now;
+    }
+}
+
+// Forwards a large answer while it arrives, so that it does not occupy memory.
+void RelaySystem::onAnswerBufferFull(model::AttemptId id, model::TimePoint now)
+{
+    const auto it = m_attempts.find(id);
+    if (it == m_attempts.end()) {
+        return;
+    }
+    Exchange &exchange = *find(it->second.request);
+    if (it->second.facts && it->second.facts->isSuccess()) {
+        exchange.isAnswerStarted = true;
+        m_commands.emplace_back(StartStream {.request = exchange.arrived.request, .attempt = id});
+        return;
+    }
+    const Attempt attempt = closeAttempt(id);
+    m_commands.emplace_back(CancelAttempt {.attempt = id});
+    m_directory.noteFailure(attempt.upstream, now);
+    record(EventCode::AttemptLost, exchange, attempt.upstream.text(), "why=oversized-failure");
+    onAnswerLost(exchange, attempt.upstream, AttemptFailure::Malformed, now);
+}
+
+void RelaySystem::checkProgress(Exchange &exchange, model::TimePoint now)
+{
+    const model::AttemptId id = exchange.attempt;
+    const auto it = m_attempts.find(id);
+    if (it == m_attempts.end()) {
+        return;
+    }
+    const model::TimePoint since = it->second.isPaused ? now : it->second.lastProgressAt;
+    const model::TimePoint limit = since + progressTimeout(exchange);
+    if (now < limit) {
+        m_timeouts.add(limit, exchange.arrived.request);
+        return;
+    }
+    const Attempt attempt = closeAttempt(id);
+    m_commands.emplace_back(CancelAttempt {.attempt = id});
+    m_directory.noteFailure(attempt.upstream, now);
+    record(
+        EventCode::AttemptLost, exchange, attempt.upstream.text(),
+        absl::StrCat("why=silent silentMs=", model::toMilliseconds(now - attempt.lastProgressAt)));
+    onAnswerLost(exchange, attempt.upstream, AttemptFailure::TimedOut, now);
+}
+
+} // namespace citronpick::relay
--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -21,13 +21,6 @@
 constexpr model::Duration fullPoolRetryAfter = model::milliseconds(300);
 //! If a pool without upstreams gets one at all, it does so within seconds.
 constexpr model::Duration emptyPoolRetryAfter = model::seconds(1);
-//! A resumable stream without progress is resumed on another upstream after this multiple of the
-//! maximum pause between events. The margin allows for long prompts in the same engine, which delay
-//! the stream.
-constexpr int64_t resumeTimeoutInPauses = 3;
-constexpr model::Duration minResumeTimeout = model::milliseconds(1000);
-//! Weight of the newest request in the moving average of a route's first event time.
-constexpr double firstEventWeight = 0.1;
 constexpr uint16_t conflictStatus = 409;
 
 } // namespace
@@ -129,86 +122,6 @@
     return attempt;
 }
 
-void RelaySystem::onAttemptHead(model::AttemptId id, const AnswerFacts &facts, model::TimePoint now)
-{
-    const auto it = m_attempts.find(id);
-    if (it == m_attempts.end()) {
-        return;
-    }
-    it->second.facts = facts;
-    Exchange &exchange = *find(it->second.request);
-    if (!facts.isSuccess() || !isStream(exchange.route->kind)) {
-        return;
-    }
-    m_directory.noteSuccess(it->second.upstream);
-    it->second.lastProgressAt = now;
-    m_timeouts.add(now + progressTimeout(exchange), exchange.arrived.request);
-    if (exchange.isAnswerStarted) {
-        m_commands.emplace_back(ResumeStream {.request = exchange.arrived.request, .attempt = id});
-        return;
-    }
-    exchange.isAnswerStarted = true;
-    const model::Duration took = now - it->second.startedAt;
-    const auto [measured, isNew] = m_firstEventTimes.emplace(exchange.route->id, took);
-    measured->second += model::scaled(took - measured->second, firstEventWeight);
-    m_counters.firstEvents.add(now - exchange.arrived.startedAt);
-    record(EventCode::AnswerBegan, exchange, it->second.upstream.text(),
-           absl::StrCat("firstEventMs=", model::toMilliseconds(took),
-                        " afterMs=", model::toMilliseconds(now - exchange.arrived.startedAt),
-                        " targetMs=", model::toMilliseconds(exchange.route->latencyTarget)));
-    m_commands.emplace_back(StartStream {.request = exchange.arrived.request, .attempt = id});
-    if (exchange.route->kind == RequestKind::Stream) {
-        // The upstream fetches its inputs before it answers, and a stream that cannot resume is
-        // not sent to another upstream.
-        releaseResults(exchange.plan.takeAllResults());
-    }
-}
-
-void RelaySystem::onAttemptProgress(model::AttemptId id, const std::string &lastEvent,
-                                    model::TimePoint now)
-{
-    const auto it = m_attempts.find(id);
-    if (it == m_attempts.end()) {
-        return;
-    }
-    it->second.lastProgressAt = now;
-    if (!lastEvent.empty()) {
-        find(it->second.request)->lastEvent = lastEvent;
-    }
-}
-
-// A stream that another upstream can resume times out early. For any other stream, an earlier
-// timeout than the caller's own would gain nothing.
-model::Duration RelaySystem::progressTimeout(const Exchange &exchange)
-{
-    const bool isResumable = exchange.route->kind == RequestKind::ResumableStream
-                             && exchange.sentAttempts < exchange.route->maxAttempts;
-    return isResumable
-               ? std::max(minResumeTimeout, resumeTimeoutInPauses * exchange.route->pauseTarget)
-               : callerTimeout(*exchange.route);
-}
-
-void RelaySystem::checkProgress(Exchange &exchange, model::TimePoint now)
-{
-    const model::AttemptId id = exchange.attempt;
-    const auto it = m_attempts.find(id);
-    if (it == m_attempts.end()) {
-        return;
-    }
-    const model::TimePoint limit = it->second.lastProgressAt + progressTimeout(exchange);
-    if (now < limit) {
-        m_timeouts.add(limit, exchange.arrived.request);
-        return;
-    }
-    const Attempt attempt = closeAttempt(id);
-    m_commands.emplace_back(CancelAttempt {.attempt = id});
-    m_directory.noteFailure(attempt.upstream, now);
-    record(
-        EventCode::AttemptLost, exchange, attempt.upstream.text(),
-        absl::StrCat("why=silent silentMs=", model::toMilliseconds(now - attempt.lastProgressAt)));
-    onAnswerLost(exchange, attempt.upstream, AttemptFailure::TimedOut, now);
-}
-
 void RelaySystem::onAttemptEnd(model::AttemptId id, model::TimePoint now)
 {
     if (!m_attempts.contains(id)) {
@@ -217,7 +130,6 @@
     const Attempt attempt = closeAttempt(id);
     Exchange &exchange = *find(attempt.request);
     const AnswerFacts facts = attempt.facts.value_or(AnswerFacts {});
-    const bool isStreamed = isStream(exchange.route->kind);
     if (facts.isMisdirected) {
         m_directory.noteReplaced(attempt.upstream, now);
         record(EventCode::AttemptRefused, exchange, attempt.upstream.text(), "why=replaced");
@@ -254,7 +166,7 @@
     record(EventCode::AnswerPassed, exchange, attempt.upstream.text(),
            absl::StrCat("status=", facts.status, " attempts=", exchange.sentAttempts,
                         " tookMs=", model::toMilliseconds(now - exchange.arrived.startedAt)));
-    if (isStreamed && facts.isSuccess()) {
+    if (exchange.isAnswerStarted) {
         m_commands.emplace_back(FinishStream {.request = attempt.request});
     } else {
         m_commands.emplace_back(ForwardAnswer {.request = attempt.request, .attempt = id});
@@ -362,7 +274,10 @@
         refuse(id, Refusal::UpstreamFailed, model::Duration::zero());
         return;
     }
-    if (mayRepeat(exchange.route->kind) && acquireRetry(exchange, now)) {
+    // A large answer that was forwarded in part cannot be continued with another upstream's answer.
+    const bool canContinue
+        = !exchange.isAnswerStarted || exchange.route->kind == RequestKind::ResumableStream;
+    if (canContinue && mayRepeat(exchange.route->kind) && acquireRetry(exchange, now)) {
         ++(exchange.isAnswerStarted ? m_counters.resumes : m_counters.retries);
         record(EventCode::AttemptRetried, exchange, upstream.text(),
                absl::StrCat("why=", model::toAbsl(toString(failure)),
--- a/src/relay/internal/relaysystem.cpp
+++ b/src/relay/internal/relaysystem.cpp
@@ -136,7 +136,11 @@
     if (!m_configuration) {
         return Refusal::NoConfiguration;
     }
-    if (exchange.arrived.callerId.isEmpty()) {
+    const std::vector<uint32_t> &pieceCounts = exchange.arrived.pieceCounts;
+    const bool hasTooManyPieces
+        = std::any_of(pieceCounts.begin(), pieceCounts.end(),
+                      [](uint32_t count) { return count > maxPiecesPerStage; });
+    if (exchange.arrived.callerId.isEmpty() || hasTooManyPieces) {
         return Refusal::BadRequest;
     }
     exchange.configuration = m_configuration;
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -82,9 +82,14 @@
     void onCallerDisconnected(model::RequestId request, model::TimePoint now);
 
     void onAttemptHead(model::AttemptId attempt, const AnswerFacts &facts, model::TimePoint now);
-    //! More of a stream was sent to the caller; \a lastEvent is the id of the last complete event.
+    //! At least one more event of a stream was received; \a lastEvent is the id of the last
+    //! complete one.
     void onAttemptProgress(model::AttemptId attempt, const std::string &lastEvent,
                            model::TimePoint now);
+    //! Reading the answer has been paused because its caller reads slowly, or has been resumed.
+    void onAttemptPaused(model::AttemptId attempt, bool isPaused, model::TimePoint now);
+    //! More of the answer was received than may be held back until its end.
+    void onAnswerBufferFull(model::AttemptId attempt, model::TimePoint now);
     //! The answer was received completely.
     void onAttemptEnd(model::AttemptId attempt, model::TimePoint now);
     //! \a lastEvent is the id of the last complete event that was sent to the caller.
@@ -153,7 +158,8 @@
         model::UpstreamId upstream;
         uint64_t tokens = 0;
         model::TimePoint startedAt;
-        model::TimePoint lastProgressAt; //!< When a part of the answer was last received.
+        model::TimePoint lastProgressAt; //!< When the last event of the answer was received.
+        bool isPaused = false; //!< Not read, because the caller reads slowly.
         std::optional<AnswerFacts> facts;
     };
     //! Identifies the local request and stage for which a job runs.
--- a/src/relay/stagejob.h
+++ b/src/relay/stagejob.h
@@ -19,6 +19,9 @@
 //! Identifies one call of a batch to an upstream.
 using BatchId = model::Number<struct BatchTag>;
 
+//! Exceeds the piece count of every deployed stage; bounds the memory that one request can claim.
+inline constexpr uint32_t maxPiecesPerStage = 4096;
+
 //! Expected time that a job that arrives now waits until its pool starts it.
 struct QueueWait {
     model::Duration onTime {}; //!< For a job that can still meet its target.
--- a/src/relay/tests/exchangetest.cpp
+++ b/src/relay/tests/exchangetest.cpp
@@ -352,3 +352,87 @@
     fixture.arrive("/once/x", "key", std::nullopt, 7);
     CHECK(fixture.take<RefuseRequest>().refusal == Refusal::Quarantined);
 }
+
+TEST_CASE("A request with an absurd number of pieces is refused")
+{
+    RelayFixture fixture;
+    fixture.system.onRequestArrived({.request = model::RequestId(7),
+                                     .callerId = model::CallerRequestId("c"),
+                                     .host = "example",
+                                     .path = "/staged/x",
+                                     .accountKey = "key",
+                                     .startedAt = fixture.now,
+                                     .pieceCounts = {1, 4000000000U}},
+                                    fixture.now);
+    fixture.collect();
+    CHECK(fixture.take<RefuseRequest>().refusal == Refusal::BadRequest);
+    CHECK(fixture.system.requestCount() == 0);
+}
+
+TEST_CASE("A large answer is forwarded while it arrives and aborted if it breaks off")
+{
+    for (const bool breaksOff : {false, true}) {
+        RelayFixture fixture;
+        fixture.arrive("/safe/x");
+        const auto attempt = fixture.take<StartAttempt>().attempt;
+        fixture.head(attempt, RelayFixture::success());
+        fixture.system.onAnswerBufferFull(attempt, fixture.now);
+        fixture.collect();
+        fixture.take<StartStream>();
+        if (breaksOff) {
+            fixture.fail(attempt, AttemptFailure::Broken);
+            fixture.take<AbortAnswer>();
+            CHECK(fixture.count<StartAttempt>() == 0);
+        } else {
+            fixture.end(attempt);
+            fixture.take<FinishStream>();
+            CHECK(fixture.count<ForwardAnswer>() == 0);
+        }
+        CHECK(fixture.system.requestCount() == 0);
+    }
+}
+
+TEST_CASE("A failure whose body has no end is replaced by another upstream's answer")
+{
+    RelayFixture fixture;
+    fixture.arrive("/safe/x");
+    const auto attempt = fixture.take<StartAttempt>().attempt;
+    fixture.head(attempt, RelayFixture::success(500));
+    fixture.system.onAnswerBufferFull(attempt, fixture.now);
+    fixture.collect();
+    CHECK(fixture.take<CancelAttempt>().attempt == attempt);
+    fixture.answer(fixture.take<StartAttempt>().attempt, RelayFixture::success());
+    fixture.take<ForwardAnswer>();
+}
+
+TEST_CASE("A stream whose caller reads slowly is not taken for a stalled one")
+{
+    RelayFixture fixture;
+    fixture.arrive("/resume/x");
+    const auto attempt = fixture.take<StartAttempt>().attempt;
+    fixture.head(attempt, RelayFixture::success());
+    fixture.system.onAttemptPaused(attempt, true, fixture.now);
+    for (int second = 0; second < 6; ++second) {
+        fixture.advanceTime(model::seconds(1));
+    }
+    CHECK(fixture.count<CancelAttempt>() == 0);
+    fixture.system.onAttemptPaused(attempt, false, fixture.now);
+    fixture.advanceTime(milliseconds(1500));
+    CHECK(fixture.count<CancelAttempt>() == 1);
+}
+
+TEST_CASE("A request under way keeps the configuration of its arrival")
+{
+    RelayFixture fixture;
+    fixture.arrive("/safe/x");
+    const auto attempt = fixture.take<StartAttempt>();
+    ConfigurationContent content {.revision = model::Revision(9)};
+    content.routes = {RelayFixture::route("/safe/", RequestKind::Idempotent, enginePool)};
+    content.pools = {{.id = enginePool}};
+    REQUIRE(
+        fixture.system.setConfiguration(std::make_shared<RelayConfiguration>(std::move(content))));
+    fixture.fail(attempt.attempt, AttemptFailure::NotSent);
+    CHECK(fixture.take<StartAttempt>().upstream.text().starts_with("k"));
+    fixture.arrive("/safe/x");
+    CHECK(fixture.take<StartAttempt>().upstream.text().starts_with("e"));
+}
