--- a/src/daemon/internal/fleetapi.cpp
+++ b/src/daemon/internal/fleetapi.cpp
@@ -1,6 +1,8 @@
 #include "daemon/internal/fleetapi.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
 
 #include "documents/platformdocuments.h"
 #include "model/abslview.h"
@@ -15,10 +17,14 @@
 constexpr const char *exchangePath = "/fleet/exchange";
 constexpr const char *configurationPath = "/fleet/configuration";
 constexpr const char *listingPath = "/fleet/listing";
+constexpr const char *changesPath = "/fleet/changes";
 constexpr const char *stampHeader = "x-citronpick-stamp";
 constexpr const char *codeHeader = "x-citronpick-code";
 constexpr uint64_t maxMessageBytes = 2U << 20U;
 constexpr model::Duration documentTimeout = model::seconds(3);
+//! A reader answers a watch within milliseconds of its end; one that does not is considered lost.
+constexpr model::Duration watchMargin = model::milliseconds(500);
+constexpr model::Duration watchConnectTimeout = model::milliseconds(400);
 
 //! Recipient address as the sender signs it and the recipient verifies it.
 std::string recipientAddress(const config::Endpoint &endpoint, std::string_view path)
@@ -150,6 +156,66 @@
     m_client.start(call, std::move(callbacks));
 }
 
+void FleetApi::watchPeer(const config::Endpoint &peer, const registry::WatchPeer &watch,
+                         const WatchHandler &handler)
+{
+    std::string stamp;
+    net::HttpCall call = signedCall(
+        peer, changesPath,
+        absl::StrCat(watch.afterRevision, " ", model::toMilliseconds(watch.timeout)), stamp);
+    call.connectTimeout = watchConnectTimeout;
+    call.timeout = watch.timeout + watchMargin;
+    net::HttpCallbacks callbacks;
+    callbacks.onResponse = [this, stamp, handler](const net::HttpResponse &answer) {
+        const std::string code = net::headerValue(answer.headers, codeHeader);
+        if (answer.status != 200 || !m_auth.isResponseAuthentic(stamp, *answer.body, code)) {
+            handler(absl::UnavailableError("no current content"), registry::PeerError::Outdated);
+            return;
+        }
+        handler(*answer.body, registry::PeerError::Outdated);
+    };
+    callbacks.onError = [handler](net::HttpError error) {
+        handler(absl::UnavailableError(model::toAbsl(net::toString(error))),
+                registry::PeerError::Unreachable);
+    };
+    m_client.start(call, std::move(callbacks));
+}
+
+void FleetApi::receiveWatch(const net::HttpServerRequest &request)
+{
+    const std::pair<std::string, std::string> fields
+        = absl::StrSplit(model::toAbsl(request.body()), absl::MaxSplits(' ', 1));
+    uint64_t afterRevision = 0;
+    uint32_t waitMs = 0;
+    if (!absl::SimpleAtoi(fields.first, &afterRevision)
+        || !absl::SimpleAtoi(fields.second, &waitMs)) {
+        m_stamps.erase(request.number());
+        reject(request.number(), "malformed watch");
+        return;
+    }
+    m_documents.watch({.exchange = request.number(),
+                       .afterRevision = afterRevision,
+                       .wait = model::milliseconds(waitMs)});
+}
+
+void FleetApi::answerWatch(uint64_t exchange, std::string text)
+{
+    const auto it = m_stamps.find(exchange);
+    if (it == m_stamps.end()) {
+        return;
+    }
+    const std::string stamp = it->second;
+    m_stamps.erase(it);
+    respondSigned(exchange, stamp, std::move(text));
+}
+
+void FleetApi::rejectWatch(uint64_t exchange)
+{
+    constexpr uint16_t unavailable = 503;
+    m_stamps.erase(exchange);
+    m_server.respond(exchange, unavailable, {}, nullptr);
+}
+
 void FleetApi::onRequest(const net::HttpServerRequest &request)
 {
     const net::Signature signature {.stamp = std::string(request.header(stampHeader)),
@@ -165,6 +231,10 @@
         sendDocument(request);
         return;
     }
+    if (request.path() == changesPath && m_documents.watch) {
+        receiveWatch(request);
+        return;
+    }
     auto message = net::decodeFleetCall(std::string(request.body()));
     if (request.path() != exchangePath || !message.ok()) {
         m_stamps.erase(request.number());
--- a/src/daemon/internal/fleetapi.h
+++ b/src/daemon/internal/fleetapi.h
@@ -11,6 +11,7 @@
 #include "net/httpclient.h"
 #include "net/httpserver.h"
 #include "net/messageauth.h"
+#include "registry/registryfollower.h"
 
 namespace citronpick::daemon
 {
@@ -23,11 +24,21 @@
     model::Incarnation incarnation;
 };
 
+//! A daemon waits for changes of the registry's content after a revision, for at most \a wait.
+struct RegistryWatch {
+    uint64_t exchange = 0;
+    uint64_t afterRevision = 0;
+    model::Duration wait {};
+};
+
 //! Sources of the documents that other daemons may fetch; each returns nullopt if it has none.
 struct FleetDocuments {
     std::function<std::optional<config::ConfigurationFile>()> configuration;
     //! Registry content that this daemon has read.
     std::function<std::optional<std::string>()> listing;
+    //! Takes the watch of a daemon that relies on this one to read the registry. Empty if this
+    //! daemon reads no registry.
+    std::function<void(const RegistryWatch &)> watch;
 };
 
 //! Message exchange between daemons: JSON-RPC over HTTP with signed calls and signed answers.
@@ -50,14 +61,20 @@
     void fetchListing(const config::Endpoint &from,
                       const std::function<void(std::string)> &handler);
 
+    //! Watches the registry's content through a peer that reads it. \a handler gets the text of the
+    //! answer, or why there is none.
+    using WatchHandler
+        = std::function<void(const absl::StatusOr<std::string> &text, registry::PeerError error)>;
+    void watchPeer(const config::Endpoint &peer, const registry::WatchPeer &watch,
+                   const WatchHandler &handler);
+    //! Answers a watch passed to FleetDocuments::watch.
+    void answerWatch(uint64_t exchange, std::string text);
+    //! Ends a watch because this daemon has no current content.
+    void rejectWatch(uint64_t exchange);
+
     void onRequest(const net::HttpServerRequest &request) override;
     void onClosed(uint64_t number, bool wasAnswered) override;
 
-    uint64_t rejectedCount() const
-    {
-        return m_rejectedCount;
-    }
-
 private:
     void onExchangeAnswer(uint64_t exchange, const std::string &stamp,
                           const net::HttpResponse &answer);
@@ -67,6 +84,7 @@
     net::HttpCall signedCall(const config::Endpoint &to, const std::string &path, std::string body,
                              std::string &stamp);
     void sendDocument(const net::HttpServerRequest &request);
+    void receiveWatch(const net::HttpServerRequest &request);
     void respondSigned(uint64_t number, const std::string &stamp, std::string body);
     void reject(uint64_t number, std::string_view reason);
 
--- a/src/daemon/internal/listingcodec.cpp
+++ b/src/daemon/internal/listingcodec.cpp
@@ -3,8 +3,6 @@
 #include <absl/strings/escaping.h>
 #include <nlohmann/json.hpp>
 
-#include "model/abslview.h"
-
 namespace citronpick::daemon
 {
 
@@ -13,38 +11,89 @@
 
 using Json = nlohmann::json;
 
-} // namespace
-
-std::string encodeListing(const registry::RegistryPage &listing)
+// Values are arbitrary bytes, which a JSON string cannot hold, so they are sent as Base64.
+Json encodeItems(const std::vector<registry::RegistryItem> &items)
 {
-    Json items = Json::array();
-    for (const registry::RegistryItem &item : listing.items) {
-        // Values are arbitrary bytes, which a JSON string cannot hold, so they are sent as Base64.
-        items.push_back({{"key", item.key},
-                         {"value", absl::Base64Escape(item.value.value_or(std::string()))},
-                         {"revision", item.revision}});
+    Json list = Json::array();
+    for (const registry::RegistryItem &item : items) {
+        Json entry {{"key", item.key}, {"revision", item.revision}};
+        if (item.value) {
+            entry["value"] = absl::Base64Escape(*item.value);
+        }
+        list.push_back(std::move(entry));
     }
-    return Json {{"revision", listing.revision}, {"items", std::move(items)}}.dump();
+    return list;
 }
 
-absl::StatusOr<registry::RegistryPage> decodeListing(std::string_view text)
+std::vector<registry::RegistryItem> decodeItems(const Json &list)
 {
-    const Json document = Json::parse(text, nullptr, false);
-    try {
-        registry::RegistryPage listing {.revision = document.at("revision")};
-        for (const Json &entry : document.at("items")) {
+    std::vector<registry::RegistryItem> items;
+    for (const Json &entry : list) {
+        registry::RegistryItem item {.key = entry.at("key"), .revision = entry.at("revision")};
+        if (entry.contains("value")) {
             std::string value;
             if (!absl::Base64Unescape(entry.at("value").get<std::string>(), &value)) {
-                return absl::InvalidArgumentError("registry value is not valid Base64");
+                throw std::invalid_argument("registry value is not valid Base64");
             }
-            listing.items.push_back({.key = entry.at("key"),
-                                     .value = std::move(value),
-                                     .revision = entry.at("revision")});
+            item.value = std::move(value);
         }
-        return listing;
-    } catch (const Json::exception &error) {
+        items.push_back(std::move(item));
+    }
+    return items;
+}
+
+template<typename Convert>
+auto decode(std::string_view text, Convert convert) -> absl::StatusOr<decltype(convert(Json()))>
+{
+    try {
+        return convert(Json::parse(text));
+    } catch (const std::exception &error) {
         return absl::InvalidArgumentError(error.what());
     }
 }
 
+registry::RegistryPage toListing(const Json &document)
+{
+    registry::RegistryPage listing {.items = decodeItems(document.at("items")),
+                                    .revision = document.at("revision")};
+    for (const registry::RegistryItem &item : listing.items) {
+        if (!item.value) {
+            throw std::invalid_argument("item of a listing without a value");
+        }
+    }
+    return listing;
+}
+
+registry::PeerChanges toPeerChanges(const Json &document)
+{
+    return {.changes
+            = {.items = decodeItems(document.at("items")), .revision = document.at("revision")},
+            .graceLeft = model::Duration(document.at("graceUs").get<int64_t>())};
+}
+
+} // namespace
+
+std::string encodeListing(const registry::RegistryPage &listing)
+{
+    return Json {{"revision", listing.revision}, {"items", encodeItems(listing.items)}}.dump();
+}
+
+absl::StatusOr<registry::RegistryPage> decodeListing(std::string_view text)
+{
+    return decode(text, &toListing);
+}
+
+std::string encodePeerChanges(const registry::PeerChanges &changes)
+{
+    return Json {{"revision", changes.changes.revision},
+                 {"items", encodeItems(changes.changes.items)},
+                 {"graceUs", changes.graceLeft.count()}}
+        .dump();
+}
+
+absl::StatusOr<registry::PeerChanges> decodePeerChanges(std::string_view text)
+{
+    return decode(text, &toPeerChanges);
+}
+
 } // namespace citronpick::daemon
--- a/src/daemon/internal/listingcodec.h
+++ b/src/daemon/internal/listingcodec.h
@@ -16,6 +16,10 @@
 std::string encodeListing(const registry::RegistryPage &listing);
 absl::StatusOr<registry::RegistryPage> decodeListing(std::string_view text);
 
+//! The same for changes that a daemon passes on. An item without a value is a removal.
+std::string encodePeerChanges(const registry::PeerChanges &changes);
+absl::StatusOr<registry::PeerChanges> decodePeerChanges(std::string_view text);
+
 } // namespace citronpick::daemon
 
 #endif // CITRONPICK_DAEMON_INTERNAL_LISTINGCODEC_H
--- a/src/daemon/internal/registryreader.cpp
+++ b/src/daemon/internal/registryreader.cpp
@@ -12,6 +12,8 @@
 //! counts as unreachable.
 constexpr model::Duration readTimeout = model::milliseconds(900);
 constexpr model::Duration connectTimeout = model::milliseconds(400);
+//! Exceeds a page of the listing and many changes of the configuration.
+constexpr uint64_t maxBodyBytes = 16U << 20U;
 constexpr uint16_t success = 200;
 constexpr uint16_t compacted = 410;
 
@@ -19,13 +21,15 @@
 
 RegistryReader::RegistryReader(net::UpstreamClient &client, const IWireFormat &format,
                                config::Endpoint registry, registry::FollowerOptions options,
-                               uint64_t seed, UpdateHandler handler)
+                               uint64_t seed, UpdateHandler handler,
+                               PeerWatchStarter startPeerWatch)
     : m_client(client)
     , m_format(format)
     , m_registry(std::move(registry))
     , m_prefix(options.prefix)
     , m_follower(std::move(options), seed)
     , m_handler(std::move(handler))
+    , m_startPeerWatch(std::move(startPeerWatch))
 {
 }
 
@@ -38,28 +42,47 @@
     if (!due) {
         return;
     }
+    std::visit(model::Overloaded {
+                   [this](const registry::ReadPage &page) {
+                       net::UpstreamCall read
+                           = m_format.encodeRead(m_registry, m_prefix, page.afterKey);
+                       read.timeout = readTimeout;
+                       m_isWatch = false;
+                       startCall(std::move(read));
+                   },
+                   [this](const registry::WatchChanges &watch) {
+                       net::UpstreamCall wait = m_format.encodeWatch(
+                           m_registry, m_prefix, watch.afterRevision, watch.timeout);
+                       wait.timeout = watch.timeout + readTimeout;
+                       m_isWatch = true;
+                       startCall(std::move(wait));
+                   },
+                   [this](const registry::WatchPeer &watch) { m_startPeerWatch(watch); },
+               },
+               *due);
+}
+
+void RegistryReader::startCall(net::UpstreamCall call)
+{
     m_status = 0;
     m_body.clear();
-    net::UpstreamCall call = std::visit(
-        model::Overloaded {
-            [this](const registry::ReadPage &page) {
-                net::UpstreamCall read = m_format.encodeRead(m_registry, m_prefix, page.afterKey);
-                read.timeout = readTimeout;
-                return read;
-            },
-            [this](const registry::WatchChanges &watch) {
-                net::UpstreamCall wait = m_format.encodeWatch(m_registry, m_prefix,
-                                                              watch.afterRevision, watch.timeout);
-                wait.timeout = watch.timeout + readTimeout;
-                return wait;
-            },
-        },
-        *due);
-    m_isWatch = std::holds_alternative<registry::WatchChanges>(*due);
     call.connectTimeout = connectTimeout;
+    call.maxBodyBytes = maxBodyBytes;
     m_call = m_client.start(std::move(call), *this);
 }
 
+void RegistryReader::onPeerChanges(const registry::PeerChanges &changes, model::TimePoint now)
+{
+    m_follower.onPeerChanges(changes, now);
+    run(now);
+}
+
+void RegistryReader::onPeerError(registry::PeerError error, model::TimePoint now)
+{
+    m_follower.onPeerError(error, now);
+    run(now);
+}
+
 void RegistryReader::applyPeerListing(const registry::RegistryPage &listing, model::TimePoint now)
 {
     m_follower.onPeerListing(listing, now);
--- a/src/daemon/internal/registryreader.h
+++ b/src/daemon/internal/registryreader.h
@@ -16,10 +16,19 @@
 {
 public:
     using UpdateHandler = std::function<void(const registry::FollowerUpdate &)>;
+    //! Starts a watch at a peer, which ends with onPeerChanges() or onPeerError().
+    using PeerWatchStarter = std::function<void(const registry::WatchPeer &)>;
 
     RegistryReader(net::UpstreamClient &client, const IWireFormat &format,
                    config::Endpoint registry, registry::FollowerOptions options, uint64_t seed,
-                   UpdateHandler handler);
+                   UpdateHandler handler, PeerWatchStarter startPeerWatch);
+
+    void setDaemons(const std::vector<registry::ReaderCandidate> &daemons)
+    {
+        m_follower.setDaemons(daemons);
+    }
+    void onPeerChanges(const registry::PeerChanges &changes, model::TimePoint now);
+    void onPeerError(registry::PeerError error, model::TimePoint now);
 
     //! Delivers pending updates and starts the next registry call if it is due.
     void run(model::TimePoint now);
@@ -38,6 +47,7 @@
     void onFailure(uint64_t call, net::CallFailure failure) override;
 
 private:
+    void startCall(net::UpstreamCall call);
     void handleAnswer(model::TimePoint now);
 
     net::UpstreamClient &m_client;
@@ -46,6 +56,7 @@
     std::string m_prefix;
     registry::RegistryFollower m_follower;
     UpdateHandler m_handler;
+    PeerWatchStarter m_startPeerWatch;
     uint64_t m_call = 0;
     bool m_isWatch = false;
     uint16_t m_status = 0;
--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -10,6 +10,7 @@
 #include "daemon/internal/fleetapi.h"
 #include "daemon/internal/incarnation.h"
 #include "daemon/internal/peerjobs.h"
+#include "daemon/internal/peerwatchers.h"
 #include "daemon/internal/registryreader.h"
 #include "daemon/internal/relaymetrics.h"
 #include "model/abslview.h"
@@ -117,9 +118,10 @@
                        .key = m_settings.fleetKey,
                        .incarnation = incarnation},
         FleetDocuments {.configuration = [this] { return configurationFile(); },
-                        .listing =
-                            [this] {
-                                return listingForPeers();
+                        .listing = [this] { return listingForPeers(); },
+                        .watch =
+                            [this](const RegistryWatch &watch) {
+                                m_watchers->add(watch, net::EventLoop::now());
                             }},
         *this);
     m_stageAuth = std::make_unique<net::MessageAuth>(m_settings.fleetKey + stageKeySuffix,
@@ -134,8 +136,12 @@
     m_registry = std::make_unique<RegistryReader>(
         m_client, m_format, m_settings.registry,
         registry::FollowerOptions {.prefix = m_format.registryPrefix(),
-                                   .watchTimeout = m_settings.registryWatch},
-        seed, [this](const registry::FollowerUpdate &update) { onRegistryUpdate(update); });
+                                   .watchTimeout = m_settings.registryWatch,
+                                   .source
+                                   = {.daemon = m_settings.daemon, .zone = m_settings.zone}},
+        seed, [this](const registry::FollowerUpdate &update) { onRegistryUpdate(update); },
+        [this](const registry::WatchPeer &watch) { startPeerWatch(watch); });
+    m_watchers = std::make_unique<PeerWatchers>(*m_fleetApi, m_registry->follower());
 }
 
 model::Duration RelayDaemon::timeToNextRun(model::TimePoint now) const
@@ -147,6 +153,7 @@
     consider(m_relay->nextRun());
     consider(m_registry->follower().nextRun());
     consider(m_batches->nextFlush());
+    consider(m_watchers->nextRun());
     constexpr model::Duration roundUp = model::milliseconds(1) - model::Duration(1);
     return std::max(model::Duration::zero(), next - now + roundUp);
 }
@@ -156,16 +163,17 @@
     m_loop.runOnce(timeToNextRun(net::EventLoop::now()));
     const model::TimePoint now = net::EventLoop::now();
     m_registry->run(now);
+    m_watchers->run(now);
     m_relay->run(now);
     execute();
     m_batches->flush(now);
+    m_fleetClient.expire(now);
     if (now >= m_nextSweep) {
         m_nextSweep = now + sweepInterval;
         m_exchanges->server().sweep(now);
         m_control->sweep(now);
         m_peerJobs->sweep(now);
         m_client.sweep(now);
-        m_fleetClient.expire(now);
         runFleet(now);
         requestListingFromPeer(now);
         checkReady(now);
@@ -210,8 +218,18 @@
 
 void RelayDaemon::refreshPeers()
 {
+    const uint64_t digest = m_fleet->members().digest();
+    if (digest == m_membersDigest) {
+        return;
+    }
+    m_membersDigest = digest;
     std::vector<relay::PeerDaemon> peers;
+    std::vector<registry::ReaderCandidate> candidates;
     for (const auto &[id, row] : m_fleet->members().rows()) {
+        if (row.member.isUsable()) {
+            candidates.push_back(
+                {.id = id, .zone = row.member.zone, .linkMbps = row.member.linkMbps});
+        }
         if (row.member.isUsable() || id == m_settings.daemon) {
             peers.push_back({.id = id,
                              .address = config::toText(row.member.fleet),
@@ -219,6 +237,7 @@
         }
     }
     m_relay->setPeers(std::move(peers));
+    m_registry->setDaemons(candidates);
 }
 
 std::vector<config::Endpoint> RelayDaemon::entries() const
@@ -355,7 +374,8 @@
         return;
     }
     const model::Duration elapsed = now - *m_drainingSince;
-    const bool isIdle = m_relay->requestCount() == 0 && m_peerJobs->openExchanges() == 0;
+    const bool isIdle = m_relay->requestCount() == 0 && m_peerJobs->openExchanges() == 0
+                        && !m_exchanges->server().hasUnsentResponses();
     const bool isAcceptPeriodOver = elapsed >= m_settings.drain.acceptPeriod;
     if (isAcceptPeriodOver) {
         m_exchanges->server().stopListening();
--- a/src/daemon/internal/relayregistry.cpp
+++ b/src/daemon/internal/relayregistry.cpp
@@ -72,6 +72,33 @@
     });
 }
 
+void RelayDaemon::startPeerWatch(const registry::WatchPeer &watch)
+{
+    const auto *reader = m_fleet->members().find(watch.reader);
+    if (!reader) {
+        m_registry->onPeerError(registry::PeerError::Unreachable, net::EventLoop::now());
+        return;
+    }
+    m_fleetApi->watchPeer(
+        reader->member.fleet, watch,
+        [this, id = watch.reader](const absl::StatusOr<std::string> &text,
+                                  registry::PeerError error) {
+            const model::TimePoint now = net::EventLoop::now();
+            const auto changes = text.ok() ? decodePeerChanges(*text)
+                                           : absl::StatusOr<registry::PeerChanges>(text.status());
+            if (changes.ok()) {
+                m_registry->onPeerChanges(*changes, now);
+                return;
+            }
+            record({.code = EventCode::ReaderFailed,
+                    .request = {},
+                    .subject = id.text(),
+                    .detail = absl::StrCat("revision=", m_registry->follower().revision(),
+                                           " why=", changes.status().message())});
+            m_registry->onPeerError(error, now);
+        });
+}
+
 void RelayDaemon::onRegistryUpdate(const registry::FollowerUpdate &update)
 {
     if (const auto *reachable = std::get_if<registry::ReachabilityChanged>(&update)) {
@@ -81,6 +108,12 @@
                 .subject = config::toText(m_settings.registry),
                 .detail = absl::StrCat("revision=", m_registry->follower().revision())});
     }
+    if (const auto *source = std::get_if<registry::SourceChanged>(&update)) {
+        record({.code = EventCode::RegistrySourceChanged,
+                .request = {},
+                .subject = source->reader.isEmpty() ? "registry" : source->reader.text(),
+                .detail = absl::StrCat("revision=", m_registry->follower().revision())});
+    }
     const auto *changed = std::get_if<registry::KeyChanged>(&update);
     if (!changed) {
         return;
--- a/src/daemon/relaydaemon.h
+++ b/src/daemon/relaydaemon.h
@@ -28,6 +28,7 @@
 class ExchangeRunner;
 class FleetApi;
 class PeerJobs;
+class PeerWatchers;
 class RegistryReader;
 
 /*!
@@ -73,6 +74,7 @@
     std::optional<config::ConfigurationFile> configurationFile() const;
     std::optional<std::string> listingForPeers() const;
     void requestListingFromPeer(model::TimePoint now);
+    void startPeerWatch(const registry::WatchPeer &watch);
     void createComponents(model::Incarnation incarnation);
     void onRegistryUpdate(const registry::FollowerUpdate &update);
     void applyConfiguration(const std::string &text, std::string_view source);
@@ -99,10 +101,12 @@
     std::unique_ptr<PeerJobs> m_peerJobs;
     std::unique_ptr<ControlApi> m_control;
     std::unique_ptr<RegistryReader> m_registry;
+    std::unique_ptr<PeerWatchers> m_watchers;
     std::string m_configurationText;
     model::TimePoint m_nextSweep;
     model::TimePoint m_nextConfigurationFetch;
     model::TimePoint m_nextListingRequest;
+    uint64_t m_membersDigest = 0; //!< Of the members last passed on.
     model::Random m_random;
     bool m_isExecuting = false;
     bool m_wasReady = false;
--- a/src/daemon/tests/codectest.cpp
+++ b/src/daemon/tests/codectest.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "daemon/internal/eventdetector.h"
 #include "daemon/internal/eventsplitter.h"
 #include "daemon/internal/listingcodec.h"
 #include "daemon/internal/stagejobcodec.h"
@@ -29,6 +30,46 @@
     CHECK(splitter.lastEventId() == "9");
 }
 
+TEST_CASE("EventDetector reports whole events only, however the stream is split into chunks")
+{
+    const std::string text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: comment\n\n\n\nid: 3";
+    for (size_t step = 1; step <= text.size(); ++step) {
+        EventDetector detector;
+        size_t reports = 0;
+        std::string prefix;
+        for (size_t offset = 0; offset < text.size(); offset += step) {
+            reports += detector.feed(std::string_view(text).substr(offset, step)) ? 1 : 0;
+        }
+        CHECK(reports >= 1);
+        CHECK(reports <= 2);
+        if (step == 1) {
+            CHECK(reports == 2);
+        }
+    }
+}
+
+TEST_CASE("Bytes now and then are not events")
+{
+    EventDetector detector;
+    for (const char *bytes :
+         {":", " ping", "\n", "\n", "\n", "d", "a", "t", "a", ":", " x", "\n"}) {
+        CHECK_FALSE(detector.feed(bytes));
+    }
+    CHECK(detector.feed("\n"));
+}
+
+TEST_CASE("Names of requests that are not valid text do not stop the encoding of stage jobs")
+{
+    const model::TimePoint now(model::seconds(1));
+    const relay::StageJob job {.pool = model::PoolId("pool"),
+                               .request = model::CallerRequestId("\xff\xfe"),
+                               .pieceCount = 1,
+                               .key = "\xc3",
+                               .due = now,
+                               .deadline = now};
+    CHECK(decodeStageJob(encodeStageJob(job, now), now).ok());
+}
+
 TEST_CASE("A stage job survives encoding and decoding, with times kept as remaining durations")
 {
     const model::TimePoint sent(model::seconds(50));
@@ -118,3 +159,23 @@
         decodeListing(R"({"revision": 1, "items": [{"key": "k", "value": "*", "revision": 1}]})")
             .ok());
 }
+
+TEST_CASE("Changes of the registry survive encoding and decoding, with removals")
+{
+    const registry::PeerChanges changes {
+        .changes = {.items = {{.key = "a", .value = std::string("\xff\x00", 2), .revision = 4},
+                              {.key = "b", .revision = 6}},
+                    .revision = 9},
+        .graceLeft = model::milliseconds(700)};
+    const auto decoded = decodePeerChanges(encodePeerChanges(changes));
+    REQUIRE(decoded.ok());
+    CHECK(*decoded == changes);
+    for (
+        const char *text :
+        {"", "[]", "{}", R"({"revision": 1, "items": [{"key": 3}], "graceUs": 0})",
+         R"({"revision": -1, "items": 4, "graceUs": "x"})",
+         R"({"revision": 1, "items": [{"key": "k", "value": "*", "revision": 1}], "graceUs": 0})"}) {
+        CHECK_FALSE(decodePeerChanges(text).ok());
+    }
+    CHECK_FALSE(decodeListing(encodePeerChanges(changes)).ok());
+}
--- a/src/observability/event.h
+++ b/src/observability/event.h
@@ -59,6 +59,8 @@
     OperationTableFull = 602,
     PlatformUnavailable = 701,
     PlatformAvailable = 702,
+    RegistrySourceChanged = 703,
+    ReaderFailed = 704,
     ExchangeAdmitted = 801,
     StageFinished = 802,
     StagesRestarted = 803,
--- a/src/observability/internal/event.cpp
+++ b/src/observability/internal/event.cpp
@@ -58,6 +58,8 @@
     EventDescription {OperationTableFull, Error, "operation-table-full"},
     EventDescription {PlatformUnavailable, Warning, "platform-unavailable"},
     EventDescription {PlatformAvailable, Info, "platform-available"},
+    EventDescription {RegistrySourceChanged, Info, "registry-source-changed"},
+    EventDescription {ReaderFailed, Info, "reader-failed"},
     EventDescription {ExchangeAdmitted, Info, "exchange-admitted"},
     EventDescription {StageFinished, Info, "stage-finished"},
     EventDescription {StagesRestarted, Warning, "stages-restarted"},
--- a/src/registry/internal/registryfollower.cpp
+++ b/src/registry/internal/registryfollower.cpp
@@ -9,6 +9,8 @@
 {
 
 constexpr uint32_t maxBackoffDoublings = 3;
+//! More removals than a registry has entries; older ones are of use to no other daemon.
+constexpr size_t maxRemovals = 2000;
 //! Consecutive failures after which the registry counts as unreachable. A single failure may only
 //! mean that a connection was closed.
 constexpr uint32_t outageFailureCount = 2;
@@ -18,26 +20,69 @@
 RegistryFollower::RegistryFollower(FollowerOptions options, uint64_t seed)
     : m_options(std::move(options))
     , m_random(seed)
+    , m_source(m_options.source)
+    , m_history(maxRemovals)
 {
 }
 
+void RegistryFollower::setDaemons(const std::vector<ReaderCandidate> &daemons)
+{
+    m_source.setDaemons(daemons);
+}
+
 std::optional<FollowerCall> RegistryFollower::takeCall(model::TimePoint now)
 {
-    if (m_isCallPending || now < m_nextCallAt) {
+    const bool isRegistryDue = now >= m_registryDueAt;
+    if (m_isCallPending || (m_isListing && !isRegistryDue)) {
         return std::nullopt;
     }
-    m_isCallPending = true;
     if (m_isListing) {
-        return ReadPage {.afterKey = m_afterKey};
+        return take(ReadPage {.afterKey = m_afterKey}, model::Duration::zero(), now);
+    }
+    if (now < m_watchDueAt) {
+        return std::nullopt;
+    }
+    if (const std::optional<ReaderCandidate> reader = m_source.choose(now, isRegistryDue)) {
+        setSource(reader->id);
+        return take(WatchPeer {.reader = reader->id,
+                               .afterRevision = m_revision,
+                               .timeout = m_options.sharedWatchTimeout},
+                    m_options.sharedWatchTimeout, now);
+    }
+    if (!isRegistryDue) {
+        return std::nullopt;
+    }
+    setSource({});
+    const model::Duration timeout
+        = m_source.isReader() ? m_options.sharedWatchTimeout : m_options.watchTimeout;
+    return take(WatchChanges {.afterRevision = m_revision, .timeout = timeout}, timeout, now);
+}
+
+FollowerCall RegistryFollower::take(FollowerCall call, model::Duration timeout,
+                                    model::TimePoint now)
+{
+    m_isCallPending = true;
+    m_callStartedAt = now;
+    m_callTimeout = timeout;
+    return call;
+}
+
+void RegistryFollower::setSource(const model::DaemonId &reader)
+{
+    if (reader != m_reader) {
+        m_reader = reader;
+        m_notifications.emplace_back(SourceChanged {.reader = reader});
     }
-    return WatchChanges {.afterRevision = m_revision, .timeout = m_options.watchTimeout};
 }
 
 std::optional<model::TimePoint> RegistryFollower::nextRun() const
 {
     std::optional<model::TimePoint> next;
     if (!m_isCallPending) {
-        next = m_nextCallAt;
+        const bool asksReader = !m_isListing && m_source.choose(m_watchDueAt, false);
+        next = m_isListing  ? m_registryDueAt
+               : asksReader ? m_watchDueAt
+                            : std::max(m_watchDueAt, m_registryDueAt);
     }
     for (const auto &[key, removeAt] : m_pendingRemovals) {
         next = next ? std::min(*next, removeAt) : removeAt;
@@ -48,10 +93,19 @@
 void RegistryFollower::recordAnswer(model::TimePoint now)
 {
     m_isCallPending = false;
-    m_nextCallAt = now;
-    m_answeredAt = now;
-    if (m_failures >= outageFailureCount) {
+    m_registryDueAt = now;
+    m_source.onRegistryCallEnded();
+    recordReachable(now);
+}
+
+void RegistryFollower::recordReachable(model::TimePoint now)
+{
+    const bool isOutageOver = m_failures >= outageFailureCount
+                              || (m_failures > 0 && now - m_lostSince >= m_options.minOutage);
+    if (isOutageOver) {
         m_graceEndsAt = now + m_options.recoveryGracePeriod;
+    }
+    if (m_failures >= outageFailureCount) {
         m_notifications.emplace_back(ReachabilityChanged {.isReachable = true});
     }
     m_failures = 0;
@@ -66,6 +120,7 @@
     if (m_afterKey.empty()) {
         m_listedKeys.clear();
         m_listRevision = page.revision;
+        m_listedAt = now;
     }
     for (const RegistryItem &item : page.items) {
         m_listedKeys.insert(item.key);
@@ -79,8 +134,11 @@
     m_isListing = false;
     // The pages have different revisions, so the watch starts at the revision of the first page and
     // repeats what changed while the others were read.
+    m_completeAt = m_listedAt;
+    const uint64_t before = m_revision;
     m_revision = m_listRevision;
     removeUnlisted(m_listRevision, now);
+    m_isSynchronized ? m_history.skip(before, m_revision) : m_history.start(m_revision);
     markSynchronized();
 }
 
@@ -106,6 +164,8 @@
         applyItem(item, now);
     }
     removeUnlisted(listing.revision, now);
+    m_isSynchronized ? m_history.skip(m_revision, listing.revision)
+                     : m_history.start(listing.revision);
     m_revision = listing.revision;
     m_isPendingPageObsolete = m_isCallPending && m_isListing;
     m_isListing = false;
@@ -138,12 +198,61 @@
 void RegistryFollower::onChanges(const RegistryChanges &changes, model::TimePoint now)
 {
     recordAnswer(now);
+    applyChanges(changes, now);
+    m_completeAt = now;
+    m_compactions = 0;
+}
+
+void RegistryFollower::applyChanges(const RegistryChanges &changes, model::TimePoint now)
+{
     for (const RegistryItem &item : changes.items) {
         applyItem(item, now);
     }
     m_revision = std::max(m_revision, changes.revision);
-    m_compactions = 0;
-    m_nextCallAt = changes.items.empty() ? now : now + m_options.coalescingDelay;
+    m_watchDueAt = changes.items.empty() ? now : now + m_options.coalescingDelay;
+}
+
+void RegistryFollower::onPeerChanges(const PeerChanges &changes, model::TimePoint now)
+{
+    m_isCallPending = false;
+    m_source.onPeerAnswered();
+    // The content is current although this daemon itself may not reach the registry.
+    recordReachable(now);
+    m_graceEndsAt = std::max(m_graceEndsAt, now + changes.graceLeft);
+    applyChanges(changes.changes, now);
+}
+
+void RegistryFollower::onPeerError(PeerError error, model::TimePoint now)
+{
+    m_isCallPending = false;
+    m_source.onPeerFailed(m_reader, error, now);
+}
+
+bool RegistryFollower::isCurrentReader(model::TimePoint now) const
+{
+    return m_source.isReader() && m_isSynchronized && m_failures < outageFailureCount
+           && now - m_completeAt <= m_options.maxReaderAge;
+}
+
+// A removal that is not believed yet is passed on at once, with the time that is left: the other
+// daemon has to wait as well.
+std::optional<PeerChanges> RegistryFollower::changesAfter(uint64_t revision,
+                                                          model::TimePoint now) const
+{
+    if (!m_history.covers(revision)) {
+        return std::nullopt;
+    }
+    PeerChanges result {.changes = {.revision = m_revision},
+                        .graceLeft = std::max(model::Duration::zero(), m_graceEndsAt - now)};
+    for (const auto &[key, item] : m_items) {
+        if (item.revision > revision && !m_pendingRemovals.contains(key)) {
+            result.changes.items.push_back(item);
+        }
+    }
+    for (const auto &[key, removedAt] : m_history.removalsAfter(revision)) {
+        result.changes.items.push_back({.key = key, .revision = removedAt});
+    }
+    return result;
 }
 
 void RegistryFollower::applyItem(const RegistryItem &item, model::TimePoint now)
@@ -158,6 +267,7 @@
         return;
     }
     m_items[item.key] = item;
+    m_history.recordValue(item.key);
     m_notifications.emplace_back(
         KeyChanged {.key = item.key, .value = item.value, .revision = item.revision});
 }
@@ -168,6 +278,7 @@
     if (known == m_items.end() || known->second.revision > revision) {
         return;
     }
+    m_history.recordRemoval(key, revision);
     if (now < m_graceEndsAt) {
         m_pendingRemovals.emplace(key, m_graceEndsAt);
         return;
@@ -181,20 +292,29 @@
 void RegistryFollower::onError(CallError error, model::TimePoint now)
 {
     m_isCallPending = false;
+    m_source.onRegistryCallEnded();
     const bool wasPageObsolete = std::exchange(m_isPendingPageObsolete, false);
     if (error == CallError::Compacted && !wasPageObsolete) {
         restartListing(now);
         return;
     }
+    if (m_failures == 0) {
+        // A call that was held for longer than it may be got no answer all that time.
+        const bool wasSilent = now - m_callStartedAt > m_callTimeout;
+        m_lostSince = wasSilent ? m_callStartedAt : now;
+    }
     ++m_failures;
     if (m_failures == outageFailureCount) {
         m_notifications.emplace_back(ReachabilityChanged {.isReachable = false});
     }
-    const model::Duration backoff = std::min(
-        m_options.maxBackoff,
-        m_options.initialBackoff * (1U << std::min(m_failures - 1, maxBackoffDoublings)));
+    const bool hasReaders = m_source.hasReaders();
+    const model::Duration initial
+        = hasReaders ? m_options.initialSharedBackoff : m_options.initialBackoff;
+    const model::Duration backoff
+        = std::min(hasReaders ? m_options.maxSharedBackoff : m_options.maxBackoff,
+                   initial * (1U << std::min(m_failures - 1, maxBackoffDoublings)));
     // Jitter, so that daemons that lost the registry at the same time do not reconnect at once.
-    m_nextCallAt = now + model::scaled(backoff, 0.5 + 0.5 * m_random.uniformDouble());
+    m_registryDueAt = now + model::scaled(backoff, 0.5 + 0.5 * m_random.uniformDouble());
 }
 
 // A registry that drops its history answers the watches of all daemons at once, and each listing
@@ -205,9 +325,13 @@
     m_afterKey.clear();
     ++m_compactions;
     const double share = m_random.uniformDouble();
-    m_nextCallAt = now
-                   + (m_compactions == 1 ? model::scaled(m_options.relistSpread, share)
-                                         : model::scaled(m_options.maxBackoff, 0.5 + 0.5 * share));
+    // There are few readers, and the other daemons wait for them.
+    const model::Duration spread
+        = m_source.isReader() ? m_options.initialBackoff : m_options.relistSpread;
+    m_registryDueAt
+        = now
+          + (m_compactions == 1 ? model::scaled(spread, share)
+                                : model::scaled(m_options.maxBackoff, 0.5 + 0.5 * share));
 }
 
 std::vector<FollowerUpdate> RegistryFollower::takeUpdates(model::TimePoint now)
--- a/src/registry/registryfollower.h
+++ b/src/registry/registryfollower.h
@@ -10,6 +10,8 @@
 
 #include "model/random.h"
 #include "model/time.h"
+#include "registry/changehistory.h"
+#include "registry/changesource.h"
 #include "registry/registryitem.h"
 
 namespace citronpick::registry
@@ -20,17 +22,29 @@
     //! Long-poll timeout of one watch call. A connection that stopped responding isn't detected
     //! before this timeout expires.
     model::Duration watchTimeout = model::milliseconds(2000);
+    //! The same while other daemons rely on this one, and for watches of a reader. Changes reach
+    //! all daemons late by at most about three times this when a reader is lost.
+    model::Duration sharedWatchTimeout = model::milliseconds(1000);
+    //! A reader whose content was last known to be complete before that has no current content.
+    //! Covers a watch and the time after which it counts as failed.
+    model::Duration maxReaderAge = model::milliseconds(1900);
     //! Delay before the next watch after one that returned changes, so that changes in quick
     //! succession are fetched with one call.
     model::Duration coalescingDelay = model::milliseconds(250);
     //! Delay after the first failed call; doubles with each further failure up to maxBackoff.
     model::Duration initialBackoff = model::milliseconds(100);
     model::Duration maxBackoff = model::milliseconds(800);
+    //! Both for a daemon that has readers: their calls tell when the registry is back.
+    model::Duration initialSharedBackoff = model::milliseconds(400);
+    model::Duration maxSharedBackoff = model::milliseconds(3200);
     //! Daemons whose revision was compacted at the same time list again spread over this period.
     model::Duration relistSpread = model::milliseconds(500);
+    //! No key expires during a shorter outage.
+    model::Duration minOutage = model::seconds(2);
     //! Keys that expired during a registry outage are kept for this long after it ends, so that
     //! their owners can write them again.
     model::Duration recoveryGracePeriod = model::milliseconds(2200);
+    ChangeSourceOptions source;
 };
 
 //! Read the page of the listing that follows \a afterKey; an empty key reads the first page.
@@ -44,7 +58,14 @@
     model::Duration timeout {};
 };
 
-using FollowerCall = std::variant<ReadPage, WatchChanges>;
+//! Ask another daemon that reads the registry for changes after a revision.
+struct WatchPeer {
+    model::DaemonId reader;
+    uint64_t afterRevision = 0;
+    model::Duration timeout {};
+};
+
+using FollowerCall = std::variant<ReadPage, WatchChanges, WatchPeer>;
 
 //! Why a call to the registry failed.
 enum class CallError {
@@ -69,11 +90,16 @@
     bool isReachable = false;
 };
 
-using FollowerUpdate = std::variant<KeyChanged, Synchronized, ReachabilityChanged>;
+//! Changes now come from another daemon, or from the registry if \a reader is empty.
+struct SourceChanged {
+    model::DaemonId reader;
+};
+
+using FollowerUpdate = std::variant<KeyChanged, Synchronized, ReachabilityChanged, SourceChanged>;
 
 /*!
  * Mirrors the keys under one prefix of a registry with read-only access: lists them once, then
- * watches for changes.
+ * watches for changes, either at the registry or at a daemon that reads it for others.
  *
  * At most one call is pending at any time. A key that is missing after a registry outage is
  * reported as removed only after FollowerOptions::recoveryGracePeriod, so that its owner can write
@@ -84,8 +110,11 @@
 public:
     RegistryFollower(FollowerOptions options, uint64_t seed);
 
-    //! The next call to make, if one is due. It is pending until onPage(), onChanges() or
-    //! onError().
+    //! Sets the daemons that accept requests, including this one if it does.
+    void setDaemons(const std::vector<ReaderCandidate> &daemons);
+
+    //! The next call to make, if one is due. It is pending until onPage(), onChanges(), onError(),
+    //! onPeerChanges() or onPeerError().
     std::optional<FollowerCall> takeCall(model::TimePoint now);
     //! When takeCall() or takeUpdates() will next return something if no answer arrives before.
     std::optional<model::TimePoint> nextRun() const;
@@ -93,6 +122,8 @@
     void onPage(const RegistryPage &page, model::TimePoint now);
     void onChanges(const RegistryChanges &changes, model::TimePoint now);
     void onError(CallError error, model::TimePoint now);
+    void onPeerChanges(const PeerChanges &changes, model::TimePoint now);
+    void onPeerError(PeerError error, model::TimePoint now);
 
     //! Applies the listing() of another follower of the same prefix; ignored unless its revision is
     //! newer than revision().
@@ -100,13 +131,20 @@
     //! All keys with a value, as of revision(). Serves followers that cannot reach the registry.
     RegistryPage listing() const;
 
+    //! Whether other daemons may rely on this one: it watches the registry for them and was
+    //! answered recently.
+    bool isCurrentReader(model::TimePoint now) const;
+    //! What changed after \a revision; nothing if that is not fully known.
+    std::optional<PeerChanges> changesAfter(uint64_t revision, model::TimePoint now) const;
+
     std::vector<FollowerUpdate> takeUpdates(model::TimePoint now);
 
     bool isSynchronized() const
     {
         return m_isSynchronized;
     }
-    //! False from the first failed call on; a ReachabilityChanged notification needs two in a row.
+    //! False from the first failed call on, unless a reader has answered since; a
+    //! ReachabilityChanged notification needs two failures in a row.
     bool isReachable() const
     {
         return m_failures == 0;
@@ -115,14 +153,13 @@
     {
         return m_revision;
     }
-    //! When the registry last answered a call successfully.
-    model::TimePoint answeredAt() const
-    {
-        return m_answeredAt;
-    }
 
 private:
     void recordAnswer(model::TimePoint now);
+    void recordReachable(model::TimePoint now);
+    void applyChanges(const RegistryChanges &changes, model::TimePoint now);
+    void setSource(const model::DaemonId &reader);
+    FollowerCall take(FollowerCall call, model::Duration timeout, model::TimePoint now);
     void applyItem(const RegistryItem &item, model::TimePoint now);
     void removeUnlisted(uint64_t revision, model::TimePoint now);
     void markSynchronized();
@@ -131,6 +168,9 @@
 
     FollowerOptions m_options;
     model::Random m_random;
+    ChangeSource m_source;
+    ChangeHistory m_history;
+    model::DaemonId m_reader; //!< The source of the last call; empty for the registry.
     bool m_isListing = true;
     bool m_isCallPending = false;
     //! The pending call reads a page of a listing that a peer's listing has replaced.
@@ -145,8 +185,13 @@
     std::map<std::string, model::TimePoint> m_pendingRemovals;
     uint32_t m_failures = 0;
     uint32_t m_compactions = 0; //!< Compacted answers since the last successful watch.
-    model::TimePoint m_nextCallAt;
-    model::TimePoint m_answeredAt;
+    model::TimePoint m_registryDueAt; //!< No call to the registry is made before.
+    model::TimePoint m_watchDueAt; //!< No watch is made before, wherever it goes.
+    model::TimePoint m_completeAt; //!< When the content was last known to be complete.
+    model::TimePoint m_listedAt; //!< When the first page of the current listing was read.
+    model::TimePoint m_callStartedAt;
+    model::Duration m_callTimeout {}; //!< For how long the registry may hold the pending call.
+    model::TimePoint m_lostSince; //!< Since when the registry does not answer.
     model::TimePoint m_graceEndsAt; //!< Missing keys are kept until then.
     std::vector<FollowerUpdate> m_notifications;
 };
--- a/src/registry/registryitem.h
+++ b/src/registry/registryitem.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "model/time.h"
+
 namespace citronpick::registry
 {
 
@@ -36,6 +38,15 @@
     friend bool operator==(const RegistryChanges &, const RegistryChanges &) = default;
 };
 
+//! Changes after a revision as a daemon that reads the registry passes them on to another one.
+struct PeerChanges {
+    RegistryChanges changes;
+    //! For how much longer removals are not to be believed, because the registry has just returned.
+    model::Duration graceLeft {};
+
+    friend bool operator==(const PeerChanges &, const PeerChanges &) = default;
+};
+
 } // namespace citronpick::registry
 
 #endif // CITRONPICK_REGISTRY_REGISTRYITEM_H
--- /dev/null
+++ b/src/registry/tests/registryfleet.cpp
@@ -0,0 +1,280 @@
+#include "registry/tests/registryfleet.h"
+
+#include <algorithm>
+
+#include "model/overloaded.h"
+
+namespace citronpick::registry::testing
+{
+
+namespace
+{
+
+constexpr model::Duration stepTime = model::milliseconds(10);
+//! How long a daemon waits for an answer beyond the time that a watch may take.
+constexpr model::Duration registryTimeout = model::milliseconds(900);
+constexpr model::Duration peerTimeout = model::milliseconds(500);
+//! Time until the other daemons consider a silent one dead.
+constexpr model::Duration detectionTime = model::seconds(5);
+constexpr size_t itemsPerPage = 50;
+
+} // namespace
+
+RegistryFleet::RegistryFleet(const RegistryFleetOptions &options)
+{
+    for (size_t i = 0; i < options.keys; ++i) {
+        put("u/" + std::to_string(i), "start");
+    }
+    for (size_t i = 0; i < options.daemons; ++i) {
+        Daemon daemon {.identity = {.id = model::DaemonId("d" + std::to_string(i)),
+                                    .zone = model::ZoneId("z" + std::to_string(i % options.zones)),
+                                    .linkMbps = i < 3 * options.zones ? 200U : 20U}};
+        FollowerOptions follower = options.follower;
+        follower.source.daemon = daemon.identity.id;
+        follower.source.zone = daemon.identity.zone;
+        daemon.follower = std::make_unique<RegistryFollower>(follower, i + 1);
+        m_daemons.push_back(std::move(daemon));
+    }
+    refreshMembers();
+}
+
+void RegistryFleet::refreshMembers()
+{
+    std::vector<ReaderCandidate> candidates;
+    for (const Daemon &daemon : m_daemons) {
+        if (daemon.isAlive || m_now < daemon.diedAt + detectionTime) {
+            candidates.push_back(daemon.identity);
+        }
+    }
+    for (Daemon &daemon : m_daemons) {
+        daemon.follower->setDaemons(candidates);
+    }
+}
+
+void RegistryFleet::put(const std::string &key, const std::string &value)
+{
+    const RegistryItem item {.key = key, .value = value, .revision = ++m_revision};
+    m_items[key] = item;
+    m_changes.push_back(item);
+}
+
+void RegistryFleet::remove(const std::string &key)
+{
+    m_items.erase(key);
+    m_changes.push_back({.key = key, .revision = ++m_revision});
+}
+
+void RegistryFleet::dropHistory()
+{
+    m_historyStart = m_revision;
+    m_changes.clear();
+}
+
+void RegistryFleet::cutFromRegistry(size_t daemon, bool isCut)
+{
+    m_daemons[daemon].isCutFromRegistry = isCut;
+}
+
+void RegistryFleet::setRegistryDown(bool isDown)
+{
+    m_isRegistryDown = isDown;
+}
+
+void RegistryFleet::kill(size_t daemon)
+{
+    m_daemons[daemon].isAlive = false;
+    m_daemons[daemon].diedAt = m_now;
+}
+
+void RegistryFleet::cutBetween(size_t first, size_t second)
+{
+    m_daemons[first].cutPeers.insert(second);
+    m_daemons[second].cutPeers.insert(first);
+}
+
+bool RegistryFleet::reachesRegistry(const Daemon &daemon) const
+{
+    return !daemon.isCutFromRegistry;
+}
+
+void RegistryFleet::answer(Daemon &daemon, const ReadPage &page)
+{
+    const PendingCall pending = *daemon.pending;
+    if (m_isRegistryDown && reachesRegistry(daemon)) {
+        daemon.pending.reset();
+        daemon.follower->onError(CallError::Refused, m_now);
+        return;
+    }
+    if (!reachesRegistry(daemon)) {
+        if (m_now >= pending.startedAt + registryTimeout) {
+            daemon.pending.reset();
+            daemon.follower->onError(CallError::Unreachable, m_now);
+        }
+        return;
+    }
+    RegistryPage result {.revision = m_revision};
+    for (auto it = m_items.upper_bound(page.afterKey); it != m_items.end(); ++it) {
+        if (result.items.size() == itemsPerPage) {
+            result.hasMore = true;
+            break;
+        }
+        result.items.push_back(it->second);
+    }
+    daemon.pending.reset();
+    daemon.follower->onPage(result, m_now);
+}
+
+void RegistryFleet::answer(Daemon &daemon, const WatchChanges &watch)
+{
+    const PendingCall pending = *daemon.pending;
+    if (m_isRegistryDown && reachesRegistry(daemon)) {
+        daemon.pending.reset();
+        daemon.follower->onError(CallError::Refused, m_now);
+        return;
+    }
+    if (!reachesRegistry(daemon)) {
+        if (m_now >= pending.startedAt + watch.timeout + registryTimeout) {
+            daemon.pending.reset();
+            daemon.follower->onError(CallError::Unreachable, m_now);
+        }
+        return;
+    }
+    if (watch.afterRevision < m_historyStart) {
+        daemon.pending.reset();
+        daemon.follower->onError(CallError::Compacted, m_now);
+        return;
+    }
+    RegistryChanges changes {.revision = m_revision};
+    for (const RegistryItem &change : m_changes) {
+        if (change.revision > watch.afterRevision) {
+            changes.items.push_back(change);
+        }
+    }
+    if (!changes.items.empty() || m_now >= pending.startedAt + watch.timeout) {
+        daemon.pending.reset();
+        daemon.follower->onChanges(changes, m_now);
+    }
+}
+
+void RegistryFleet::answer(Daemon &daemon, const WatchPeer &watch)
+{
+    const model::TimePoint startedAt = daemon.pending->startedAt;
+    const auto reader = std::find_if(m_daemons.begin(), m_daemons.end(), [&](const Daemon &other) {
+        return other.identity.id == watch.reader;
+    });
+    const auto index = static_cast<size_t>(reader - m_daemons.begin());
+    if (!reader->isAlive || daemon.cutPeers.contains(index)) {
+        if (m_now >= startedAt + watch.timeout + peerTimeout) {
+            daemon.pending.reset();
+            daemon.follower->onPeerError(PeerError::Unreachable, m_now);
+        }
+        return;
+    }
+    const auto changes = reader->follower->isCurrentReader(m_now)
+                             ? reader->follower->changesAfter(watch.afterRevision, m_now)
+                             : std::nullopt;
+    if (!changes) {
+        daemon.pending.reset();
+        daemon.follower->onPeerError(PeerError::Outdated, m_now);
+    } else if (!changes->changes.items.empty() || m_now >= startedAt + watch.timeout) {
+        daemon.pending.reset();
+        daemon.follower->onPeerChanges(*changes, m_now);
+    }
+}
+
+void RegistryFleet::answer(size_t index)
+{
+    Daemon &daemon = m_daemons[index];
+    if (!daemon.pending) {
+        const std::optional<FollowerCall> call = daemon.follower->takeCall(m_now);
+        if (!call) {
+            return;
+        }
+        m_registryCalls += std::holds_alternative<WatchPeer>(*call) ? 0 : 1;
+        daemon.pending = PendingCall {.call = *call, .startedAt = m_now};
+        return;
+    }
+    const FollowerCall call = daemon.pending->call;
+    std::visit([&](const auto &content) { answer(daemon, content); }, call);
+}
+
+void RegistryFleet::collect(Daemon &daemon)
+{
+    for (const FollowerUpdate &update : daemon.follower->takeUpdates(m_now)) {
+        const auto *changed = std::get_if<KeyChanged>(&update);
+        if (!changed) {
+            continue;
+        }
+        if (changed->value) {
+            daemon.known[changed->key] = *changed->value;
+        } else {
+            daemon.known.erase(changed->key);
+            ++m_removalsReported;
+        }
+    }
+}
+
+void RegistryFleet::step()
+{
+    m_now += stepTime;
+    const bool detectsDeath
+        = std::any_of(m_daemons.begin(), m_daemons.end(), [this](const Daemon &daemon) {
+              return !daemon.isAlive && m_now >= daemon.diedAt + detectionTime
+                     && m_now < daemon.diedAt + detectionTime + stepTime;
+          });
+    if (detectsDeath) {
+        refreshMembers();
+    }
+    for (size_t i = 0; i < m_daemons.size(); ++i) {
+        if (m_daemons[i].isAlive) {
+            answer(i);
+            collect(m_daemons[i]);
+        }
+    }
+}
+
+void RegistryFleet::run(model::Duration time)
+{
+    runUntil([] { return false; }, time);
+}
+
+model::Duration RegistryFleet::runUntil(const std::function<bool()> &condition,
+                                        model::Duration limit)
+{
+    const model::TimePoint start = m_now;
+    while (m_now < start + limit && !condition()) {
+        step();
+    }
+    return m_now - start;
+}
+
+std::vector<size_t> RegistryFleet::readers() const
+{
+    std::vector<size_t> readers;
+    for (size_t i = 0; i < m_daemons.size(); ++i) {
+        if (m_daemons[i].isAlive && m_daemons[i].follower->isCurrentReader(m_now)) {
+            readers.push_back(i);
+        }
+    }
+    return readers;
+}
+
+bool RegistryFleet::has(size_t daemon, const std::string &key,
+                        const std::optional<std::string> &value) const
+{
+    const std::map<std::string, std::string> &known = m_daemons[daemon].known;
+    const auto it = known.find(key);
+    return value ? it != known.end() && it->second == *value : it == known.end();
+}
+
+bool RegistryFleet::allHave(const std::string &key, const std::optional<std::string> &value) const
+{
+    for (size_t i = 0; i < m_daemons.size(); ++i) {
+        if (m_daemons[i].isAlive && !has(i, key, value)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace citronpick::registry::testing
--- /dev/null
+++ b/src/registry/tests/registryfleet.h
@@ -0,0 +1,97 @@
+#ifndef CITRONPICK_REGISTRY_TESTS_REGISTRYFLEET_H
+#define CITRONPICK_REGISTRY_TESTS_REGISTRYFLEET_H
+
+#include <functional>
+#include <memory>
+#include <set>
+
+#include "registry/registryfollower.h"
+
+namespace citronpick::registry::testing
+{
+
+struct RegistryFleetOptions {
+    size_t daemons = 300;
+    size_t zones = 5;
+    size_t keys = 425; //!< Keys in the registry at the start.
+    FollowerOptions follower {.watchTimeout = model::seconds(4)};
+};
+
+//! Simulates daemons that follow a registry, over simulated time and without a network.
+class RegistryFleet
+{
+public:
+    explicit RegistryFleet(const RegistryFleetOptions &options = {});
+
+    // The registry
+    void put(const std::string &key, const std::string &value);
+    void remove(const std::string &key);
+    void dropHistory();
+
+    // Faults. Calls over a cut connection get no answer; a registry that is down refuses them.
+    void cutFromRegistry(size_t daemon, bool isCut);
+    void setRegistryDown(bool isDown);
+    void kill(size_t daemon);
+    void cutBetween(size_t first, size_t second);
+
+    void run(model::Duration time);
+    //! Runs until \a condition holds; returns how long that took, at most \a limit.
+    model::Duration runUntil(const std::function<bool()> &condition, model::Duration limit);
+
+    size_t size() const
+    {
+        return m_daemons.size();
+    }
+    uint64_t registryCalls() const
+    {
+        return m_registryCalls;
+    }
+    std::vector<size_t> readers() const;
+    //! Whether all running daemons have the key with this value; an empty one means none.
+    bool allHave(const std::string &key, const std::optional<std::string> &value) const;
+    bool has(size_t daemon, const std::string &key, const std::optional<std::string> &value) const;
+    //! How often a daemon reported a key as removed.
+    uint64_t removalsReported() const
+    {
+        return m_removalsReported;
+    }
+
+private:
+    struct PendingCall {
+        FollowerCall call;
+        model::TimePoint startedAt;
+    };
+    struct Daemon {
+        ReaderCandidate identity;
+        std::unique_ptr<RegistryFollower> follower;
+        std::optional<PendingCall> pending;
+        std::map<std::string, std::string> known;
+        bool isAlive = true;
+        bool isCutFromRegistry = false;
+        std::set<size_t> cutPeers;
+        model::TimePoint diedAt;
+    };
+
+    void step();
+    void collect(Daemon &daemon);
+    void answer(size_t index);
+    void answer(Daemon &daemon, const ReadPage &page);
+    void answer(Daemon &daemon, const WatchChanges &watch);
+    void answer(Daemon &daemon, const WatchPeer &watch);
+    bool reachesRegistry(const Daemon &daemon) const;
+    void refreshMembers();
+
+    std::vector<Daemon> m_daemons;
+    std::map<std::string, RegistryItem> m_items;
+    std::vector<RegistryItem> m_changes;
+    uint64_t m_revision = 1;
+    uint64_t m_historyStart = 0;
+    bool m_isRegistryDown = false;
+    uint64_t m_registryCalls = 0;
+    uint64_t m_removalsReported = 0;
+    model::TimePoint m_now {model::seconds(100)};
+};
+
+} // namespace citronpick::registry::testing
+
+#endif // CITRONPICK_REGISTRY_TESTS_REGISTRYFLEET_H
--- a/src/registry/tests/registryfollowertest.cpp
+++ b/src/registry/tests/registryfollowertest.cpp
@@ -146,6 +146,22 @@
     CHECK(fixture.changes() == Changes {"-u/b"});
 }
 
+TEST_CASE("A single long silence of the registry is an outage, a broken connection is not")
+{
+    for (const bool isSilent : {true, false}) {
+        CAPTURE(isSilent);
+        Fixture fixture;
+        fixture.list({item("u/a", "1", 3)}, 5);
+        fixture.changes();
+        fixture.call();
+        fixture.now += isSilent ? milliseconds(2900) : milliseconds(1900);
+        fixture.follower.onError(CallError::Unreachable, fixture.now);
+        fixture.now = *fixture.follower.nextRun();
+        fixture.watch({removal("u/a", 6)}, 6);
+        CHECK(fixture.changes().empty() == isSilent);
+    }
+}
+
 TEST_CASE("The registry is reported unreachable after two failures, and reachable after one answer")
 {
     Fixture fixture;
