--- a/src/config/internal/relaysettings.cpp
+++ b/src/config/internal/relaysettings.cpp
@@ -47,6 +47,22 @@
     std::vector<Finding> &m_findings;
 };
 
+// A stopping daemon must accept requests until the addresses that callers have cached expire, and
+// then needs time for what it has accepted.
+void checkDrain(const RelaySettings &settings, std::vector<Finding> &findings)
+{
+    if (settings.drain.acceptPeriod < settings.entryLifetime) {
+        findings.push_back({.error = ConfigError::Contradiction,
+                            .pointer = "/drain/acceptMs",
+                            .expected = "at least /entryLifetimeMs"});
+    }
+    if (settings.drain.maxDuration <= settings.drain.acceptPeriod) {
+        findings.push_back({.error = ConfigError::Contradiction,
+                            .pointer = "/drain/limitMs",
+                            .expected = "more than /drain/acceptMs"});
+    }
+}
+
 } // namespace
 
 bool isRelaySettings(std::string_view text)
@@ -93,6 +109,7 @@
     for (const Json &seed : document.value("seeds", Json::array())) {
         settings.seeds.push_back(endpoints.read(seed, "/seeds"));
     }
+    checkDrain(settings, findings);
     if (!findings.empty()) {
         return toStatus(findings);
     }
--- a/src/config/tests/configtest.cpp
+++ b/src/config/tests/configtest.cpp
@@ -164,7 +164,9 @@
              {"\"10.0.0.2:83\"", "\"nowhere\"", "/seeds"},
              {"[90, 91]", "[90]", "/fleetPorts"},
              {"\"ratio\": 0.1", "\"ratio\": -1", "/retries"},
-             {"\"zone\": \"z\"", "\"zome\": \"z\"", "zone"}}) {
+             {"\"zone\": \"z\"", "\"zome\": \"z\"", "zone"},
+             {"\"zone\": \"z\"", R"("zone": "z", "entryLifetimeMs": 7000)", "/drain/acceptMs"},
+             {"\"zone\": \"z\"", R"("zone": "z", "drain": {"limitMs": 6200})", "/drain/limitMs"}}) {
         const auto settings = parseRelaySettings(replaceText(relaySettingsText, from, to));
         REQUIRE_FALSE(settings.ok());
         CHECK(std::string(settings.status().message()).find(setting) != std::string::npos);
--- a/src/fleet/fleetsystem.h
+++ b/src/fleet/fleetsystem.h
@@ -153,7 +153,6 @@
     model::Revision m_revision;
     uint64_t m_digest = 0;
     std::map<model::DaemonId, ListedDaemon> m_listed;
-    bool m_hasList = false;
     //! Member updates to be sent, with the number of remaining sends.
     std::map<model::DaemonId, uint32_t> m_pendingMembers;
     //! Fact updates to be sent, with the number of remaining sends.
--- a/src/fleet/internal/fleetsystem.cpp
+++ b/src/fleet/internal/fleetsystem.cpp
@@ -47,7 +47,6 @@
 void FleetSystem::setListed(std::vector<ListedDaemon> listed)
 {
     m_listed.clear();
-    m_hasList = true;
     for (ListedDaemon &daemon : listed) {
         const model::DaemonId id = daemon.id;
         m_listed.emplace(id, std::move(daemon));
--- a/src/health/tests/healthtest.cpp
+++ b/src/health/tests/healthtest.cpp
@@ -19,9 +19,10 @@
     MAKE_CONST_MOCK1(peerRelapses, uint32_t(const model::UpstreamId &), override);
 };
 
-config::ConfigurationPtr configuration(size_t upstreams)
+config::ConfigurationPtr configuration(size_t upstreams, double maxEjectedShare)
 {
-    config::PoolConfig pool {.id = model::PoolId("p"), .concurrency = 16};
+    config::PoolConfig pool {
+        .id = model::PoolId("p"), .concurrency = 16, .maxEjectedShare = maxEjectedShare};
     for (size_t i = 0; i < upstreams; ++i) {
         pool.upstreams.push_back({.id = model::UpstreamId("u" + std::to_string(i)),
                                   .host = "127.0.0.1",
@@ -37,10 +38,10 @@
 
 //! A health system with one pool and a mocked IReturnShare.
 struct Fixture {
-    explicit Fixture(size_t count)
+    explicit Fixture(size_t count, double maxEjectedShare = 0.5)
         : health({}, upstreams, share, 1)
     {
-        upstreams.apply(*configuration(count), 1, now);
+        upstreams.apply(*configuration(count, maxEjectedShare), 1, now);
         health.synchronise(now);
         health.observeTime(now);
     }
@@ -126,6 +127,26 @@
     CHECK(fixture.health.row(fixture.row(0)).relapses == 3);
 }
 
+TEST_CASE("No more upstreams are ejected than the configured share of the pool")
+{
+    for (const auto &[share, expected] : {std::pair(0.5, 3), {0.25, 2}, {0.0, 0}}) {
+        CAPTURE(share);
+        Fixture fixture(8, share);
+        ALLOW_CALL(fixture.share, isSuspectedByPeer(_)).RETURN(false);
+        for (uint32_t number = 0; number < 3; ++number) {
+            for (int failure = 0; failure < 3; ++failure) {
+                fixture.fail(number);
+            }
+            fixture.advance(model::milliseconds(100));
+        }
+        int ejected = 0;
+        for (uint32_t number = 0; number < 8; ++number) {
+            ejected += fixture.health.row(fixture.row(number)).state == HealthState::Ejected;
+        }
+        CHECK(ejected == expected);
+    }
+}
+
 TEST_CASE("No upstream is ejected when the whole pool fails")
 {
     Fixture fixture(6);
--- a/src/net/fleetcodec.h
+++ b/src/net/fleetcodec.h
@@ -10,11 +10,6 @@
 namespace citronpick::net
 {
 
-//! Request for a revision of the configuration file.
-struct FileRequest {
-    model::Revision revision;
-};
-
 //! Encode and decode messages between daemons as JSON-RPC 2.0 text. Decoding returns
 //! InvalidArgument for text that is not a message of the supported version, exceeds the limits on
 //! list lengths or holds unknown enumerators.
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -70,6 +70,7 @@
         bool isSending;
         bool isEnding;
         bool isComplete; //!< The handler has provided the whole response.
+        bool isReportedClosed; //!< The handler knows that the exchange has ended.
     };
 
     static bool hasPeerDisconnected(h2o_conn_t *connection);
@@ -194,8 +195,11 @@
     Impl &owner = *exchange.owner;
     const uint64_t number = exchange.number;
     const bool wasAnswered = exchange.isComplete;
+    const bool wasReported = exchange.isReportedClosed;
     owner.m_exchanges.erase(number);
-    owner.m_handler.onClosed(number, wasAnswered);
+    if (!wasReported) {
+        owner.m_handler.onClosed(number, wasAnswered);
+    }
 }
 
 HttpServer::Impl::Exchange *HttpServer::Impl::find(uint64_t number) const
@@ -304,11 +308,13 @@
     std::vector<uint64_t> abandoned;
     for (const auto &[number, exchange] : m_exchanges) {
         const bool isHttp1 = exchange->request->version < http2Version;
-        if (isHttp1 && !exchange->isComplete && hasPeerDisconnected(exchange->request->conn)) {
+        if (isHttp1 && !exchange->isComplete && !exchange->isReportedClosed
+            && hasPeerDisconnected(exchange->request->conn)) {
             abandoned.push_back(number);
         }
     }
     for (const uint64_t number : abandoned) {
+        m_exchanges[number]->isReportedClosed = true;
         m_handler.onClosed(number, false);
         // H2O releases the closed connection only after a write to it.
         constexpr uint16_t clientClosedRequest = 499;
