Daemons compare their registry content with their reader's

Cause: a change missed by a daemon or its reader would stay missed, since watches bring only what comes later; with shared readers such an error would spread over a zone.

Change: a reader's answer carries a digest of its keys and revisions. A daemon at the same revision whose own digest differs lists the registry again, at most every 10 s, and logs event 705.

--- a/src/daemon/internal/listingcodec.cpp
+++ b/src/daemon/internal/listingcodec.cpp
@@ -68,7 +68,8 @@
 {
     return {.changes
             = {.items = decodeItems(document.at("items")), .revision = document.at("revision")},
-            .graceLeft = model::Duration(document.at("graceUs").get<int64_t>())};
+            .graceLeft = model::Duration(document.at("graceUs").get<int64_t>()),
+            .digest = document.at("digest")};
 }
 
 } // namespace
@@ -87,7 +88,8 @@
 {
     return Json {{"revision", changes.changes.revision},
                  {"items", encodeItems(changes.changes.items)},
-                 {"graceUs", changes.graceLeft.count()}}
+                 {"graceUs", changes.graceLeft.count()},
+                 {"digest", changes.digest}}
         .dump();
 }
 
--- a/src/daemon/internal/relayregistry.cpp
+++ b/src/daemon/internal/relayregistry.cpp
@@ -114,6 +114,12 @@
                 .subject = source->reader.isEmpty() ? "registry" : source->reader.text(),
                 .detail = absl::StrCat("revision=", m_registry->follower().revision())});
     }
+    if (const auto *mismatch = std::get_if<registry::ContentMismatch>(&update)) {
+        record({.code = EventCode::RegistryContentMismatch,
+                .request = {},
+                .subject = mismatch->reader.text(),
+                .detail = absl::StrCat("revision=", m_registry->follower().revision())});
+    }
     const auto *changed = std::get_if<registry::KeyChanged>(&update);
     if (!changed) {
         return;
--- a/src/observability/event.h
+++ b/src/observability/event.h
@@ -61,6 +61,7 @@
     PlatformAvailable = 702,
     RegistrySourceChanged = 703,
     ReaderFailed = 704,
+    RegistryContentMismatch = 705,
     ExchangeAdmitted = 801,
     StageFinished = 802,
     StagesRestarted = 803,
--- a/src/observability/internal/event.cpp
+++ b/src/observability/internal/event.cpp
@@ -60,6 +60,7 @@
     EventDescription {PlatformAvailable, Info, "platform-available"},
     EventDescription {RegistrySourceChanged, Info, "registry-source-changed"},
     EventDescription {ReaderFailed, Info, "reader-failed"},
+    EventDescription {RegistryContentMismatch, Error, "registry-content-mismatch"},
     EventDescription {ExchangeAdmitted, Info, "exchange-admitted"},
     EventDescription {StageFinished, Info, "stage-finished"},
     EventDescription {StagesRestarted, Warning, "stages-restarted"},
--- a/src/registry/internal/registryfollower.cpp
+++ b/src/registry/internal/registryfollower.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "model/hash.h"
+
 namespace citronpick::registry
 {
 
@@ -220,6 +222,36 @@
     recordReachable(now);
     m_graceEndsAt = std::max(m_graceEndsAt, now + changes.graceLeft);
     applyChanges(changes.changes, now);
+    compareContent(changes, now);
+}
+
+// Two daemons at the same revision have the same content, unless one of them missed a change.
+void RegistryFollower::compareContent(const PeerChanges &changes, model::TimePoint now)
+{
+    const uint64_t digest = contentDigest();
+    const bool isComparable
+        = changes.digest != 0 && digest != 0 && m_revision == changes.changes.revision;
+    if (!isComparable || digest == changes.digest || now < m_nextComparisonAt) {
+        return;
+    }
+    m_nextComparisonAt = now + m_options.mismatchInterval;
+    m_notifications.emplace_back(ContentMismatch {.reader = m_reader});
+    restartListing(now);
+}
+
+// Zero while a key is known at a later revision than the content as a whole.
+uint64_t RegistryFollower::contentDigest() const
+{
+    uint64_t digest = 1;
+    for (const auto &[key, item] : m_items) {
+        if (item.revision > m_revision) {
+            return 0;
+        }
+        if (!m_pendingRemovals.contains(key)) {
+            digest ^= model::hash64(key, item.revision);
+        }
+    }
+    return digest == 0 ? 1 : digest;
 }
 
 void RegistryFollower::onPeerError(PeerError error, model::TimePoint now)
@@ -243,7 +275,8 @@
         return std::nullopt;
     }
     PeerChanges result {.changes = {.revision = m_revision},
-                        .graceLeft = std::max(model::Duration::zero(), m_graceEndsAt - now)};
+                        .graceLeft = std::max(model::Duration::zero(), m_graceEndsAt - now),
+                        .digest = contentDigest()};
     for (const auto &[key, item] : m_items) {
         if (item.revision > revision && !m_pendingRemovals.contains(key)) {
             result.changes.items.push_back(item);
--- a/src/registry/registryfollower.h
+++ b/src/registry/registryfollower.h
@@ -44,6 +44,8 @@
     //! Keys that expired during a registry outage are kept for this long after it ends, so that
     //! their owners can write them again.
     model::Duration recoveryGracePeriod = model::milliseconds(2200);
+    //! Content that differs from a reader's is listed again at most this often.
+    model::Duration mismatchInterval = model::seconds(10);
     ChangeSourceOptions source;
 };
 
@@ -95,7 +97,12 @@
     model::DaemonId reader;
 };
 
-using FollowerUpdate = std::variant<KeyChanged, Synchronized, ReachabilityChanged, SourceChanged>;
+//! The content differs from that of a reader at the same revision and is listed again.
+struct ContentMismatch {
+    model::DaemonId reader;
+};
+
+using FollowerUpdate = std::variant<KeyChanged, Synchronized, ReachabilityChanged, SourceChanged, ContentMismatch>;
 
 /*!
  * Mirrors the keys under one prefix of a registry with read-only access: lists them once, then
@@ -159,6 +166,8 @@
     void recordReachable(model::TimePoint now);
     void applyChanges(const RegistryChanges &changes, model::TimePoint now);
     void setSource(const model::DaemonId &reader);
+    uint64_t contentDigest() const;
+    void compareContent(const PeerChanges &changes, model::TimePoint now);
     FollowerCall take(FollowerCall call, model::Duration timeout, model::TimePoint now);
     void applyItem(const RegistryItem &item, model::TimePoint now);
     void removeUnlisted(uint64_t revision, model::TimePoint now);
@@ -185,6 +194,7 @@
     std::map<std::string, model::TimePoint> m_pendingRemovals;
     uint32_t m_failures = 0;
     uint32_t m_compactions = 0; //!< Compacted answers since the last successful watch.
+    model::TimePoint m_nextComparisonAt;
     model::TimePoint m_registryDueAt; //!< No call to the registry is made before.
     model::TimePoint m_watchDueAt; //!< No watch is made before, wherever it goes.
     model::TimePoint m_completeAt; //!< When the content was last known to be complete.
--- a/src/registry/registryitem.h
+++ b/src/registry/registryitem.h
@@ -43,6 +43,8 @@
     RegistryChanges changes;
     //! For how much longer removals are not to be believed, because the registry has just returned.
     model::Duration graceLeft {};
+    //! Digest of all keys with a value as of the revision of \a changes; zero if unknown.
+    uint64_t digest = 0;
 
     friend bool operator==(const PeerChanges &, const PeerChanges &) = default;
 };
--- a/src/registry/tests/registryfollowertest.cpp
+++ b/src/registry/tests/registryfollowertest.cpp
@@ -279,3 +279,83 @@
     fixture.watch({}, 8);
     CHECK(fixture.follower.takeCall(fixture.now));
 }
+
+namespace
+{
+
+//! A follower "d0" that relies on readers, and one of these readers.
+struct PairFixture {
+    PairFixture()
+        : hearer({.source = {.daemon = model::DaemonId("d0"), .zone = model::ZoneId("z")}}, 1)
+    {
+        std::vector<ReaderCandidate> daemons;
+        for (int i = 0; i < 30; ++i) {
+            daemons.push_back({.id = model::DaemonId("d" + std::to_string(i)),
+                               .zone = model::ZoneId("z"),
+                               .linkMbps = i == 0 ? 1U : 100U});
+        }
+        const model::DaemonId id = chooseReaders(daemons, {}).front().id;
+        reader.emplace(FollowerOptions {.source = {.daemon = id, .zone = model::ZoneId("z")}}, 2);
+        for (RegistryFollower *follower : {&hearer, &*reader}) {
+            follower->setDaemons(daemons);
+            REQUIRE(follower->takeCall(now));
+            follower->onPage({.items = {item("a", "1", 3), item("b", "1", 4)}, .revision = 10},
+                             now);
+        }
+        REQUIRE(reader->takeCall(now));
+    }
+
+    void exchange()
+    {
+        const auto call = hearer.takeCall(now);
+        REQUIRE(call);
+        REQUIRE(std::holds_alternative<WatchPeer>(*call));
+        const auto changes = reader->changesAfter(std::get<WatchPeer>(*call).afterRevision, now);
+        REQUIRE(changes);
+        hearer.onPeerChanges(*changes, now);
+    }
+
+    RegistryFollower hearer;
+    std::optional<RegistryFollower> reader;
+    model::TimePoint now {model::seconds(10)};
+};
+
+} // namespace
+
+TEST_CASE("A reader passes on values and removals after a revision")
+{
+    PairFixture fixture;
+    fixture.reader->onChanges({.items = {removal("a", 11), item("b", "2", 12)}, .revision = 12},
+                              fixture.now);
+    CHECK(fixture.reader->isCurrentReader(fixture.now));
+    fixture.exchange();
+    CHECK(fixture.hearer.revision() == 12);
+    CHECK(fixture.hearer.listing() == fixture.reader->listing());
+    CHECK_FALSE(fixture.reader->changesAfter(9, fixture.now));
+    fixture.now += milliseconds(2000);
+    CHECK_FALSE(fixture.reader->isCurrentReader(fixture.now));
+}
+
+TEST_CASE("Content that differs from a reader's at the same revision is listed again, rarely")
+{
+    PairFixture fixture;
+    fixture.reader->onChanges({.items = {item("b", "2", 12)}, .revision = 12}, fixture.now);
+    // The follower missed a removal before its revision.
+    const std::vector<RegistryItem> outdated {item("a", "1", 3), item("b", "2", 12),
+                                              item("c", "1", 5)};
+    fixture.hearer.onPeerListing({.items = outdated, .revision = 12}, fixture.now);
+    fixture.exchange();
+    fixture.now += model::seconds(1);
+    const auto relisting = fixture.hearer.takeCall(fixture.now);
+    REQUIRE(relisting);
+    CHECK(std::holds_alternative<ReadPage>(*relisting));
+    fixture.hearer.onPage({.items = outdated, .revision = 12}, fixture.now);
+    for (int second = 0; second < 5; ++second) {
+        fixture.now += model::seconds(1);
+        fixture.exchange();
+    }
+    fixture.now += model::seconds(10);
+    fixture.exchange();
+    fixture.now += model::seconds(1);
+    CHECK(std::holds_alternative<ReadPage>(*fixture.hearer.takeCall(fixture.now)));
+}
