--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -29,10 +29,6 @@
 //! Interval of the checks for connection timeouts, which are several hundred milliseconds or
 //! longer.
 constexpr model::Duration sweepInterval = model::milliseconds(100);
-//! Minimum interval between two fetches of a newer configuration from a peer.
-constexpr model::Duration configurationFetchInterval = model::milliseconds(300);
-//! Callers read no more entries than this from one answer.
-constexpr size_t maxEntries = 64;
 //! Appended to the fleet key, so that the nonces of stage calls and of fleet messages are checked
 //! separately.
 constexpr const char *stageKeySuffix = ":stage";
@@ -193,92 +189,6 @@
     return !m_isFinished;
 }
 
-void RelayDaemon::runFleet(model::TimePoint now)
-{
-    m_fleet->run(now);
-    for (fleet::FleetCommand &command : m_fleet->takeCommands()) {
-        std::visit(model::Overloaded {
-                       [this](const fleet::SendExchange &exchange) { m_fleetApi->send(exchange); },
-                       [this](const fleet::SendReply &reply) { m_fleetApi->reply(reply); },
-                       [this](const observability::Event &event) { record(event); },
-                   },
-                   command);
-    }
-    const fleet::FleetUpdates updates = m_fleet->takeUpdates();
-    for (const fleet::CrashFact &crash : updates.crashes) {
-        m_relay->onPeerCrashReport({.fingerprint = crash.fingerprint, .upstream = crash.upstream},
-                                   now);
-    }
-    if (!updates.newerConfigurations.empty() && now >= m_nextConfigurationFetch) {
-        m_nextConfigurationFetch = now + configurationFetchInterval;
-        const fleet::NewerConfiguration &newer = updates.newerConfigurations.back();
-        m_fleetApi->fetch({.from = newer.from, .revision = newer.revision});
-    }
-    refreshPeers();
-}
-
-void RelayDaemon::refreshPeers()
-{
-    const uint64_t digest = m_fleet->members().digest();
-    if (digest == m_membersDigest) {
-        return;
-    }
-    m_membersDigest = digest;
-    std::vector<relay::PeerDaemon> peers;
-    std::vector<registry::ReaderCandidate> candidates;
-    for (const auto &[id, row] : m_fleet->members().rows()) {
-        if (row.member.isUsable()) {
-            candidates.push_back(
-                {.id = id, .zone = row.member.zone, .linkMbps = row.member.linkMbps});
-        }
-        if (row.member.isUsable() || id == m_settings.daemon) {
-            peers.push_back({.id = id,
-                             .address = config::toText(row.member.fleet),
-                             .linkMbps = row.member.linkMbps});
-        }
-    }
-    m_relay->setPeers(std::move(peers));
-    m_registry->setDaemons(candidates);
-}
-
-std::vector<config::Endpoint> RelayDaemon::entries() const
-{
-    std::vector<config::Endpoint> entries;
-    if (isReady()) {
-        entries.push_back(m_settings.callers);
-    }
-    for (const auto &[id, row] : m_fleet->members().rows()) {
-        if (id != m_settings.daemon && row.member.isUsable() && entries.size() < maxEntries) {
-            entries.push_back(row.member.caller);
-        }
-    }
-    return entries;
-}
-
-void RelayDaemon::post(core::Event event)
-{
-    const model::TimePoint now = net::EventLoop::now();
-    std::visit(model::Overloaded {
-                   [&](const core::FleetRequestReceived &received) {
-                       m_fleet->onRequest(received.exchange, received.message, now);
-                   },
-                   [&](const core::FleetReplyReceived &received) {
-                       m_fleet->onReply(received.exchange, received.message, now);
-                   },
-                   [&](const core::FleetExchangeFailed &failed) {
-                       m_fleet->onExchangeFailed(failed.exchange, now);
-                   },
-                   [&](const core::ConfigurationOffered &offered) {
-                       applyConfiguration(offered.file.text, "peer");
-                   },
-                   [](const auto &) {
-                       // The other events occur only in a Daemon, which runs pipelines itself.
-                   },
-               },
-               event);
-    runFleet(now);
-}
-
 void RelayDaemon::record(const observability::Event &event)
 {
     if (m_logLimiter.tryAcquire(net::EventLoop::now())) {
--- a/src/registry/internal/registryfollower.cpp
+++ b/src/registry/internal/registryfollower.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "model/hash.h"
-
 namespace citronpick::registry
 {
 
@@ -219,28 +217,6 @@
     markSynchronized();
 }
 
-RegistryPage RegistryFollower::listing() const
-{
-    RegistryPage page {.revision = m_revision};
-    for (const auto &[key, item] : m_items) {
-        page.items.push_back(item);
-    }
-    return page;
-}
-
-void RegistryFollower::removeUnlisted(uint64_t revision, model::TimePoint now)
-{
-    std::vector<std::string> missing;
-    for (const auto &[key, item] : m_items) {
-        if (!m_listedKeys.contains(key)) {
-            missing.push_back(key);
-        }
-    }
-    for (const std::string &key : missing) {
-        removeKey(key, revision, now);
-    }
-}
-
 void RegistryFollower::onChanges(const RegistryChanges &changes, model::TimePoint now)
 {
     recordAnswer(now);
@@ -254,15 +230,6 @@
     }
 }
 
-void RegistryFollower::applyChanges(const RegistryChanges &changes, model::TimePoint now)
-{
-    for (const RegistryItem &item : changes.items) {
-        applyItem(item, now);
-    }
-    m_revision = std::max(m_revision, changes.revision);
-    m_watchDueAt = changes.items.empty() ? now : now + m_options.coalescingDelay;
-}
-
 void RegistryFollower::onPeerChanges(const PeerChanges &changes, model::TimePoint now)
 {
     m_isCallPending = false;
@@ -274,106 +241,12 @@
     compareContent(changes, now);
 }
 
-// Two daemons at the same revision have the same content, unless one of them missed a change.
-void RegistryFollower::compareContent(const PeerChanges &changes, model::TimePoint now)
-{
-    const uint64_t digest = contentDigest();
-    const bool isComparable
-        = changes.digest != 0 && digest != 0 && m_revision == changes.changes.revision;
-    if (isComparable && digest == changes.digest) {
-        m_isUnverified = false;
-    }
-    if (!isComparable || digest == changes.digest || now < m_nextComparisonAt) {
-        return;
-    }
-    m_nextComparisonAt = now + m_options.mismatchInterval;
-    m_notifications.emplace_back(ContentMismatch {.reader = m_reader});
-    restartListing(now);
-}
-
-// Zero while a key is known at a later revision than the content as a whole.
-uint64_t RegistryFollower::contentDigest() const
-{
-    uint64_t digest = 1;
-    for (const auto &[key, item] : m_items) {
-        if (item.revision > m_revision) {
-            return 0;
-        }
-        if (!m_pendingRemovals.contains(key)) {
-            digest ^= model::hash64(key, item.revision);
-        }
-    }
-    return digest == 0 ? 1 : digest;
-}
-
 void RegistryFollower::onPeerError(PeerError error, model::TimePoint now)
 {
     m_isCallPending = false;
     m_source.onPeerFailed(m_reader, error, now);
 }
 
-bool RegistryFollower::isCurrentReader(model::TimePoint now) const
-{
-    return m_source.isReader() && m_isSynchronized && m_failures < outageFailureCount
-           && now - m_completeAt <= m_options.maxReaderAge;
-}
-
-// A removal that is not believed yet is passed on at once, with the time that is left: the other
-// daemon has to wait as well.
-std::optional<PeerChanges> RegistryFollower::changesAfter(uint64_t revision,
-                                                          model::TimePoint now) const
-{
-    if (!m_history.covers(revision)) {
-        return std::nullopt;
-    }
-    PeerChanges result {.changes = {.revision = m_revision},
-                        .graceLeft = std::max(model::Duration::zero(), m_graceEndsAt - now),
-                        .digest = contentDigest()};
-    for (const auto &[key, item] : m_items) {
-        if (item.revision > revision && !m_pendingRemovals.contains(key)) {
-            result.changes.items.push_back(item);
-        }
-    }
-    for (const auto &[key, removedAt] : m_history.removalsAfter(revision)) {
-        result.changes.items.push_back({.key = key, .revision = removedAt});
-    }
-    return result;
-}
-
-void RegistryFollower::applyItem(const RegistryItem &item, model::TimePoint now)
-{
-    if (!item.value) {
-        removeKey(item.key, item.revision, now);
-        return;
-    }
-    m_pendingRemovals.erase(item.key);
-    const auto known = m_items.find(item.key);
-    if (known != m_items.end() && known->second.revision >= item.revision) {
-        return;
-    }
-    m_items[item.key] = item;
-    m_history.recordValue(item.key);
-    m_notifications.emplace_back(
-        KeyChanged {.key = item.key, .value = item.value, .revision = item.revision});
-}
-
-void RegistryFollower::removeKey(const std::string &key, uint64_t revision, model::TimePoint now)
-{
-    const auto known = m_items.find(key);
-    if (known == m_items.end() || known->second.revision > revision) {
-        return;
-    }
-    m_history.recordRemoval(key, revision);
-    if (now < m_graceEndsAt) {
-        m_pendingRemovals.emplace(key, m_graceEndsAt);
-        return;
-    }
-    m_items.erase(known);
-    m_pendingRemovals.erase(key);
-    m_notifications.emplace_back(
-        KeyChanged {.key = key, .value = std::nullopt, .revision = revision});
-}
-
 void RegistryFollower::onError(CallError error, model::TimePoint now)
 {
     m_isCallPending = false;
@@ -421,25 +294,10 @@
                                 : model::scaled(m_options.maxBackoff, 0.5 + 0.5 * share));
 }
 
-std::vector<FollowerUpdate> RegistryFollower::takeUpdates(model::TimePoint now)
+bool RegistryFollower::isCurrentReader(model::TimePoint now) const
 {
-    if (m_isListingStale || m_isConfirming) {
-        // Outdated content is not acted on.
-        return {};
-    }
-    std::vector<std::string> expired;
-    for (const auto &[key, removeAt] : m_pendingRemovals) {
-        if (now >= removeAt) {
-            expired.push_back(key);
-        }
-    }
-    for (const std::string &key : expired) {
-        m_pendingRemovals.erase(key);
-        m_items.erase(key);
-        m_notifications.emplace_back(
-            KeyChanged {.key = key, .value = std::nullopt, .revision = m_revision});
-    }
-    return std::exchange(m_notifications, {});
+    return m_source.isReader() && m_isSynchronized && m_failures < outageFailureCount
+           && now - m_completeAt <= m_options.maxReaderAge;
 }
 
 } // namespace citronpick::registry
