Content from outdated copies is verified after 20 s; the soak's disrupted time never moves back

In the soak a short fault that overlapped a longer one ended the time in which bounds do not hold, against what SOAK.md says.

Change: 20 s; the later end counts.

--- a/src/registry/registryfollower.h
+++ b/src/registry/registryfollower.h
@@ -50,7 +50,8 @@
     //! less.
     bool allowsStaleStart = false;
     //! Content from outdated copies that no reader has confirmed is listed again after this time.
-    model::Duration verificationDelay = model::seconds(5);
+    //! Daemons that start together know their readers after some ten seconds.
+    model::Duration verificationDelay = model::seconds(20);
     ChangeSourceOptions source;
 };
 
--- a/src/registry/tests/readerstest.cpp
+++ b/src/registry/tests/readerstest.cpp
@@ -263,8 +263,11 @@
     const uint64_t calls = fleet.registryCalls();
     CHECK(calls == 2 * fleet.size());
     fleet.run(model::seconds(10));
+    const uint64_t watchesOnly = fleet.registryCalls();
+    CHECK(watchesOnly - calls <= 3 * fleet.size());
+    fleet.run(model::seconds(12));
     // A listing of one page, and the watches beside it.
-    CHECK(fleet.registryCalls() - calls >= 2 * fleet.size());
-    CHECK(fleet.registryCalls() - calls <= 5 * fleet.size());
+    CHECK(fleet.registryCalls() - watchesOnly >= 4 * fleet.size());
+    CHECK(fleet.registryCalls() - watchesOnly <= 5 * fleet.size());
     CHECK(fleet.allHave("u/7", "start"));
 }
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -281,7 +281,7 @@
         break;
     }
     if (isDisruptive) {
-        m_disruptedUntil = isLasting ? m_now + fault.duration : m_now;
+        m_disruptedUntil = std::max(m_disruptedUntil, isLasting ? m_now + fault.duration : m_now);
     }
     if (isLasting) {
         m_scheduledEnds.push_back({.at = m_now + fault.duration, .fault = fault});
