--- a/src/registry/internal/registrycontent.cpp
+++ b/src/registry/internal/registrycontent.cpp
@@ -132,7 +132,13 @@
 {
     if (m_isListingStale || m_isConfirming) {
         // Outdated content is not acted on.
-        return {};
+        const auto firstChange = std::stable_partition(
+            m_notifications.begin(), m_notifications.end(), [](const FollowerUpdate &update) {
+                return !std::holds_alternative<KeyChanged>(update);
+            });
+        std::vector<FollowerUpdate> changes(firstChange, m_notifications.end());
+        m_notifications.erase(firstChange, m_notifications.end());
+        return std::exchange(m_notifications, std::move(changes));
     }
     std::vector<std::string> expired;
     for (const auto &[key, removeAt] : m_pendingRemovals) {
--- a/src/registry/tests/registryfollowertest.cpp
+++ b/src/registry/tests/registryfollowertest.cpp
@@ -191,6 +191,30 @@
     CHECK(std::get<WatchChanges>(fixture.call()).afterRevision == 8);
 }
 
+TEST_CASE("Content of an outdated listing is reported once a watch has completed it")
+{
+    Fixture fixture;
+    fixture.follower = RegistryFollower({.prefix = "u/", .allowsStaleStart = true}, 1);
+    fixture.makeRegistryUnreachable();
+    const auto outage = fixture.follower.takeUpdates(fixture.now);
+    REQUIRE(outage.size() == 1);
+    CHECK(std::holds_alternative<ReachabilityChanged>(outage[0]));
+    CHECK(std::get<ReadPage>(fixture.call()).allowsStale);
+    fixture.follower.onPage({.items = {item("u/a", "1", 3)}, .hasMore = true, .revision = 8},
+                            fixture.now);
+    CHECK(std::get<ReadPage>(fixture.call()).allowsStale);
+    // The second page comes from an older copy.
+    fixture.follower.onPage({.items = {item("u/b", "1", 2)}, .revision = 6}, fixture.now);
+    CHECK(fixture.changes().empty());
+    CHECK_FALSE(fixture.follower.isSynchronized());
+    const auto watch = std::get<WatchChanges>(fixture.call());
+    CHECK(watch.afterRevision == 6);
+    CHECK(watch.timeout <= milliseconds(1));
+    fixture.follower.onChanges({.items = {item("u/b", "2", 9)}, .revision = 9}, fixture.now);
+    CHECK(fixture.follower.isSynchronized());
+    CHECK(fixture.changes() == Changes {"u/a=1", "u/b=1", "u/b=2"});
+}
+
 TEST_CASE("A peer's listing is applied only when its revision is newer")
 {
     Fixture fixture;
