--- a/tests/soak/daemonprocess.cpp
+++ b/tests/soak/daemonprocess.cpp
@@ -1,8 +1,12 @@
 #include "soak/daemonprocess.h"
 
 #include <csignal>
+#include <fstream>
 
+#include <absl/strings/ascii.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/strip.h>
 
 #include <fcntl.h>
 #include <spawn.h>
@@ -19,8 +23,6 @@
 
 //! Delay before a restart, as on the platform.
 constexpr model::Duration restartDelay = model::milliseconds(300);
-//! Until the program is loaded, it cannot have installed signal handlers.
-constexpr model::Duration loadTime = model::milliseconds(200);
 //! Limit of a planned stop: the platform kills a process that runs 8 s after SIGTERM.
 constexpr model::Duration stopLimit = model::seconds(8);
 
@@ -71,10 +73,28 @@
     }
 }
 
+// A program that is still being loaded has no signal handlers; the number in its status is the mask
+// of the signals that it handles.
+bool DaemonProcess::handles(int signal) const
+{
+    std::ifstream status(absl::StrCat("/proc/", m_pid, "/status"));
+    std::string line;
+    while (std::getline(status, line)) {
+        absl::string_view digits = line;
+        uint64_t mask = 0;
+        if (absl::ConsumePrefix(&digits, "SigCgt:")
+            && absl::SimpleHexAtoi(absl::StripAsciiWhitespace(digits), &mask)) {
+            return ((mask >> static_cast<unsigned>(signal - 1)) & 1U) != 0;
+        }
+    }
+    return false;
+}
+
 void DaemonProcess::stop(model::TimePoint now)
 {
     if (!m_stoppedAt) {
         m_stoppedAt = now;
+        m_wasKilled = m_wasKilled || !handles(SIGTERM);
         send(SIGTERM);
     }
 }
@@ -97,9 +117,9 @@
     send(SIGCONT);
 }
 
-void DaemonProcess::sendSighup(model::TimePoint now)
+void DaemonProcess::sendSighup()
 {
-    if (now - m_startedAt >= loadTime) {
+    if (handles(SIGHUP)) {
         send(SIGHUP);
     }
 }
@@ -108,7 +128,6 @@
 {
     if (m_pid == 0) {
         if (m_restartAt && now >= *m_restartAt) {
-            m_startedAt = now;
             start();
         }
         return std::nullopt;
--- a/tests/soak/daemonprocess.h
+++ b/tests/soak/daemonprocess.h
@@ -22,13 +22,14 @@
     ~DaemonProcess();
 
     void start();
-    //! Begins a planned stop by SIGTERM. All signals are sent to the id of this process only.
+    //! Begins a planned stop by SIGTERM, which ends a program that is still being loaded. All
+    //! signals are sent to the id of this process only.
     void stop(model::TimePoint now);
     void kill();
     void pause();
     void resume();
     //! Does nothing while the program may not have been loaded: SIGHUP would end the process.
-    void sendSighup(model::TimePoint now);
+    void sendSighup();
     bool isPaused() const
     {
         return m_isPaused;
@@ -39,6 +40,7 @@
 
 private:
     void send(int signal) const;
+    bool handles(int signal) const;
 
     std::string m_program;
     std::string m_settings;
@@ -48,7 +50,6 @@
     bool m_wasKilled = false;
     std::optional<model::TimePoint> m_stoppedAt;
     std::optional<model::TimePoint> m_restartAt;
-    model::TimePoint m_startedAt;
 };
 
 } // namespace citronpick::soak
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -237,7 +237,7 @@
         process.pause();
         break;
     case FaultKind::HangUp:
-        process.sendSighup(m_now);
+        process.sendSighup();
         isLasting = false;
         isDisruptive = false;
         break;
