--- a/src/registry/internal/registryfollower.cpp
+++ b/src/registry/internal/registryfollower.cpp
@@ -257,7 +257,7 @@
         return;
     }
     if (m_failures == 0) {
-        // A call that was held for longer than it may be got no answer all that time.
+        // A call that outlasted its timeout got no answer from its start on.
         const bool wasSilent = now - m_callStartedAt > m_callTimeout;
         m_lostSince = wasSilent ? m_callStartedAt : now;
     }
