Relay: answer every open request before a planned stop ends

Cause: the time limit of a planned stop ended the process while requests waited in their stages. RelayDaemon::checkDrain only counted them (drain-cut, requests=1 to 7); RelaySystem had no notion of the stop's end, so a request admitted up to 2.5 s after the SIGTERM kept its caller's deadline of 20 s. The pipeline daemon answers all of them (Core, StopRequested); the relay never did.

Ruled out: a request that crosses the close of a kept connection (801 is there), a lost coordinator (no 813 in its lines).

Change: the shutdown's end limits the deadlines of each open and new request, less the route's measured stream time for a first event.

--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -271,7 +271,7 @@
     m_fleet->leave(now);
     runFleet(now);
     m_exchanges->server().closeAfterResponses();
-    m_relay->beginShutdown(now, m_settings.drain.maxDuration);
+    m_relay->beginShutdown(now, m_settings.drain.maxDuration - flushPeriod);
     record({.code = EventCode::DrainStarted,
             .request = {},
             .subject = m_settings.daemon.text(),
--- a/src/relay/internal/relayanswers.cpp
+++ b/src/relay/internal/relayanswers.cpp
@@ -41,6 +41,7 @@
         return;
     }
     exchange.isAnswerStarted = true;
+    exchange.streamStartedAt = now;
     const model::Duration took = now - it->second.startedAt;
     const auto [measured, isNew] = m_firstEventTimes.emplace(exchange.route->id, took);
     measured->second += model::scaled(took - measured->second, firstEventWeight);
--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -167,6 +167,9 @@
            absl::StrCat("status=", facts.status, " attempts=", exchange.sentAttempts,
                         " tookMs=", model::toMilliseconds(now - exchange.arrived.startedAt)));
     if (exchange.isAnswerStarted) {
+        if (isStream(exchange.route->kind)) {
+            updateStreamTime(exchange, now);
+        }
         m_commands.emplace_back(FinishStream {.request = attempt.request});
     } else {
         m_commands.emplace_back(ForwardAnswer {.request = attempt.request, .attempt = id});
--- a/src/relay/internal/relayforecast.cpp
+++ b/src/relay/internal/relayforecast.cpp
@@ -26,6 +26,8 @@
 //! Times of jobs that were delayed in the queue are included up to this multiple of a batch's fixed
 //! time.
 constexpr int64_t maxStageTimeInBatches = 4;
+//! Weight of the newest stream in the moving average of a route's stream time.
+constexpr double streamTimeWeight = 0.1;
 
 } // namespace
 
@@ -81,6 +83,20 @@
                          isMinimum ? minEngineTimeFactor : typicalEngineTimeFactor);
 }
 
+// Time from the first event of a stream to its end.
+model::Duration RelaySystem::streamTime(const RouteRule &route) const
+{
+    const auto measured = m_streamTimes.find(route.id);
+    return measured == m_streamTimes.end() ? model::Duration::zero() : measured->second;
+}
+
+void RelaySystem::updateStreamTime(const Exchange &exchange, model::TimePoint now)
+{
+    const model::Duration took = now - exchange.streamStartedAt;
+    const auto [measured, isNew] = m_streamTimes.emplace(exchange.route->id, took);
+    measured->second += model::scaled(took - measured->second, streamTimeWeight);
+}
+
 // Time of the longest path from the end of a stage to the first token.
 model::Duration RelaySystem::timeAfterStage(const Exchange &exchange, uint32_t stage,
                                             Estimate estimate) const
@@ -150,6 +166,7 @@
         }
         const QueueWait own = queueWait(exchange, i, now);
         waitUntilDone[i] = {.onTime = before.onTime + own.onTime, .late = before.late + own.late};
+        completion.onTimeWait = std::max(completion.onTimeWait, waitUntilDone[i].onTime);
         completion.lateWait = std::max(completion.lateWait, waitUntilDone[i].late);
         const bool isInTime = now + waitUntilDone[i].onTime <= dueOf(exchange, i);
         completion.canMeetTarget = completion.canMeetTarget && isInTime;
@@ -164,9 +181,13 @@
                                                        model::TimePoint now) const
 {
     const CompletionEstimate completion = estimateCompletion(exchange, now);
-    const model::TimePoint end
-        = now + completion.lateWait + engineTime(exchange, Estimate::Minimum);
-    if (completion.canMeetTarget || end <= exchange.firstEventDeadline) {
+    if (completion.canMeetTarget && !exchange.isLimitedByShutdown) {
+        return std::nullopt;
+    }
+    const model::Duration wait
+        = completion.canMeetTarget ? completion.onTimeWait : completion.lateWait;
+    const model::TimePoint end = now + wait + engineTime(exchange, Estimate::Minimum);
+    if (end <= exchange.firstEventDeadline) {
         return std::nullopt;
     }
     return end - exchange.firstEventDeadline;
--- a/src/relay/internal/relaysystem.cpp
+++ b/src/relay/internal/relaysystem.cpp
@@ -117,6 +117,33 @@
 {
     m_acceptStreamsUntil = now + model::scaled(limit, streamAcceptShare);
     m_acceptRequestsUntil = now + model::scaled(limit, requestAcceptShare);
+    m_shutdownAt = now + limit;
+    for (const auto &[id, exchange] : m_exchanges) {
+        limitToShutdown(*exchange);
+        addDeadlineTimers(*exchange);
+    }
+}
+
+// The end of the process would close the connection of an open request without an answer. A stream
+// that would not be complete by then isn't started.
+void RelaySystem::limitToShutdown(Exchange &exchange)
+{
+    if (m_shutdownAt == model::TimePoint::max()) {
+        return;
+    }
+    const model::TimePoint latestFirstEvent = m_shutdownAt - streamTime(*exchange.route);
+    exchange.isLimitedByShutdown
+        = m_shutdownAt < exchange.deadline || latestFirstEvent < exchange.firstEventDeadline;
+    exchange.deadline = std::min(exchange.deadline, m_shutdownAt);
+    exchange.firstEventDeadline = std::min(exchange.firstEventDeadline, latestFirstEvent);
+}
+
+void RelaySystem::addDeadlineTimers(const Exchange &exchange)
+{
+    m_timeouts.add(exchange.deadline, exchange.arrived.request);
+    if (exchange.firstEventDeadline < exchange.deadline) {
+        m_timeouts.add(exchange.firstEventDeadline, exchange.arrived.request);
+    }
 }
 
 void RelaySystem::setPeers(std::vector<PeerDaemon> peers)
@@ -216,10 +243,8 @@
     }
     m_budget.noteRequest(exchange.pool, now);
     exchange.firstEventDeadline = firstEventDeadlineOf(exchange);
-    m_timeouts.add(exchange.deadline, id);
-    if (exchange.firstEventDeadline < exchange.deadline) {
-        m_timeouts.add(exchange.firstEventDeadline, id);
-    }
+    limitToShutdown(exchange);
+    addDeadlineTimers(exchange);
     record(EventCode::ExchangeAdmitted, exchange, exchange.route->id.text(),
            absl::StrCat("revision=", m_configuration->revision().value(),
                         " pool=", exchange.pool.text(), " account=", exchange.account.text(),
@@ -239,6 +264,10 @@
         return;
     }
     ++m_counters.refused;
+    if (refusal == Refusal::TooLate && exchange->isLimitedByShutdown) {
+        refusal = Refusal::Stopping;
+        retryAfter = stoppingRetryAfter;
+    }
     if (exchange->mayHaveRun && guaranteesNotRun(refusal)) {
         refusal = Refusal::UpstreamFailed;
         retryAfter = {};
@@ -299,7 +328,8 @@
     }
     if (exchange->isAnswerStarted) {
         ++m_counters.answersAborted;
-        record(EventCode::AnswerBroken, *exchange, exchange->route->id.text(), "why=timed-out");
+        record(EventCode::AnswerBroken, *exchange, exchange->route->id.text(),
+               exchange->isLimitedByShutdown ? "why=stopping" : "why=timed-out");
         m_commands.emplace_back(AbortAnswer {.request = id});
         closeExchange(id);
         return;
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -75,7 +75,8 @@
     //! Sets the daemons that are alive, including this one.
     void setPeers(std::vector<PeerDaemon> peers);
     //! Begins a planned shutdown that ends after \a limit. From now on only requests that are
-    //! expected to finish by then are accepted.
+    //! expected to finish by then are accepted, and by then each open request is answered, refused
+    //! or, if its answer has begun, aborted.
     void beginShutdown(model::TimePoint now, model::Duration limit);
 
     void onRequestArrived(ArrivedRequest request, model::TimePoint now);
@@ -141,6 +142,7 @@
         model::TimePoint deadline; //!< The earlier one of the caller's and the route's deadline.
         //! When the caller is assumed to give up if no answer has begun.
         model::TimePoint firstEventDeadline;
+        bool isLimitedByShutdown = false; //!< The shutdown shortened one of the two deadlines.
         model::ZoneId expectedZone; //!< Zone of the upstream that is expected to run the request.
         StagePlan plan;
         std::vector<JobId> jobs; //!< Unfinished stage jobs, here and at peers.
@@ -150,6 +152,7 @@
         uint32_t unsentAttempts = 0; //!< Attempts that certainly reached no upstream.
         std::vector<model::UpstreamId> triedUpstreams;
         bool isAnswerStarted = false; //!< The head of a streamed answer was sent to the caller.
+        model::TimePoint streamStartedAt; //!< When the head of a stream was sent to the caller.
         bool mayHaveRun = false; //!< An upstream may have started to run the request.
         std::string lastEvent;
     };
@@ -175,6 +178,7 @@
     //! Estimate of a request's stages from the forecasts of their queues.
     struct CompletionEstimate {
         bool canMeetTarget = true;
+        model::Duration onTimeWait {}; //!< Time until all stages are done if no job is late.
         model::Duration lateWait {}; //!< Time until all stages are done if they are queued as late.
     };
     //! The last forecast for a pool's queue that the coordinator of the pool sent.
@@ -202,6 +206,8 @@
     //! How long callers are assumed to wait for the first or the next event of a stream.
     static model::Duration callerTimeout(const RouteRule &route);
     static model::TimePoint firstEventDeadlineOf(const Exchange &exchange);
+    void limitToShutdown(Exchange &exchange);
+    void addDeadlineTimers(const Exchange &exchange);
     void onTimeout(model::RequestId request, model::TimePoint now);
 
     // Stages
@@ -229,6 +235,8 @@
     std::optional<model::Duration> excessWait(const Exchange &exchange, model::TimePoint now) const;
     void updateStageTime(const model::PoolId &pool, const JobResult &result);
     model::Duration engineTime(const Exchange &exchange, Estimate estimate) const;
+    model::Duration streamTime(const RouteRule &route) const;
+    void updateStreamTime(const Exchange &exchange, model::TimePoint now);
     static model::Duration progressTimeout(const Exchange &exchange);
     void checkProgress(Exchange &exchange, model::TimePoint now);
     model::Duration stageTime(const Exchange &exchange, uint32_t stage, Estimate estimate) const;
@@ -278,6 +286,8 @@
     absl::flat_hash_map<model::PoolId, model::Duration> m_stageTimes;
     //! Moving average of the time from an attempt's start to its first event, by route.
     absl::flat_hash_map<model::RouteId, model::Duration> m_firstEventTimes;
+    //! Moving average of the time from a stream's first event to its end, by route.
+    absl::flat_hash_map<model::RouteId, model::Duration> m_streamTimes;
     model::TimerQueue<model::RequestId> m_timeouts;
     std::vector<RelayCommand> m_commands;
     RelayCounters m_counters;
@@ -287,6 +297,8 @@
     model::TimePoint m_acceptStreamsUntil = model::TimePoint::max();
     //! All other new requests are refused from this time on.
     model::TimePoint m_acceptRequestsUntil = model::TimePoint::max();
+    //! No request is open from this time on.
+    model::TimePoint m_shutdownAt = model::TimePoint::max();
 };
 
 } // namespace citronpick::relay
--- /dev/null
+++ b/src/relay/tests/shutdowntest.cpp
@@ -0,0 +1,90 @@
+#include "relay/tests/relayfixture.h"
+
+using namespace citronpick;
+using namespace citronpick::relay;
+using namespace citronpick::relay::testing;
+
+namespace
+{
+
+//! Serves one stream that takes this long from its first event to its end.
+void serveStream(RelayFixture &fixture, model::Duration duration)
+{
+    fixture.arrive("/stream/x");
+    const auto attempt = fixture.take<StartAttempt>();
+    fixture.head(attempt.attempt, RelayFixture::success());
+    fixture.advanceTime(duration);
+    fixture.end(attempt.attempt);
+}
+
+} // namespace
+
+// Guards against callers without any answer: a request that waited in its stages when a planned
+// stop reached its time limit was dropped together with its connection.
+TEST_CASE("A request that outlasts a planned stop is refused as not run instead of being dropped")
+{
+    RelayFixture fixture;
+    fixture.arrive("/staged/x");
+    fixture.system.beginShutdown(fixture.now, model::seconds(3));
+    fixture.advanceTime(model::seconds(3));
+    const auto refusal = fixture.take<RefuseRequest>();
+    CHECK(refusal.refusal == Refusal::Stopping);
+    CHECK(refusal.retryAfter > model::Duration::zero());
+    CHECK(fixture.system.requestCount() == 0);
+}
+
+// Guards against callers without any answer when an upstream still ran the request at that moment.
+TEST_CASE("A request that an upstream runs at the end of a planned stop is answered as unknown")
+{
+    RelayFixture fixture;
+    fixture.arrive("/once/x");
+    fixture.system.beginShutdown(fixture.now, model::seconds(3));
+    fixture.advanceTime(model::seconds(3));
+    CHECK_FALSE(guaranteesNotRun(fixture.take<RefuseRequest>().refusal));
+    CHECK(fixture.system.requestCount() == 0);
+}
+
+// Guards against connections that the end of the process closes without a log line.
+TEST_CASE("A stream that has begun is aborted at the end of a planned stop")
+{
+    RelayFixture fixture;
+    fixture.arrive("/stream/x");
+    const auto attempt = fixture.take<StartAttempt>();
+    fixture.head(attempt.attempt, RelayFixture::success());
+    fixture.system.beginShutdown(fixture.now, model::seconds(1));
+    fixture.advanceTime(model::seconds(1));
+    CHECK(fixture.count<AbortAnswer>() == 1);
+    CHECK(fixture.system.requestCount() == 0);
+}
+
+// Guards against streams that were cut by the end of the process although another daemon could have
+// served them completely.
+TEST_CASE("A stopping daemon refuses a stream that would not be complete when the stop ends")
+{
+    RelayFixture fixture;
+    serveStream(fixture, model::seconds(2));
+    SECTION("on arrival")
+    {
+        fixture.system.beginShutdown(fixture.now, milliseconds(1900));
+        fixture.arrive("/stream/x");
+    }
+    SECTION("after its stages")
+    {
+        fixture.arrive("/staged/x");
+        fixture.answerBatch();
+        fixture.system.beginShutdown(fixture.now, milliseconds(200));
+        fixture.advanceTime(milliseconds(200));
+    }
+    CHECK(fixture.count<StartAttempt>() == 0);
+    CHECK(fixture.take<RefuseRequest>().refusal == Refusal::Stopping);
+}
+
+// Guards against refusing what can be served: short streams fit into most of a stop.
+TEST_CASE("A stopping daemon serves a stream that is complete before the stop ends")
+{
+    RelayFixture fixture;
+    serveStream(fixture, model::seconds(2));
+    fixture.system.beginShutdown(fixture.now, model::seconds(7));
+    fixture.arrive("/stream/x");
+    CHECK(fixture.count<StartAttempt>() == 1);
+}
