Relay: a second stop signal answers the open requests

Callers saw their connections close without an answer when a daemon got a second SIGTERM or SIGINT while it drained.

Cause: RelayDaemon::requestStop() set m_isFinished on its second call.

The end of the drain is fixed when it begins, so settings reloaded during a drain no longer move it.

--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -262,12 +262,14 @@
 
 void RelayDaemon::requestStop()
 {
+    const model::TimePoint now = net::EventLoop::now();
     if (m_drainingSince) {
-        m_isFinished = true;
+        m_drainEndsAt = std::min(m_drainEndsAt, now + flushPeriod);
+        m_relay->beginShutdown(now, model::Duration::zero());
         return;
     }
-    const model::TimePoint now = net::EventLoop::now();
     m_drainingSince = now;
+    m_drainEndsAt = now + m_settings.drain.maxDuration;
     m_fleet->leave(now);
     runFleet(now);
     m_exchanges->server().closeAfterResponses();
@@ -291,7 +293,7 @@
     if (isAcceptPeriodOver) {
         m_exchanges->server().stopListening();
     }
-    if (elapsed >= m_settings.drain.maxDuration
+    if (now >= m_drainEndsAt
         || (isAcceptPeriodOver && isIdle
             && elapsed >= m_settings.drain.acceptPeriod + flushPeriod)) {
         record({.code = isIdle ? EventCode::DrainComplete : EventCode::DrainCut,
--- a/src/daemon/relaydaemon.h
+++ b/src/daemon/relaydaemon.h
@@ -50,7 +50,7 @@
     //! Runs one iteration of the event loop; returns false once the daemon has shut down.
     bool runOnce();
 
-    //! Starts draining; a second call ends all remaining requests at once.
+    //! Starts draining; a second call answers or aborts all remaining requests at once.
     void requestStop();
 
     //! Applies the settings that may change at run time; all others are ignored.
@@ -111,6 +111,7 @@
     bool m_isExecuting = false;
     bool m_wasReady = false;
     std::optional<model::TimePoint> m_drainingSince;
+    model::TimePoint m_drainEndsAt = model::TimePoint::max();
     bool m_isFinished = false;
 };
 
