Relay: log what a lost attempt is counted by; incident of the deadly prompt part

Cause: the logs could not tell whether crash reports missed a common cause (hypothesis 1 of docs/incidents/deadly-prompt-part.md), travelled late, or came after a request had passed its admission.

No logic changed.

--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include "model/abslview.h"
 #include "relay/relaysystem.h"
@@ -23,6 +24,12 @@
 constexpr model::Duration emptyPoolRetryAfter = model::seconds(1);
 constexpr uint16_t conflictStatus = 409;
 
+std::string partNames(const std::vector<PromptPart> &parts)
+{
+    return absl::StrJoin(parts, ",",
+                         [](std::string *text, const PromptPart &part) { text->append(part.id); });
+}
+
 } // namespace
 
 void RelaySystem::startAttempt(Exchange &exchange, model::TimePoint now)
@@ -257,6 +264,9 @@
     }
     const pipeline::CrashReport report {.fingerprint = exchange.arrived.fingerprint,
                                         .upstream = upstream};
+    record(EventCode::RequestStruck, exchange, upstream.text(),
+           absl::StrCat("fingerprint=", absl::Hex(report.fingerprint.value()),
+                        " parts=", partNames(exchange.arrived.promptParts)));
     m_commands.emplace_back(PublishCrashReport {.report = report});
     if (m_quarantine.addCrashReport(report, now)) {
         record(EventCode::RequestQuarantined, exchange, upstream.text(),
