Relay: quarantine parts of prompts that crash upstreams

Cause: crash reports were counted by a fingerprint of host, target, account key and body, so requests that are never alike never reached three reports. Same cause elsewhere: quarantine was checked on arrival only, so a request that waited in its stages, or was retried or resumed, was passed on after the verdict; that held for identical requests too. The pipeline daemon (src/pipeline) has no prompts; its fingerprint stays.

Change: a lost connection counts against each shared part (all but the last) of a prompt whose answer had not begun, or had begun less than 1 s before. Three upstreams, with at least 1 s between the first and the last crash and no complete answer in between, quarantine the part: its requests are refused at once as not run, those in stages end, attempts without an answer are cancelled, streams are not resumed. A complete answer proves a part sound and clears it, also in quarantine. A crash that a quarantined part explains counts against no other part. Daemons exchange reports, verdicts and answers that cleared a suspected part (facts 5 and 6), so that one that starts knows them.

Tests: relay_test, quarantinetest.cpp (eight cases; they use calls that the code before does not have, so they were not built on it), fleetcodectest. An existing case of exchangetest expected an attempt of a quarantined request to go on; it now expects its end and refusal, and the refusal after it as before.

--- a/src/core/internal/core.cpp
+++ b/src/core/internal/core.cpp
@@ -300,7 +300,7 @@
 void Core::applyFleetUpdates(model::TimePoint now)
 {
     const fleet::FleetUpdates updates = m_fleet.takeUpdates();
-    for (const fleet::CrashFact &crash : updates.crashes) {
+    for (const auto &[crash, age] : updates.crashes) {
         const bool isQuarantined = m_requests.onPeerCrashReport(
             {.fingerprint = crash.fingerprint, .upstream = crash.upstream}, now);
         if (isQuarantined) {
--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -230,7 +230,16 @@
             [this](const relay::AnswerPeer &answer) { m_peerJobs->answer(answer); },
             [this](const relay::PublishCrashReport &publish) {
                 m_fleet->publish(fleet::CrashFact {.fingerprint = publish.report.fingerprint,
-                                                   .upstream = publish.report.upstream},
+                                                   .upstream = publish.report.upstream,
+                                                   .parts = publish.parts},
+                                 net::EventLoop::now());
+            },
+            [this](const relay::PublishDeadlyPart &publish) {
+                m_fleet->publish(fleet::DeadlyPartFact {.part = publish.part},
+                                 net::EventLoop::now());
+            },
+            [this](const relay::PublishSoundPart &publish) {
+                m_fleet->publish(fleet::SoundPartFact {.part = publish.part},
                                  net::EventLoop::now());
             },
             [this](const relay::ReleaseResults &release) {
--- a/src/daemon/internal/relayfleet.cpp
+++ b/src/daemon/internal/relayfleet.cpp
@@ -13,6 +13,8 @@
 
 //! Minimum interval between two fetches of a newer configuration from a peer.
 constexpr model::Duration configurationFetchInterval = model::milliseconds(300);
+//! A crash report that is older when it arrives does not count against parts of prompts.
+constexpr model::Duration maxPartCrashAge = model::seconds(5);
 //! Callers read no more entries than this from one answer.
 constexpr size_t maxEntries = 64;
 
@@ -30,10 +32,7 @@
                    command);
     }
     const fleet::FleetUpdates updates = m_fleet->takeUpdates();
-    for (const fleet::CrashFact &crash : updates.crashes) {
-        m_relay->onPeerCrashReport({.fingerprint = crash.fingerprint, .upstream = crash.upstream},
-                                   now);
-    }
+    applyCrashFacts(updates, now);
     if (!updates.newerConfigurations.empty() && now >= m_nextConfigurationFetch) {
         m_nextConfigurationFetch = now + configurationFetchInterval;
         const fleet::NewerConfiguration &newer = updates.newerConfigurations.back();
@@ -42,6 +41,24 @@
     refreshPeers();
 }
 
+void RelayDaemon::applyCrashFacts(const fleet::FleetUpdates &updates, model::TimePoint now)
+{
+    for (const auto &[crash, age] : updates.crashes) {
+        m_relay->onPeerCrashReport({.fingerprint = crash.fingerprint, .upstream = crash.upstream},
+                                   now);
+        // The answers that cleared the parts since then are not known.
+        if (age <= maxPartCrashAge) {
+            m_relay->onPeerPartCrash({.parts = crash.parts, .upstream = crash.upstream}, now);
+        }
+    }
+    for (const auto &[deadly, age] : updates.deadlyParts) {
+        m_relay->onPeerDeadlyPart(deadly.part, age, now);
+    }
+    for (const auto &[sound, age] : updates.soundParts) {
+        m_relay->onPeerSoundPart(sound.part, age, now);
+    }
+}
+
 void RelayDaemon::refreshPeers()
 {
     const uint64_t digest = m_fleet->members().digest();
--- a/src/fleet/fact.h
+++ b/src/fleet/fact.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "health/healthstate.h"
 #include "model/ids.h"
@@ -17,6 +18,8 @@
 struct CrashFact {
     model::Fingerprint fingerprint;
     model::UpstreamId upstream;
+    //! Fingerprints of the prompt parts that may have caused it; empty if none is suspected.
+    std::vector<model::Fingerprint> parts;
 
     friend auto operator<=>(const CrashFact &, const CrashFact &) = default;
 };
@@ -54,7 +57,22 @@
     friend auto operator<=>(const LeavingFact &, const LeavingFact &) = default;
 };
 
-using FactBody = std::variant<CrashFact, ReturnFact, DemandFact, LoadFact, LeavingFact>;
+//! Requests with this part of a prompt crash upstreams.
+struct DeadlyPartFact {
+    model::Fingerprint part;
+
+    friend auto operator<=>(const DeadlyPartFact &, const DeadlyPartFact &) = default;
+};
+
+//! A request with this part of a prompt, which had been suspected, was answered completely.
+struct SoundPartFact {
+    model::Fingerprint part;
+
+    friend auto operator<=>(const SoundPartFact &, const SoundPartFact &) = default;
+};
+
+using FactBody = std::variant<CrashFact, ReturnFact, DemandFact, LoadFact, LeavingFact,
+                              DeadlyPartFact, SoundPartFact>;
 
 //! Identifies the subject of a fact; a newer fact replaces an older one with the same key.
 struct FactKey {
--- a/src/fleet/fleetsystem.h
+++ b/src/fleet/fleetsystem.h
@@ -27,9 +27,20 @@
     friend auto operator<=>(const NewerConfiguration &, const NewerConfiguration &) = default;
 };
 
+//! A fact of another daemon.
+template<typename Body>
+struct Received {
+    Body body;
+    model::Duration age {}; //!< Time since its publication.
+
+    friend auto operator<=>(const Received &, const Received &) = default;
+};
+
 //! Information received since the last call of FleetSystem::takeUpdates().
 struct FleetUpdates {
-    std::vector<CrashFact> crashes;
+    std::vector<Received<CrashFact>> crashes;
+    std::vector<Received<DeadlyPartFact>> deadlyParts;
+    std::vector<Received<SoundPartFact>> soundParts;
     std::vector<LeavingFact> leavingUpstreams;
     std::vector<NewerConfiguration> newerConfigurations;
 };
--- a/src/fleet/internal/fact.cpp
+++ b/src/fleet/internal/fact.cpp
@@ -11,21 +11,25 @@
 constexpr model::Duration crashReportLifetime = model::seconds(60);
 constexpr model::Duration returnLifetime = model::seconds(30);
 constexpr model::Duration leavingLifetime = model::seconds(60);
+//! As long as a quarantine, so that daemons that start meanwhile know of it and of its end.
+constexpr model::Duration deadlyPartLifetime = model::seconds(600);
 constexpr model::Duration demandAndLoadLifetime = model::seconds(15);
 
 std::string subjectOf(const FactBody &body)
 {
-    return std::visit(model::Overloaded {
-                          [](const CrashFact &crash) {
-                              return std::to_string(crash.fingerprint.value()) + "/"
-                                     + crash.upstream.text();
-                          },
-                          [](const ReturnFact &upstream) { return upstream.upstream.text(); },
-                          [](const DemandFact &demand) { return demand.account.text(); },
-                          [](const LoadFact &) { return std::string(); },
-                          [](const LeavingFact &leaving) { return leaving.upstream.text(); },
-                      },
-                      body);
+    return std::visit(
+        model::Overloaded {
+            [](const CrashFact &crash) {
+                return std::to_string(crash.fingerprint.value()) + "/" + crash.upstream.text();
+            },
+            [](const ReturnFact &upstream) { return upstream.upstream.text(); },
+            [](const DemandFact &demand) { return demand.account.text(); },
+            [](const LoadFact &) { return std::string(); },
+            [](const LeavingFact &leaving) { return leaving.upstream.text(); },
+            [](const DeadlyPartFact &deadly) { return std::to_string(deadly.part.value()); },
+            [](const SoundPartFact &sound) { return std::to_string(sound.part.value()); },
+        },
+        body);
 }
 
 } // namespace
@@ -43,6 +47,8 @@
                           [](const DemandFact &) { return demandAndLoadLifetime; },
                           [](const LoadFact &) { return demandAndLoadLifetime; },
                           [](const LeavingFact &) { return leavingLifetime; },
+                          [](const DeadlyPartFact &) { return deadlyPartLifetime; },
+                          [](const SoundPartFact &) { return deadlyPartLifetime; },
                       },
                       fact.body);
 }
@@ -51,13 +57,17 @@
 {
     return std::holds_alternative<CrashFact>(fact.body)
            || std::holds_alternative<ReturnFact>(fact.body)
-           || std::holds_alternative<LeavingFact>(fact.body);
+           || std::holds_alternative<LeavingFact>(fact.body)
+           || std::holds_alternative<DeadlyPartFact>(fact.body)
+           || std::holds_alternative<SoundPartFact>(fact.body);
 }
 
 bool isUrgent(const Fact &fact)
 {
     const bool isAlwaysUrgent = std::holds_alternative<CrashFact>(fact.body)
-                                || std::holds_alternative<LeavingFact>(fact.body);
+                                || std::holds_alternative<LeavingFact>(fact.body)
+                                || std::holds_alternative<DeadlyPartFact>(fact.body)
+                                || std::holds_alternative<SoundPartFact>(fact.body);
     if (isAlwaysUrgent) {
         return true;
     }
--- a/src/fleet/internal/fleetsystem.cpp
+++ b/src/fleet/internal/fleetsystem.cpp
@@ -326,7 +326,13 @@
     queueFact(keyOf(fact));
     m_hasUrgentUpdates = m_hasUrgentUpdates || isUrgent(fact);
     if (const auto *crash = std::get_if<CrashFact>(&fact.body)) {
-        m_updates.crashes.push_back(*crash);
+        m_updates.crashes.push_back({.body = *crash, .age = fact.age});
+    }
+    if (const auto *deadly = std::get_if<DeadlyPartFact>(&fact.body)) {
+        m_updates.deadlyParts.push_back({.body = *deadly, .age = fact.age});
+    }
+    if (const auto *sound = std::get_if<SoundPartFact>(&fact.body)) {
+        m_updates.soundParts.push_back({.body = *sound, .age = fact.age});
     }
     if (const auto *leaving = std::get_if<LeavingFact>(&fact.body)) {
         m_updates.leavingUpstreams.push_back(*leaving);
--- a/src/net/internal/fleetcodec.cpp
+++ b/src/net/internal/fleetcodec.cpp
@@ -14,6 +14,7 @@
 constexpr const char *methodName = "exchange";
 constexpr Json::ArrayIndex maxMembers = 5000;
 constexpr Json::ArrayIndex maxFacts = 5000;
+constexpr Json::ArrayIndex maxCrashParts = 64;
 constexpr size_t maxNameLength = 128;
 
 //! Reads typed values and records whether all of them were present and valid.
@@ -148,6 +149,11 @@
                    [&](const fleet::CrashFact &crash) {
                        value.append(Json::UInt64(crash.fingerprint.value()));
                        value.append(crash.upstream.text());
+                       Json::Value parts(Json::arrayValue);
+                       for (const model::Fingerprint part : crash.parts) {
+                           parts.append(Json::UInt64(part.value()));
+                       }
+                       value.append(std::move(parts));
                    },
                    [&](const fleet::ReturnFact &upstream) {
                        value.append(upstream.upstream.text());
@@ -164,22 +170,37 @@
                        value.append(leaving.upstream.text());
                        value.append(Json::UInt64(leaving.incarnation));
                    },
+                   [&](const fleet::DeadlyPartFact &deadly) {
+                       value.append(Json::UInt64(deadly.part.value()));
+                   },
+                   [&](const fleet::SoundPartFact &sound) {
+                       value.append(Json::UInt64(sound.part.value()));
+                   },
                },
                body);
     return value;
 }
 
+fleet::CrashFact decodeCrash(const Json::Value &value, FieldReader &reader)
+{
+    fleet::CrashFact crash {.fingerprint = model::Fingerprint(reader.number(value[0])),
+                            .upstream = model::UpstreamId(reader.text(value[1]))};
+    for (const Json::Value &part : reader.list(value[2], maxCrashParts)) {
+        crash.parts.emplace_back(reader.number(part));
+    }
+    return crash;
+}
+
 fleet::FactBody decodeBody(uint32_t kind, const Json::Value &input, FieldReader &reader)
 {
-    constexpr std::array<Json::ArrayIndex, 5> fieldCounts = {2, 4, 2, 1, 2};
+    constexpr std::array<Json::ArrayIndex, 7> fieldCounts = {3, 4, 2, 1, 2, 1, 1};
     const Json::Value &value = reader.fields(input, fieldCounts[kind]);
     if (value.empty()) {
         return fleet::LoadFact {};
     }
     switch (kind) {
     case 0:
-        return fleet::CrashFact {.fingerprint = model::Fingerprint(reader.number(value[0])),
-                                 .upstream = model::UpstreamId(reader.text(value[1]))};
+        return decodeCrash(value, reader);
     case 1:
         return fleet::ReturnFact {.upstream = model::UpstreamId(reader.text(value[0])),
                                   .state = static_cast<health::HealthState>(
@@ -192,6 +213,10 @@
     case 4:
         return fleet::LeavingFact {.upstream = model::UpstreamId(reader.text(value[0])),
                                    .incarnation = reader.number(value[1])};
+    case 5:
+        return fleet::DeadlyPartFact {.part = model::Fingerprint(reader.number(value[0]))};
+    case 6:
+        return fleet::SoundPartFact {.part = model::Fingerprint(reader.number(value[0]))};
     default:
         return fleet::LoadFact {.percent = reader.smallNumber(value[0], 100)};
     }
--- a/src/net/tests/fleetcodectest.cpp
+++ b/src/net/tests/fleetcodectest.cpp
@@ -38,7 +38,10 @@
     message.members = {member};
     message.facts
         = {fact(fleet::CrashFact {.fingerprint = model::Fingerprint(UINT64_MAX - 1),
-                                  .upstream = model::UpstreamId("u1")}),
+                                  .upstream = model::UpstreamId("u1"),
+                                  .parts = {model::Fingerprint(7), model::Fingerprint(8)}}),
+           fact(fleet::DeadlyPartFact {.part = model::Fingerprint(7)}),
+           fact(fleet::SoundPartFact {.part = model::Fingerprint(8)}),
            fact(fleet::ReturnFact {.upstream = model::UpstreamId("u1"),
                                    .state = health::HealthState::Ramping,
                                    .rampStep = 2,
--- a/src/observability/event.h
+++ b/src/observability/event.h
@@ -49,6 +49,7 @@
     RequestQuarantined = 408,
     StreamResumed = 409,
     CallerLeft = 410,
+    QuarantineEnded = 411,
     MemberJoined = 501,
     MemberSuspected = 502,
     MemberDead = 503,
--- a/src/observability/internal/event.cpp
+++ b/src/observability/internal/event.cpp
@@ -48,6 +48,7 @@
     EventDescription {RequestQuarantined, Error, "request-quarantined"},
     EventDescription {StreamResumed, Info, "stream-resumed"},
     EventDescription {CallerLeft, Debug, "caller-left"},
+    EventDescription {QuarantineEnded, Info, "quarantine-ended"},
     EventDescription {MemberJoined, Info, "member-joined"},
     EventDescription {MemberSuspected, Warning, "member-suspected"},
     EventDescription {MemberDead, Warning, "member-dead"},
--- a/src/pipeline/internal/quarantinetable.cpp
+++ b/src/pipeline/internal/quarantinetable.cpp
@@ -1,6 +1,7 @@
 #include "pipeline/quarantinetable.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace citronpick::pipeline
 {
@@ -12,38 +13,58 @@
 
 } // namespace
 
-QuarantineTable::QuarantineTable(uint32_t crashesToQuarantine, model::Duration crashReportLifetime,
-                                 model::Duration quarantineLifetime)
-    : m_crashesToQuarantine(crashesToQuarantine)
-    , m_crashReportLifetime(crashReportLifetime)
-    , m_quarantineLifetime(quarantineLifetime)
+QuarantineTable::QuarantineTable(QuarantineOptions options)
+    : m_options(options)
 {
 }
 
-bool QuarantineTable::addCrashReport(const CrashReport &report, model::TimePoint now)
+// Returns the row of the fingerprint; a row that has expired starts anew.
+QuarantineTable::Row &QuarantineTable::insert(model::Fingerprint fingerprint, model::TimePoint now)
 {
-    const bool isKnown = m_rows.contains(report.fingerprint);
-    Row &row = m_rows[report.fingerprint];
-    if (!isKnown) {
-        m_order.push_back(report.fingerprint);
+    if (!m_rows.contains(fingerprint)) {
+        m_order.push_back(fingerprint);
+        while (m_order.size() > maxRows) {
+            m_rows.erase(m_order.front());
+            m_order.pop_front();
+        }
     }
+    Row &row = m_rows[fingerprint];
     if (row.expiresAt <= now) {
         row = Row {};
     }
-    const bool isNew = std::find(row.upstreams.begin(), row.upstreams.end(), report.upstream)
-                       == row.upstreams.end();
-    if (isNew) {
+    return row;
+}
+
+bool QuarantineTable::addCrashReport(const CrashReport &report, model::TimePoint now)
+{
+    Row &row = insert(report.fingerprint, now);
+    if (row.upstreams.empty()) {
+        row.firstReportAt = now;
+    }
+    if (std::find(row.upstreams.begin(), row.upstreams.end(), report.upstream)
+        == row.upstreams.end()) {
         row.upstreams.push_back(report.upstream);
     }
-    const bool isEnough = row.upstreams.size() >= m_crashesToQuarantine;
-    const bool isNewlyQuarantined = isEnough && !row.isQuarantined;
-    row.isQuarantined = isEnough;
-    row.expiresAt = now + (isEnough ? m_quarantineLifetime : m_crashReportLifetime);
-    while (m_order.size() > maxRows) {
-        m_rows.erase(m_order.front());
-        m_order.pop_front();
+    const bool isEnough = row.upstreams.size() >= m_options.crashesToQuarantine
+                          && now - row.firstReportAt >= m_options.minCrashSpan;
+    if (isEnough) {
+        return quarantine(report.fingerprint, now);
+    }
+    if (!row.isQuarantined) {
+        row.expiresAt = now + m_options.crashReportLifetime;
+    }
+    return false;
+}
+
+bool QuarantineTable::quarantine(model::Fingerprint fingerprint, model::TimePoint at)
+{
+    Row &row = insert(fingerprint, at);
+    if (at < row.releasedAt) {
+        return false;
     }
-    return isNewlyQuarantined;
+    row.quarantinedAt = std::max(row.quarantinedAt, at);
+    row.expiresAt = row.quarantinedAt + m_options.quarantineLifetime;
+    return !std::exchange(row.isQuarantined, true);
 }
 
 void QuarantineTable::clear(model::Fingerprint fingerprint)
@@ -55,6 +76,19 @@
     }
 }
 
+QuarantineState QuarantineTable::release(model::Fingerprint fingerprint, model::TimePoint at)
+{
+    const auto it = m_rows.find(fingerprint);
+    if (it == m_rows.end() || it->second.expiresAt <= at || at < it->second.quarantinedAt) {
+        return {};
+    }
+    Row &row = it->second;
+    const QuarantineState removed {.crashes = row.upstreams.size(),
+                                   .isQuarantined = row.isQuarantined};
+    row = {.releasedAt = at, .expiresAt = at + m_options.crashReportLifetime};
+    return removed;
+}
+
 bool QuarantineTable::isCrashSuspect(model::Fingerprint fingerprint, model::TimePoint now) const
 {
     return find(fingerprint, now) != nullptr;
@@ -82,7 +116,8 @@
 {
     const auto it = m_rows.find(fingerprint);
     const bool isKeyValid = it != m_rows.end() && it->second.expiresAt > now;
-    return isKeyValid && !it->second.upstreams.empty() ? &it->second : nullptr;
+    const bool isKnown = isKeyValid && (it->second.isQuarantined || !it->second.upstreams.empty());
+    return isKnown ? &it->second : nullptr;
 }
 
 } // namespace citronpick::pipeline
--- a/src/pipeline/quarantinetable.h
+++ b/src/pipeline/quarantinetable.h
@@ -25,22 +25,45 @@
     friend auto operator<=>(const CrashReport &, const CrashReport &) = default;
 };
 
-//! Crash reports and quarantine of requests that may crash upstreams, by request fingerprint.
+//! What is known of a fingerprint.
+struct QuarantineState {
+    size_t crashes = 0; //!< Number of upstreams that failed.
+    bool isQuarantined = false;
+
+    friend auto operator<=>(const QuarantineState &, const QuarantineState &) = default;
+};
+
+struct QuarantineOptions {
+    uint32_t crashesToQuarantine = 3; //!< Number of upstreams that have to fail.
+    //! Minimum time between the first and the last of these failures.
+    model::Duration minCrashSpan {};
+    model::Duration crashReportLifetime = model::seconds(60);
+    model::Duration quarantineLifetime = model::seconds(600);
+};
+
+//! Crash reports and quarantine of what may crash upstreams: requests, or parts of their prompts.
 class QuarantineTable
 {
 public:
-    QuarantineTable(uint32_t crashesToQuarantine, model::Duration crashReportLifetime,
-                    model::Duration quarantineLifetime);
+    explicit QuarantineTable(QuarantineOptions options);
 
     //! Returns true when this report puts the fingerprint into quarantine.
     bool addCrashReport(const CrashReport &report, model::TimePoint now);
 
+    //! Puts the fingerprint into quarantine as of \a at. Returns false if it already was, or if it
+    //! was released later.
+    bool quarantine(model::Fingerprint fingerprint, model::TimePoint at);
+
     /*!
      * Removes the crash reports of a fingerprint that is not in quarantine. Called when a request
      * with this fingerprint was answered, because the crashes then had another cause.
      */
     void clear(model::Fingerprint fingerprint);
 
+    //! Removes the crash reports of a fingerprint and ends its quarantine unless it began after
+    //! \a at. Returns what was removed.
+    QuarantineState release(model::Fingerprint fingerprint, model::TimePoint at);
+
     bool isCrashSuspect(model::Fingerprint fingerprint, model::TimePoint now) const;
     //! Time left in quarantine; empty when the fingerprint is not in quarantine.
     std::optional<model::Duration> remaining(model::Fingerprint fingerprint,
@@ -55,15 +78,17 @@
 private:
     struct Row {
         std::vector<model::UpstreamId> upstreams;
+        model::TimePoint firstReportAt;
+        model::TimePoint quarantinedAt;
+        model::TimePoint releasedAt;
         model::TimePoint expiresAt;
         bool isQuarantined = false;
     };
 
     const Row *find(model::Fingerprint fingerprint, model::TimePoint now) const;
+    Row &insert(model::Fingerprint fingerprint, model::TimePoint now);
 
-    uint32_t m_crashesToQuarantine;
-    model::Duration m_crashReportLifetime {};
-    model::Duration m_quarantineLifetime {};
+    QuarantineOptions m_options;
     absl::flat_hash_map<model::Fingerprint, Row> m_rows;
     std::deque<model::Fingerprint> m_order;
 };
--- a/src/relay/internal/relayanswers.cpp
+++ b/src/relay/internal/relayanswers.cpp
@@ -29,6 +29,7 @@
         return;
     }
     it->second.facts = facts;
+    it->second.beganAt = now;
     Exchange &exchange = *find(it->second.request);
     if (!facts.isSuccess() || !isStream(exchange.route->kind)) {
         return;
--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -1,7 +1,6 @@
 #include <algorithm>
 
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_join.h>
 
 #include "model/abslview.h"
 #include "relay/relaysystem.h"
@@ -24,17 +23,15 @@
 constexpr model::Duration emptyPoolRetryAfter = model::seconds(1);
 constexpr uint16_t conflictStatus = 409;
 
-std::string partNames(const std::vector<PromptPart> &parts)
-{
-    return absl::StrJoin(parts, ",",
-                         [](std::string *text, const PromptPart &part) { text->append(part.id); });
-}
-
 } // namespace
 
 void RelaySystem::startAttempt(Exchange &exchange, model::TimePoint now)
 {
     const model::RequestId id = exchange.arrived.request;
+    if (isQuarantined(exchange, now)) {
+        refuseAfterCrash(exchange);
+        return;
+    }
     const std::vector<ResultHandle> inputs = exchange.plan.finalResults();
     const bool isTooLate
         = isStream(exchange.route->kind) && !exchange.isAnswerStarted
@@ -167,7 +164,7 @@
         return;
     }
     m_directory.noteSuccess(attempt.upstream);
-    m_quarantine.clear(exchange.arrived.fingerprint);
+    addAnswer(exchange, attempt.upstream, now);
     ++m_counters.answersForwarded;
     m_counters.answers.add(now - exchange.arrived.startedAt);
     record(EventCode::AnswerPassed, exchange, attempt.upstream.text(),
@@ -227,8 +224,13 @@
     record(EventCode::AttemptLost, exchange, attempt.upstream.text(),
            absl::StrCat("why=", model::toAbsl(toString(failure)),
                         " afterMs=", model::toMilliseconds(now - attempt.startedAt)));
+    const bool isQuarantineNew
+        = failure == AttemptFailure::Broken && addCrashReport(exchange, attempt, now);
     if (failure != AttemptFailure::NotSent) {
         onAnswerLost(exchange, attempt.upstream, failure, now);
+        if (isQuarantineNew) {
+            refuseQuarantined(now);
+        }
         return;
     }
     onAttemptNotSent(exchange, attempt.upstream, now);
@@ -254,43 +256,17 @@
     }
 }
 
-// A connection can break because the request crashed the upstream. Crash reports for identical
-// requests are counted, so that a request that crashes every upstream is quarantined.
-void RelaySystem::addCrashReport(const Exchange &exchange, const model::UpstreamId &upstream,
-                                 model::TimePoint now)
-{
-    if (exchange.arrived.fingerprint.value() == 0) {
-        return;
-    }
-    const pipeline::CrashReport report {.fingerprint = exchange.arrived.fingerprint,
-                                        .upstream = upstream};
-    record(EventCode::RequestStruck, exchange, upstream.text(),
-           absl::StrCat("fingerprint=", absl::Hex(report.fingerprint.value()),
-                        " parts=", partNames(exchange.arrived.promptParts)));
-    m_commands.emplace_back(PublishCrashReport {.report = report});
-    if (m_quarantine.addCrashReport(report, now)) {
-        record(EventCode::RequestQuarantined, exchange, upstream.text(),
-               absl::StrCat("fingerprint=", absl::Hex(report.fingerprint.value())));
-    }
-}
-
 // An upstream may have run the request, but its answer was lost.
 void RelaySystem::onAnswerLost(Exchange &exchange, const model::UpstreamId &upstream,
                                AttemptFailure failure, model::TimePoint now)
 {
     const model::RequestId id = exchange.arrived.request;
     exchange.mayHaveRun = true;
-    if (failure == AttemptFailure::Broken) {
-        addCrashReport(exchange, upstream, now);
-    }
-    if (m_quarantine.remaining(exchange.arrived.fingerprint, now) && !exchange.isAnswerStarted) {
-        refuse(id, Refusal::UpstreamFailed, model::Duration::zero());
-        return;
-    }
     // A large answer that was forwarded in part cannot be continued with another upstream's answer.
     const bool canContinue
         = !exchange.isAnswerStarted || exchange.route->kind == RequestKind::ResumableStream;
-    if (canContinue && mayRepeat(exchange.route->kind) && acquireRetry(exchange, now)) {
+    if (canContinue && !isQuarantined(exchange, now) && mayRepeat(exchange.route->kind)
+        && acquireRetry(exchange, now)) {
         ++(exchange.isAnswerStarted ? m_counters.resumes : m_counters.retries);
         record(EventCode::AttemptRetried, exchange, upstream.text(),
                absl::StrCat("why=", model::toAbsl(toString(failure)),
--- /dev/null
+++ b/src/relay/internal/relayquarantine.cpp
@@ -0,0 +1,171 @@
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
+#include "model/abslview.h"
+#include "relay/relaysystem.h"
+
+// The part of RelaySystem that keeps requests that crash upstreams from reaching further ones.
+
+namespace citronpick::relay
+{
+
+using observability::EventCode;
+
+namespace
+{
+
+//! An upstream that a request crashes ends shortly after it has begun to answer. A request whose
+//! answer began earlier than this before the crash is not its cause.
+constexpr model::Duration crashDelay = model::seconds(1);
+
+std::string partNames(const std::vector<PromptPart> &parts)
+{
+    return absl::StrJoin(parts, ",",
+                         [](std::string *text, const PromptPart &part) { text->append(part.id); });
+}
+
+std::string hexNames(const PartFingerprints &parts)
+{
+    return absl::StrJoin(parts, ",", [](std::string *text, model::Fingerprint part) {
+        absl::StrAppend(text, absl::Hex(part.value()));
+    });
+}
+
+} // namespace
+
+bool RelaySystem::isQuarantined(const Exchange &exchange, model::TimePoint now) const
+{
+    return m_quarantine.remaining(exchange.arrived.fingerprint, now)
+           || m_partQuarantine.isQuarantined(exchange.sharedParts, now);
+}
+
+// A connection can break because the request crashed the upstream. Crash reports are counted for
+// identical requests and for each part of the prompt, as different requests may share the part that
+// crashes upstreams.
+bool RelaySystem::addCrashReport(const Exchange &exchange, const Attempt &attempt,
+                                 model::TimePoint now)
+{
+    if (exchange.arrived.fingerprint.value() == 0) {
+        return false;
+    }
+    const pipeline::CrashReport report {.fingerprint = exchange.arrived.fingerprint,
+                                        .upstream = attempt.upstream};
+    const bool mayBeCause = !attempt.beganAt || now - *attempt.beganAt <= crashDelay;
+    const PartCrash partCrash {.parts = mayBeCause ? exchange.sharedParts : PartFingerprints(),
+                               .upstream = attempt.upstream};
+    record(EventCode::RequestStruck, exchange, attempt.upstream.text(),
+           absl::StrCat("fingerprint=", absl::Hex(report.fingerprint.value()),
+                        " parts=", partNames(exchange.arrived.promptParts),
+                        " hashes=", hexNames(partCrash.parts), " beganMs=",
+                        attempt.beganAt ? model::toMilliseconds(now - *attempt.beganAt) : -1));
+    m_commands.emplace_back(PublishCrashReport {.report = report, .parts = partCrash.parts});
+    const bool isRequestQuarantined = m_quarantine.addCrashReport(report, now);
+    if (isRequestQuarantined) {
+        record(EventCode::RequestQuarantined, exchange, attempt.upstream.text(),
+               absl::StrCat("fingerprint=", absl::Hex(report.fingerprint.value())));
+    }
+    const PartFingerprints quarantined = m_partQuarantine.addCrash(partCrash, now);
+    recordQuarantine(quarantined, attempt.upstream, "own");
+    for (const model::Fingerprint part : quarantined) {
+        m_commands.emplace_back(PublishDeadlyPart {.part = part});
+    }
+    return isRequestQuarantined || !quarantined.empty();
+}
+
+void RelaySystem::addAnswer(const Exchange &exchange, const model::UpstreamId &upstream,
+                            model::TimePoint now)
+{
+    m_quarantine.clear(exchange.arrived.fingerprint);
+    for (const model::Fingerprint part : m_partQuarantine.addAnswer(exchange.sharedParts, now)) {
+        ++m_counters.releasedParts;
+        record(EventCode::QuarantineEnded, exchange, upstream.text(),
+               absl::StrCat("part=", absl::Hex(part.value()), " source=own"));
+        m_commands.emplace_back(PublishSoundPart {.part = part});
+    }
+}
+
+void RelaySystem::recordQuarantine(const PartFingerprints &parts, const model::UpstreamId &upstream,
+                                   std::string_view source)
+{
+    if (parts.empty()) {
+        return;
+    }
+    m_counters.quarantinedParts += parts.size();
+    m_commands.emplace_back(observability::Event {
+        .code = EventCode::RequestQuarantined,
+        .request = {},
+        .subject = upstream.text(),
+        .detail = absl::StrCat("parts=", hexNames(parts), " source=", model::toAbsl(source))});
+}
+
+void RelaySystem::onPeerCrashReport(const pipeline::CrashReport &report, model::TimePoint now)
+{
+    if (m_quarantine.addCrashReport(report, now)) {
+        refuseQuarantined(now);
+    }
+}
+
+void RelaySystem::onPeerPartCrash(const PartCrash &crash, model::TimePoint now)
+{
+    const PartFingerprints quarantined = m_partQuarantine.addCrash(crash, now);
+    if (!quarantined.empty()) {
+        recordQuarantine(quarantined, crash.upstream, "peer");
+        refuseQuarantined(now);
+    }
+}
+
+void RelaySystem::onPeerDeadlyPart(model::Fingerprint part, model::Duration age,
+                                   model::TimePoint now)
+{
+    if (m_partQuarantine.addFinding(part, now - age)) {
+        recordQuarantine({part}, {}, "finding");
+        refuseQuarantined(now);
+    }
+}
+
+void RelaySystem::onPeerSoundPart(model::Fingerprint part, model::Duration age,
+                                  model::TimePoint now)
+{
+    if (m_partQuarantine.addPeerAnswer(part, now - age)) {
+        ++m_counters.releasedParts;
+        m_commands.emplace_back(observability::Event {
+            .code = EventCode::QuarantineEnded,
+            .request = {},
+            .subject = {},
+            .detail = absl::StrCat("part=", absl::Hex(part.value()), " source=peer")});
+    }
+}
+
+// Ends requests that entered the daemon before the quarantine. An attempt that has not begun to
+// answer is cancelled, so that it does not crash its upstream too.
+void RelaySystem::refuseQuarantined(model::TimePoint now)
+{
+    std::vector<model::RequestId> affected;
+    for (const auto &[id, exchange] : m_exchanges) {
+        if (!exchange->isAnswerStarted && isQuarantined(*exchange, now)) {
+            affected.push_back(id);
+        }
+    }
+    std::sort(affected.begin(), affected.end());
+    for (const model::RequestId id : affected) {
+        refuseAfterCrash(*find(id));
+    }
+}
+
+void RelaySystem::refuseAfterCrash(Exchange &exchange)
+{
+    const model::RequestId id = exchange.arrived.request;
+    if (exchange.isAnswerStarted) {
+        ++m_counters.answersAborted;
+        record(EventCode::AnswerBroken, exchange, exchange.route->id.text(), "why=quarantined");
+        m_commands.emplace_back(AbortAnswer {.request = id});
+        closeExchange(id);
+        return;
+    }
+    exchange.mayHaveRun = exchange.mayHaveRun || exchange.attempt.value() != 0;
+    refuse(id, Refusal::Quarantined, model::Duration::zero());
+}
+
+} // namespace citronpick::relay
--- a/src/relay/internal/relaysystem.cpp
+++ b/src/relay/internal/relaysystem.cpp
@@ -97,7 +97,9 @@
     , m_chooser(m_directory, m_options.seed)
     , m_scheduler(m_directory)
     , m_budget(m_options.retries)
-    , m_quarantine(crashesToQuarantine, crashReportLifetime, quarantineLifetime)
+    , m_quarantine({.crashesToQuarantine = crashesToQuarantine,
+                    .crashReportLifetime = crashReportLifetime,
+                    .quarantineLifetime = quarantineLifetime})
 {
 }
 
@@ -185,7 +187,7 @@
     if (m_configuration->content().accounts && !exchange.route->isPublic && !account) {
         return Refusal::UnknownKey;
     }
-    if (m_quarantine.remaining(exchange.arrived.fingerprint, now)) {
+    if (isQuarantined(exchange, now)) {
         return Refusal::Quarantined;
     }
     if (account) {
@@ -223,6 +225,7 @@
     auto owned = std::make_unique<Exchange>();
     Exchange &exchange = *owned;
     exchange.arrived = std::move(request);
+    exchange.sharedParts = sharedParts(exchange.arrived.promptParts);
     m_exchanges.emplace(id, std::move(owned));
     if (const std::optional<Refusal> refusal = admit(exchange, now)) {
         const bool isStopping = *refusal == Refusal::Stopping;
@@ -359,11 +362,6 @@
     }
 }
 
-void RelaySystem::onPeerCrashReport(const pipeline::CrashReport &report, model::TimePoint now)
-{
-    m_quarantine.addCrashReport(report, now);
-}
-
 void RelaySystem::run(model::TimePoint now)
 {
     while (const auto request = m_timeouts.takeDue(now)) {
--- a/src/relay/relaycommands.h
+++ b/src/relay/relaycommands.h
@@ -8,6 +8,7 @@
 #include "observability/event.h"
 #include "pipeline/quarantinetable.h"
 #include "relay/batchscheduler.h"
+#include "relay/partquarantine.h"
 #include "relay/relayevents.h"
 
 namespace citronpick::relay
@@ -115,12 +116,24 @@
 //! Tell the other daemons that the connection to an upstream broke while it ran a request.
 struct PublishCrashReport {
     pipeline::CrashReport report;
+    PartFingerprints parts; //!< Parts of the request's prompt that may be the cause.
 };
 
-using RelayCommand = std::variant<StartAttempt, CancelAttempt, StartStream, ResumeStream,
-                                  FinishStream, ForwardAnswer, AbortAnswer, RefuseRequest, RunBatch,
-                                  CancelBatch, ForwardJob, CancelForwardedJob, AnswerPeer,
-                                  ReleaseResults, PublishCrashReport, observability::Event>;
+//! Tell the other daemons that requests with this part of a prompt crash upstreams.
+struct PublishDeadlyPart {
+    model::Fingerprint part;
+};
+
+//! Tell the other daemons that a request with this part, which had been suspected, was answered.
+struct PublishSoundPart {
+    model::Fingerprint part;
+};
+
+using RelayCommand
+    = std::variant<StartAttempt, CancelAttempt, StartStream, ResumeStream, FinishStream,
+                   ForwardAnswer, AbortAnswer, RefuseRequest, RunBatch, CancelBatch, ForwardJob,
+                   CancelForwardedJob, AnswerPeer, ReleaseResults, PublishCrashReport,
+                   PublishDeadlyPart, PublishSoundPart, observability::Event>;
 
 } // namespace citronpick::relay
 
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -11,6 +11,7 @@
 #include "model/timerqueue.h"
 #include "observability/histogram.h"
 #include "relay/batchscheduler.h"
+#include "relay/partquarantine.h"
 #include "relay/relaycommands.h"
 #include "relay/relayconfiguration.h"
 #include "relay/relayevents.h"
@@ -43,6 +44,8 @@
     uint64_t batchedPieces = 0;
     uint64_t forwardedJobs = 0;
     uint64_t stageRestarts = 0;
+    uint64_t quarantinedParts = 0;
+    uint64_t releasedParts = 0;
     observability::Histogram firstEvents; //!< From a request's arrival to its stream's first event.
     observability::Histogram answers; //!< From a request's arrival to the end of its answer.
 };
@@ -110,6 +113,12 @@
     void onForwardFailed(JobId job, model::TimePoint now);
     //! Another daemon reports that the connection to an upstream broke while it ran a request.
     void onPeerCrashReport(const pipeline::CrashReport &report, model::TimePoint now);
+    //! The same for the parts of that request's prompt.
+    void onPeerPartCrash(const PartCrash &crash, model::TimePoint now);
+    //! Another daemon found \a age ago that a part of prompts crashes upstreams.
+    void onPeerDeadlyPart(model::Fingerprint part, model::Duration age, model::TimePoint now);
+    //! Another daemon passed on an answer \a age ago to a request with a suspected part.
+    void onPeerSoundPart(model::Fingerprint part, model::Duration age, model::TimePoint now);
 
     //! Handles expired timeouts, runs the batch scheduler and checks the peers.
     void run(model::TimePoint now);
@@ -151,6 +160,7 @@
         uint32_t sentAttempts = 0; //!< Attempts that an upstream may have received.
         uint32_t unsentAttempts = 0; //!< Attempts that certainly reached no upstream.
         std::vector<model::UpstreamId> triedUpstreams;
+        PartFingerprints sharedParts; //!< Parts of the prompt that may crash upstreams.
         bool isAnswerStarted = false; //!< The head of a streamed answer was sent to the caller.
         model::TimePoint streamStartedAt; //!< When the head of a stream was sent to the caller.
         bool mayHaveRun = false; //!< An upstream may have started to run the request.
@@ -163,6 +173,7 @@
         model::TimePoint startedAt;
         model::TimePoint lastProgressAt; //!< When the last event of the answer was received.
         bool isPaused = false; //!< Not read, because the caller reads slowly.
+        std::optional<model::TimePoint> beganAt; //!< When the head of the answer was received.
         std::optional<AnswerFacts> facts;
     };
     //! Identifies the local request and stage for which a job runs.
@@ -251,12 +262,22 @@
     void onRefusedByUpstream(Exchange &exchange, const AnswerFacts &facts, model::TimePoint now);
     void onAttemptNotSent(Exchange &exchange, const model::UpstreamId &upstream,
                           model::TimePoint now);
-    void addCrashReport(const Exchange &exchange, const model::UpstreamId &upstream,
-                        model::TimePoint now);
     void onAnswerLost(Exchange &exchange, const model::UpstreamId &upstream, AttemptFailure failure,
                       model::TimePoint now);
     //! Whether another attempt is allowed; consumes one retry of the budget if so.
     bool acquireRetry(const Exchange &exchange, model::TimePoint now);
+
+    // Quarantine
+    bool isQuarantined(const Exchange &exchange, model::TimePoint now) const;
+    //! Returns whether the report puts something into quarantine.
+    bool addCrashReport(const Exchange &exchange, const Attempt &attempt, model::TimePoint now);
+    void addAnswer(const Exchange &exchange, const model::UpstreamId &upstream,
+                   model::TimePoint now);
+    void recordQuarantine(const PartFingerprints &parts, const model::UpstreamId &upstream,
+                          std::string_view source);
+    void refuseQuarantined(model::TimePoint now);
+    void refuseAfterCrash(Exchange &exchange);
+
     void releaseResults(std::vector<ResultHandle> handles);
     void closeExchange(model::RequestId request);
 
@@ -271,6 +292,7 @@
     BatchScheduler m_scheduler;
     RetryBudget m_budget;
     pipeline::QuarantineTable m_quarantine;
+    PartQuarantine m_partQuarantine;
     std::vector<PeerDaemon> m_peers;
     absl::flat_hash_map<model::DaemonId, model::TimePoint> m_peerAnsweredAt;
     absl::flat_hash_map<model::DaemonId, model::TimePoint> m_peerInquiredAt;
--- a/src/relay/tests/exchangetest.cpp
+++ b/src/relay/tests/exchangetest.cpp
@@ -349,6 +349,10 @@
     fixture.commands.clear();
     report("d");
     report("e");
+    fixture.collect();
+    // The attempt that was under way is ended before it crashes its upstream too.
+    CHECK(fixture.count<CancelAttempt>() == 1);
+    CHECK(fixture.take<RefuseRequest>().refusal == Refusal::UpstreamFailed);
     fixture.arrive("/once/x", "key", std::nullopt, 7);
     CHECK(fixture.take<RefuseRequest>().refusal == Refusal::Quarantined);
 }
--- /dev/null
+++ b/src/relay/tests/quarantinetest.cpp
@@ -0,0 +1,208 @@
+#include "relay/tests/relayfixture.h"
+
+using namespace citronpick;
+using namespace citronpick::relay;
+using namespace citronpick::relay::testing;
+
+namespace
+{
+
+//! Requests with prompts at a daemon with upstreams that may crash under them.
+struct PromptFixture : RelayFixture {
+    PromptFixture()
+        : RelayFixture(0)
+    {
+        constexpr int engines = 12;
+        for (int i = 0; i < engines; ++i) {
+            listUpstream(enginePool, absl::StrCat("e", i));
+        }
+        listUpstream(stagePool, "s0");
+    }
+
+    //! Sends a request with these shared parts; no two requests are alike.
+    model::RequestId prompt(const std::vector<std::string> &shared,
+                            const std::string &path = "/stream/x")
+    {
+        const model::RequestId id(++lastRequest);
+        ArrivedRequest request {.request = id,
+                                .callerId = model::CallerRequestId(absl::StrCat("c", id.value())),
+                                .host = "example",
+                                .path = path,
+                                .accountKey = "key",
+                                .startedAt = now,
+                                .pieceKey = "piece",
+                                .fingerprint = model::Fingerprint(1000 + id.value())};
+        for (const std::string &part : shared) {
+            request.promptParts.push_back({.id = part, .tokens = 100});
+        }
+        request.promptParts.push_back({.id = absl::StrCat("own", id.value()), .tokens = 100});
+        system.onRequestArrived(std::move(request), now);
+        collect();
+        return id;
+    }
+
+    //! Sends a request whose upstream crashes after it has begun to answer.
+    void crash(const std::vector<std::string> &shared)
+    {
+        prompt(shared);
+        const auto attempt = take<StartAttempt>();
+        head(attempt.attempt, success());
+        system.upstreams().remove(attempt.upstream);
+        fail(attempt.attempt, AttemptFailure::Broken);
+        advanceTime(model::milliseconds(600));
+    }
+
+    //! Sends a request that is answered.
+    void serve(const std::vector<std::string> &shared)
+    {
+        prompt(shared);
+        answer(take<StartAttempt>().attempt, success());
+    }
+
+    bool isRefused(const std::vector<std::string> &shared)
+    {
+        commands.clear();
+        prompt(shared);
+        return count<StartAttempt>() == 0 && take<RefuseRequest>().refusal == Refusal::Quarantined;
+    }
+
+    //! Reports of other daemons: requests with this part crashed these upstreams.
+    void reportCrashes(const std::string &part, const std::vector<std::string> &upstreams)
+    {
+        for (const std::string &upstream : upstreams) {
+            system.onPeerPartCrash(
+                {.parts = fingerprints({part}), .upstream = model::UpstreamId(upstream)}, now);
+        }
+        collect();
+    }
+
+    static PartFingerprints fingerprints(const std::vector<std::string> &shared)
+    {
+        std::vector<PromptPart> parts;
+        for (const std::string &part : shared) {
+            parts.push_back({.id = part});
+        }
+        parts.push_back({.id = "own"});
+        return sharedParts(parts);
+    }
+};
+
+} // namespace
+
+// Guards against one part of a prompt that crashes upstream after upstream: no two requests with it
+// are alike, so counting crashes of identical requests never ends them.
+TEST_CASE("Requests with a part that crashed three upstreams are refused, whatever else they hold")
+{
+    PromptFixture fixture;
+    fixture.crash({"common", "deadly"});
+    fixture.serve({"common", "sound"});
+    fixture.crash({"deadly", "other"});
+    fixture.crash({"common", "deadly"});
+    CHECK(fixture.count<PublishDeadlyPart>() >= 1);
+    CHECK(fixture.isRefused({"deadly"}));
+    CHECK(fixture.isRefused({"new", "deadly", "newer"}));
+    CHECK_FALSE(fixture.isRefused({"common", "sound"}));
+    CHECK_FALSE(fixture.isRefused({"other"}));
+}
+
+// Guards against crashes by requests that were accepted before their part was found out.
+TEST_CASE(
+    "Requests that wait in their stages or for an answer are ended when a part is quarantined")
+{
+    PromptFixture fixture;
+    fixture.prompt({"deadly"}, "/staged/x");
+    fixture.prompt({"deadly"}, "/stream/x");
+    const auto waiting = fixture.take<StartAttempt>();
+    fixture.reportCrashes("deadly", {"a", "b"});
+    fixture.advanceTime(milliseconds(1000));
+    fixture.reportCrashes("deadly", {"c"});
+    CHECK(fixture.take<CancelAttempt>().attempt == waiting.attempt);
+    CHECK(fixture.count<RefuseRequest>() == 2);
+    CHECK(guaranteesNotRun(fixture.take<RefuseRequest>().refusal));
+    CHECK_FALSE(guaranteesNotRun(fixture.take<RefuseRequest>().refusal));
+    CHECK(fixture.system.requestCount() == 0);
+}
+
+// Guards against a deadly part that is resumed or retried until no upstream is left.
+TEST_CASE("A stream with a quarantined part is not resumed on another upstream")
+{
+    PromptFixture fixture;
+    fixture.reportCrashes("deadly", {"a", "b"});
+    fixture.advanceTime(milliseconds(1000));
+    fixture.prompt({"deadly"}, "/resume/x");
+    const auto attempt = fixture.take<StartAttempt>();
+    fixture.head(attempt.attempt, RelayFixture::success());
+    fixture.fail(attempt.attempt, AttemptFailure::Broken, "1");
+    CHECK(fixture.count<StartAttempt>() == 0);
+    CHECK(fixture.count<AbortAnswer>() == 1);
+}
+
+// Guards against sound requests that are refused because they ran beside one that crashed their
+// upstream.
+TEST_CASE("A part is not suspected when its request had been answering for long before the crash")
+{
+    PromptFixture fixture;
+    for (int i = 0; i < 4; ++i) {
+        fixture.prompt({"sound"});
+        const auto attempt = fixture.take<StartAttempt>();
+        fixture.head(attempt.attempt, RelayFixture::success());
+        fixture.advanceTime(milliseconds(1100));
+        fixture.fail(attempt.attempt, AttemptFailure::Broken);
+    }
+    CHECK_FALSE(fixture.isRefused({"sound"}));
+}
+
+// Guards against sound requests that are refused because many upstreams failed at the same moment.
+TEST_CASE("Upstreams that crash together do not put the parts of their requests into quarantine")
+{
+    PromptFixture fixture;
+    fixture.reportCrashes("common", {"a", "b", "c", "d", "e"});
+    CHECK_FALSE(fixture.isRefused({"common"}));
+}
+
+// Guards against sound requests that stay refused: an answer proves that their part is sound.
+TEST_CASE("An answer clears the parts of its request, here and at the other daemons")
+{
+    PromptFixture fixture;
+    fixture.reportCrashes("common", {"a", "b"});
+    fixture.serve({"common"});
+    CHECK(fixture.take<PublishSoundPart>().part == PromptFixture::fingerprints({"common"}).front());
+    fixture.advanceTime(milliseconds(1000));
+    fixture.reportCrashes("common", {"c", "d"});
+    CHECK_FALSE(fixture.isRefused({"common"}));
+    fixture.advanceTime(milliseconds(1000));
+    fixture.reportCrashes("common", {"e"});
+    CHECK(fixture.isRefused({"common"}));
+    fixture.system.onPeerSoundPart(PromptFixture::fingerprints({"common"}).front(),
+                                   model::Duration::zero(), fixture.now);
+    CHECK_FALSE(fixture.isRefused({"common"}));
+}
+
+// Guards against a daemon that restarts and sends the part to upstreams again.
+TEST_CASE("A deadly part that another daemon found is refused at once unless answered since")
+{
+    PromptFixture fixture;
+    const model::Fingerprint part = PromptFixture::fingerprints({"deadly"}).front();
+    fixture.system.onPeerDeadlyPart(part, model::seconds(20), fixture.now);
+    CHECK(fixture.isRefused({"deadly"}));
+    fixture.system.onPeerSoundPart(part, model::seconds(30), fixture.now);
+    CHECK(fixture.isRefused({"deadly"}));
+    fixture.system.onPeerSoundPart(part, model::seconds(10), fixture.now);
+    CHECK_FALSE(fixture.isRefused({"deadly"}));
+}
+
+// Guards against sound parts that are refused because they came in requests with a deadly one.
+TEST_CASE("A crash that a quarantined part explains does not count against other parts")
+{
+    PromptFixture fixture;
+    fixture.reportCrashes("deadly", {"a", "b"});
+    fixture.advanceTime(milliseconds(1000));
+    fixture.reportCrashes("deadly", {"c"});
+    for (const char *upstream : {"d", "e", "f"}) {
+        fixture.system.onPeerPartCrash({.parts = PromptFixture::fingerprints({"rare", "deadly"}),
+                                        .upstream = model::UpstreamId(upstream)},
+                                       fixture.now);
+        fixture.advanceTime(milliseconds(600));
+    }
+    CHECK_FALSE(fixture.isRefused({"rare"}));
+}
