Fleet: a crash report is published once

Requests could be quarantined by crash reports that an answer had cleared.

Cause: FleetSystem refreshes each fact of its daemon after a third of its lifetime until it is withdrawn. A crash report was never withdrawn, so the others received it anew every 20 s for as long as its origin ran, and the table of facts grew with each lost connection. Class: a report of an event treated like a state.

Change: isRefreshed() tells events (crash reports, verdicts and answers on prompt parts) from states. Events expire after their lifetime.

--- a/src/fleet/fact.h
+++ b/src/fleet/fact.h
@@ -96,6 +96,10 @@
 
 FactKey keyOf(const Fact &fact);
 
+//! Whether the origin publishes the fact again before it expires, as long as it holds. Other facts
+//! tell of a single event.
+bool isRefreshed(const Fact &fact);
+
 //! Time after which a fact expires unless its origin publishes it again.
 model::Duration lifetimeOf(const Fact &fact);
 
--- a/src/fleet/internal/fact.cpp
+++ b/src/fleet/internal/fact.cpp
@@ -39,6 +39,14 @@
     return {.origin = fact.origin, .kind = fact.body.index(), .subject = subjectOf(fact.body)};
 }
 
+// A refreshed crash report would count again after an answer had cleared it.
+bool isRefreshed(const Fact &fact)
+{
+    return !std::holds_alternative<CrashFact>(fact.body)
+           && !std::holds_alternative<DeadlyPartFact>(fact.body)
+           && !std::holds_alternative<SoundPartFact>(fact.body);
+}
+
 model::Duration lifetimeOf(const Fact &fact)
 {
     return std::visit(model::Overloaded {
--- a/src/fleet/internal/fleetsystem.cpp
+++ b/src/fleet/internal/fleetsystem.cpp
@@ -82,7 +82,9 @@
                      .body = body};
     m_facts.apply(fact, now);
     const FactKey key = keyOf(fact);
-    m_ownFacts[key] = now;
+    if (isRefreshed(fact)) {
+        m_ownFacts[key] = now;
+    }
     queueFact(key);
     m_hasUrgentUpdates = m_hasUrgentUpdates || isUrgent(fact);
 }
--- /dev/null
+++ b/src/fleet/tests/factspreadtest.cpp
@@ -0,0 +1,128 @@
+#include <catch2/catch.hpp>
+
+#include <memory>
+
+#include <absl/strings/str_cat.h>
+
+#include "fleet/fleetsystem.h"
+#include "model/overloaded.h"
+
+using namespace citronpick;
+using namespace citronpick::fleet;
+
+namespace
+{
+
+//! Daemons that exchange messages without delay or loss, driven by a manual clock.
+class Fleet
+{
+public:
+    explicit Fleet(uint16_t count)
+        : m_received(count)
+    {
+        FleetOptions options;
+        options.seeds = {endpoint(0), endpoint(1)};
+        for (uint16_t i = 0; i < count; ++i) {
+            m_daemons.push_back(
+                std::make_unique<FleetSystem>(options,
+                                              Member {.id = model::DaemonId(absl::StrCat("d", i)),
+                                                      .incarnation = model::Incarnation(1),
+                                                      .state = MemberState::Joining,
+                                                      .zone = model::ZoneId("a"),
+                                                      .fleet = endpoint(i)},
+                                              i + 1));
+            m_daemons.back()->announceReady(m_now);
+        }
+        run(model::seconds(12));
+    }
+
+    void run(model::Duration time)
+    {
+        constexpr model::Duration step = model::milliseconds(20);
+        for (const model::TimePoint end = m_now + time; m_now < end;) {
+            m_now += step;
+            for (const auto &daemon : m_daemons) {
+                daemon->run(m_now);
+            }
+            deliver();
+        }
+    }
+
+    void publishCrash(size_t daemon, uint64_t fingerprint)
+    {
+        m_daemons[daemon]->publish(CrashFact {.fingerprint = model::Fingerprint(fingerprint),
+                                              .upstream = model::UpstreamId("u")},
+                                   m_now);
+    }
+    void publishDeadlyPart(size_t daemon, uint64_t part)
+    {
+        m_daemons[daemon]->publish(DeadlyPartFact {.part = model::Fingerprint(part)}, m_now);
+    }
+
+    //! What the daemon has received since the start.
+    const FleetUpdates &received(size_t daemon) const
+    {
+        return m_received[daemon];
+    }
+    const FleetSystem &daemon(size_t index) const
+    {
+        return *m_daemons[index];
+    }
+
+private:
+    static config::Endpoint endpoint(uint16_t daemon)
+    {
+        constexpr uint16_t firstPort = 9000;
+        return {.host = "10.0.0.1", .port = static_cast<uint16_t>(firstPort + daemon)};
+    }
+
+    void deliver()
+    {
+        for (size_t from = 0; from < m_daemons.size(); ++from) {
+            for (const FleetCommand &command : m_daemons[from]->takeCommands()) {
+                if (const auto *send = std::get_if<SendExchange>(&command)) {
+                    exchange(from, *send);
+                }
+            }
+        }
+        for (size_t i = 0; i < m_daemons.size(); ++i) {
+            const FleetUpdates updates = m_daemons[i]->takeUpdates();
+            m_received[i].crashes.insert(m_received[i].crashes.end(), updates.crashes.begin(),
+                                         updates.crashes.end());
+            m_received[i].deadlyParts.insert(m_received[i].deadlyParts.end(),
+                                             updates.deadlyParts.begin(),
+                                             updates.deadlyParts.end());
+        }
+    }
+
+    void exchange(size_t from, const SendExchange &send)
+    {
+        const size_t to = send.to.port - endpoint(0).port;
+        m_daemons[to]->onRequest(send.exchange, send.message, m_now);
+        for (const FleetCommand &command : m_daemons[to]->takeCommands()) {
+            if (const auto *reply = std::get_if<SendReply>(&command)) {
+                m_daemons[from]->onReply(send.exchange, reply->message, m_now);
+            }
+        }
+    }
+
+    model::TimePoint m_now {model::seconds(100)};
+    std::vector<std::unique_ptr<FleetSystem>> m_daemons;
+    std::vector<FleetUpdates> m_received;
+};
+
+} // namespace
+
+// Guards against requests that are quarantined by old crash reports: their origin published them
+// again every 20 s for as long as it ran, also after an answer had cleared them.
+TEST_CASE("A crash report reaches the other daemons once and then expires")
+{
+    Fleet fleet(3);
+    fleet.publishCrash(0, 7);
+    fleet.run(model::seconds(45));
+    CHECK(fleet.received(1).crashes.size() == 1);
+    CHECK(fleet.received(2).crashes.size() == 1);
+    fleet.run(model::seconds(20));
+    CHECK(fleet.daemon(0).facts().rows().empty());
+    CHECK(fleet.daemon(1).facts().rows().empty());
+}
