Fleet: urgent facts reach every daemon of a small fleet at once

Of six daemons, two learned 1.2 to 1.7 s late which part of a prompt crashes upstreams, and one of them passed such a request on meanwhile.

Cause: every receiver forwarded each urgent fact to all peers, which spent the urgent exchanges (10 a second) and the byte budget on facts that all had; with less than a full round left, the round stopped after one or two peers and the rest waited for periodic exchanges.

Periodic exchanges still repeat each fact for peers that were missed. Larger fleets forward as before.

--- a/src/fleet/internal/fleetsystem.cpp
+++ b/src/fleet/internal/fleetsystem.cpp
@@ -326,7 +326,8 @@
         return;
     }
     queueFact(keyOf(fact));
-    m_hasUrgentUpdates = m_hasUrgentUpdates || isUrgent(fact);
+    // Where the origin sends to all peers, forwarding would only use up the budget for other facts.
+    m_hasUrgentUpdates = m_hasUrgentUpdates || (isUrgent(fact) && !sendsToAllPeers());
     if (const auto *crash = std::get_if<CrashFact>(&fact.body)) {
         m_updates.crashes.push_back({.body = *crash, .age = fact.age});
     }
--- a/src/fleet/tests/factspreadtest.cpp
+++ b/src/fleet/tests/factspreadtest.cpp
@@ -126,3 +126,22 @@
     CHECK(fleet.daemon(0).facts().rows().empty());
     CHECK(fleet.daemon(1).facts().rows().empty());
 }
+
+// Guards against findings that some daemons learn seconds late: urgent facts that every daemon
+// forwarded again used up the budget, and the rest of the receivers waited for periodic exchanges.
+TEST_CASE("Load pattern: crash reports in quick succession do not delay the finding after them")
+{
+    constexpr uint16_t count = 6;
+    Fleet fleet(count);
+    for (uint64_t crash = 0; crash < 4; ++crash) {
+        for (uint16_t daemon = 0; daemon < count; ++daemon) {
+            fleet.publishCrash(daemon, 100 * crash + daemon + 1);
+        }
+        fleet.run(model::milliseconds(500));
+    }
+    fleet.publishDeadlyPart(0, 7);
+    fleet.run(model::milliseconds(700));
+    for (uint16_t daemon = 1; daemon < count; ++daemon) {
+        CHECK(fleet.received(daemon).deadlyParts.size() == 1);
+    }
+}
