Relay: keep a silent stream open while no other upstream can resume it

Callers of resumable streams saw an answer that had begun end after a pause of a second (three pauses of the route), although they would have waited for two seconds or more and the upstream was only slow.

Cause: checkProgress() cancelled the silent attempt first and asked afterwards whether another upstream may resume the stream. Without one in the pool, or without a retry in the budget, the answer was aborted. Same class as the requests lost at a planned stop: an accepted request ends although nothing says that it can't be answered.

Change: the attempt is cancelled only if the stream can be resumed now, and the check is repeated every 250 ms. At the caller's own timeout the stream ends as before.

Test: relay_test, "A silent stream that no other upstream can resume now is kept open"; on the code before, both of its sections failed.

--- a/src/relay/internal/relayanswers.cpp
+++ b/src/relay/internal/relayanswers.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <absl/strings/str_cat.h>
 
 #include "relay/relaysystem.h"
@@ -17,6 +19,8 @@
 //! the stream.
 constexpr int64_t resumeTimeoutInPauses = 3;
 constexpr model::Duration minResumeTimeout = model::milliseconds(1000);
+//! Interval of the checks whether another upstream can resume a silent stream by now.
+constexpr model::Duration resumeCheckInterval = model::milliseconds(250);
 //! Weight of the newest request in the moving average of a route's first event time.
 constexpr double firstEventWeight = 0.1;
 
@@ -113,6 +117,12 @@
     onAnswerLost(exchange, attempt.upstream, AttemptFailure::Malformed, now);
 }
 
+bool RelaySystem::canResume(const Exchange &exchange, model::TimePoint now)
+{
+    return exchange.route->kind == RequestKind::ResumableStream && canRetry(exchange, now)
+           && m_chooser.choose(criteriaOf(exchange), now);
+}
+
 void RelaySystem::checkProgress(Exchange &exchange, model::TimePoint now)
 {
     const model::AttemptId id = exchange.attempt;
@@ -126,6 +136,13 @@
         m_timeouts.add(limit, exchange.arrived.request);
         return;
     }
+    // Without another upstream, cancelling the attempt would only end the caller's answer. The
+    // silent upstream may still go on while the caller waits.
+    const model::TimePoint callerLimit = since + callerTimeout(*exchange.route);
+    if (now < callerLimit && !canResume(exchange, now)) {
+        m_timeouts.add(std::min(callerLimit, now + resumeCheckInterval), exchange.arrived.request);
+        return;
+    }
     const Attempt attempt = closeAttempt(id);
     m_commands.emplace_back(CancelAttempt {.attempt = id});
     m_directory.noteFailure(attempt.upstream, now);
--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -285,10 +285,15 @@
     closeExchange(id);
 }
 
-bool RelaySystem::acquireRetry(const Exchange &exchange, model::TimePoint now)
+bool RelaySystem::canRetry(const Exchange &exchange, model::TimePoint now)
 {
     return exchange.sentAttempts < exchange.route->maxAttempts
-           && now + minAttemptTime < exchange.deadline && m_budget.take(exchange.pool, now);
+           && now + minAttemptTime < exchange.deadline && m_budget.canTake(exchange.pool, now);
+}
+
+bool RelaySystem::acquireRetry(const Exchange &exchange, model::TimePoint now)
+{
+    return canRetry(exchange, now) && m_budget.take(exchange.pool, now);
 }
 
 } // namespace citronpick::relay
--- a/src/relay/internal/retrybudget.cpp
+++ b/src/relay/internal/retrybudget.cpp
@@ -35,16 +35,22 @@
     ++window.requests[static_cast<size_t>(window.newest) % buckets];
 }
 
-bool RetryBudget::take(const model::PoolId &pool, model::TimePoint now)
+bool RetryBudget::canTake(const model::PoolId &pool, model::TimePoint now)
 {
-    Window &window = advanceWindow(pool, now);
+    const Window &window = advanceWindow(pool, now);
     const double requests = std::accumulate(window.requests.begin(), window.requests.end(), 0.0);
     const double retries = std::accumulate(window.retries.begin(), window.retries.end(), 0.0);
     const double allowed
         = m_options.ratio * requests + usableSlackShare * m_options.slack / m_daemons;
-    if (retries + 1.0 > allowed) {
+    return retries + 1.0 <= allowed;
+}
+
+bool RetryBudget::take(const model::PoolId &pool, model::TimePoint now)
+{
+    if (!canTake(pool, now)) {
         return false;
     }
+    Window &window = m_windows[pool];
     ++window.retries[static_cast<size_t>(window.newest) % buckets];
     return true;
 }
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -249,6 +249,7 @@
     model::Duration streamTime(const RouteRule &route) const;
     void updateStreamTime(const Exchange &exchange, model::TimePoint now);
     static model::Duration progressTimeout(const Exchange &exchange);
+    bool canResume(const Exchange &exchange, model::TimePoint now);
     void checkProgress(Exchange &exchange, model::TimePoint now);
     model::Duration stageTime(const Exchange &exchange, uint32_t stage, Estimate estimate) const;
     model::Duration timeAfterStage(const Exchange &exchange, uint32_t stage,
@@ -264,6 +265,7 @@
                           model::TimePoint now);
     void onAnswerLost(Exchange &exchange, const model::UpstreamId &upstream, AttemptFailure failure,
                       model::TimePoint now);
+    bool canRetry(const Exchange &exchange, model::TimePoint now);
     //! Whether another attempt is allowed; consumes one retry of the budget if so.
     bool acquireRetry(const Exchange &exchange, model::TimePoint now);
 
--- a/src/relay/retrybudget.h
+++ b/src/relay/retrybudget.h
@@ -41,6 +41,8 @@
     }
 
     void noteRequest(const model::PoolId &pool, model::TimePoint now);
+    //! Whether the budget has a retry left.
+    bool canTake(const model::PoolId &pool, model::TimePoint now);
     //! Consumes one retry from the budget; returns false if the budget is exhausted.
     bool take(const model::PoolId &pool, model::TimePoint now);
 
--- /dev/null
+++ b/src/relay/tests/unansweredtest.cpp
@@ -0,0 +1,44 @@
+#include "relay/tests/relayfixture.h"
+
+using namespace citronpick;
+using namespace citronpick::relay;
+using namespace citronpick::relay::testing;
+
+namespace
+{
+
+//! Begins to answer a resumable stream.
+StartAttempt beginStream(RelayFixture &fixture)
+{
+    fixture.arrive("/resume/x");
+    auto attempt = fixture.take<StartAttempt>();
+    fixture.head(attempt.attempt, RelayFixture::success());
+    return attempt;
+}
+
+} // namespace
+
+// Guards against answers that end because their upstream is silent for a moment although no other
+// upstream can continue them and the caller still waits.
+TEST_CASE("A silent stream that no other upstream can resume now is kept open")
+{
+    RelayFixture fixture(1);
+    const StartAttempt attempt = beginStream(fixture);
+    for (int i = 0; i < 15; ++i) {
+        fixture.advanceTime(milliseconds(200));
+    }
+    CHECK(fixture.count<CancelAttempt>() == 0);
+    CHECK(fixture.count<AbortAnswer>() == 0);
+    SECTION("and ends when the upstream goes on")
+    {
+        fixture.end(attempt.attempt);
+        CHECK(fixture.count<FinishStream>() == 1);
+    }
+    SECTION("and is resumed when another upstream is listed")
+    {
+        fixture.listUpstream(enginePool, "e9");
+        fixture.advanceTime(milliseconds(500));
+        CHECK(fixture.take<CancelAttempt>().attempt == attempt.attempt);
+        CHECK(fixture.take<StartAttempt>().upstream == model::UpstreamId("e9"));
+    }
+}
