Relay: log an answer that ends because no upstream can resume it

Operators saw an answer end (answersAborted counts it) without a line that says why: after 806 and 807 of the request, nothing followed.

Cause: startAttempt() aborted a begun answer without an event when the pool had no other upstream. All other paths to AbortAnswer log 808.

Test: relay_test, "A stream that ends because no upstream is left to resume it is logged as broken"; on the code before, it failed.

--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -45,6 +45,7 @@
     if (!choice) {
         if (exchange.isAnswerStarted) {
             ++m_counters.answersAborted;
+            record(EventCode::AnswerBroken, exchange, exchange.route->id.text(), "why=no-upstream");
             m_commands.emplace_back(AbortAnswer {.request = id});
             closeExchange(id);
             return;
--- a/src/relay/tests/unansweredtest.cpp
+++ b/src/relay/tests/unansweredtest.cpp
@@ -42,3 +42,20 @@
         CHECK(fixture.take<StartAttempt>().upstream == model::UpstreamId("e9"));
     }
 }
+
+// Guards against answers that end without a log line, so that nobody can say why.
+TEST_CASE("A stream that ends because no upstream is left to resume it is logged as broken")
+{
+    RelayFixture fixture(1);
+    const StartAttempt attempt = beginStream(fixture);
+    fixture.system.onAttemptFailed(attempt.attempt, AttemptFailure::Broken, "7", fixture.now);
+    bool isAborted = false;
+    bool isLogged = false;
+    for (const RelayCommand &command : fixture.system.takeCommands()) {
+        const auto *event = std::get_if<observability::Event>(&command);
+        isLogged = isLogged || (event && event->code == observability::EventCode::AnswerBroken);
+        isAborted = isAborted || std::holds_alternative<AbortAnswer>(command);
+    }
+    CHECK(isAborted);
+    CHECK(isLogged);
+}
