Relay: refuse requests at once whose stage's pool was removed

Callers waited until their deadline, up to the route's timeout, and were then refused as too late, when a configuration removed the pool of the stage that their request waited for. New requests for it were refused at once.

Cause: BatchScheduler::dispatch() returned early for a pool without a batch rule, before it looks for jobs that can't finish, and nextRun() skips such pools, so nothing ended the jobs in its queue. Peers' jobs waited likewise.

Change: the jobs that wait in such a pool end as "no upstream". A peer whose configuration still has the pool then schedules its job itself.

Test: relay_test, "A request is refused when a new configuration has no pool for the stage it waits for"; on the code before, it failed.

--- a/src/relay/batchscheduler.h
+++ b/src/relay/batchscheduler.h
@@ -157,6 +157,7 @@
     };
 
     void dispatch(const model::PoolId &id, Pool &pool, model::TimePoint now);
+    void failWaitingJobs(Pool &pool, model::TimePoint now);
     void failExpiredJobs(Pool &pool, const BatchRule &rule, model::TimePoint now);
     size_t queuedPieces(const Pool &pool) const;
     void updateForecast(const model::PoolId &id, Pool &pool, const BatchRule &rule,
--- a/src/relay/internal/batchfilling.cpp
+++ b/src/relay/internal/batchfilling.cpp
@@ -31,7 +31,10 @@
 void BatchScheduler::dispatch(const model::PoolId &id, Pool &pool, model::TimePoint now)
 {
     const BatchRule *rule = ruleOf(id);
-    if (pool.waiting.empty() || !rule) {
+    if (!rule) {
+        failWaitingJobs(pool, now);
+    }
+    if (pool.waiting.empty()) {
         pool.forecast = {};
         return;
     }
@@ -58,6 +61,15 @@
     }
 }
 
+// The pool is not in the current configuration, so nothing will run its jobs.
+void BatchScheduler::failWaitingJobs(Pool &pool, model::TimePoint now)
+{
+    const std::vector<JobId> waiting = pool.waiting;
+    for (const JobId job : waiting) {
+        finish(job, {.failure = JobFailure::NoUpstream, .retryAfter = model::seconds(1)}, now);
+    }
+}
+
 void BatchScheduler::failExpiredJobs(Pool &pool, const BatchRule &rule, model::TimePoint now)
 {
     std::vector<JobId> late;
--- a/src/relay/tests/unansweredtest.cpp
+++ b/src/relay/tests/unansweredtest.cpp
@@ -59,3 +59,18 @@
     CHECK(isAborted);
     CHECK(isLogged);
 }
+
+// Guards against requests that are held until their deadline for a stage that cannot run any more.
+TEST_CASE("A request is refused when a new configuration has no pool for the stage it waits for")
+{
+    RelayFixture fixture(1);
+    fixture.arrive("/staged/x");
+    fixture.arrive("/staged/x");
+    REQUIRE(fixture.count<RunBatch>() == 1);
+    ConfigurationContent content = RelayFixture::configuration(2)->content();
+    std::erase_if(content.pools, [](const PoolRule &pool) { return pool.id == stagePool; });
+    fixture.system.setConfiguration(std::make_shared<RelayConfiguration>(std::move(content)));
+    fixture.advanceTime(milliseconds(100));
+    CHECK(fixture.take<RefuseRequest>().refusal == Refusal::StagesFailed);
+    CHECK(fixture.system.requestCount() == 1);
+}
