Relay: don't submit a stage of a plan that was started again meanwhile

An upstream could be asked for a piece of a later stage without its inputs.

Cause: advanceExchange() submits the stages that are ready in one loop. If the first one's inputs have expired, its job fails within submit() and the stages start again; the loop then submitted the next stage of the old plan, whose inputs were gone, with the request's key in their place.

It needs two stages that become ready together and share an input that has expired, scheduled by this daemon; none of the deployments' routes have such stages.

Test: relay_test, "A request whose stages start again submits only stages whose inputs exist"; on the code before, it failed (stage 3 ran without inputs).

--- a/src/relay/internal/relaystages.cpp
+++ b/src/relay/internal/relaystages.cpp
@@ -32,10 +32,12 @@
         startAttempt(*exchange, now);
         return;
     }
+    const bool wasRestarted = exchange->wasRestarted;
     const std::vector<uint32_t> ready = exchange->plan.takeReady();
     for (const uint32_t stage : ready) {
         exchange = find(id);
-        if (!exchange) {
+        // A job that fails at once ends the request or starts its stages again.
+        if (!exchange || exchange->wasRestarted != wasRestarted) {
             return;
         }
         submit({.request = id, .stage = stage}, jobFor(*exchange, stage, now), now);
--- a/src/relay/tests/unansweredtest.cpp
+++ b/src/relay/tests/unansweredtest.cpp
@@ -74,3 +74,30 @@
     CHECK(fixture.take<RefuseRequest>().refusal == Refusal::StagesFailed);
     CHECK(fixture.system.requestCount() == 1);
 }
+
+// Guards against a stage that runs without its inputs: a request whose stages start again while it
+// submits two stages at once submitted the second one of them nevertheless.
+TEST_CASE("A request whose stages start again submits only stages whose inputs exist")
+{
+    const model::PoolId slowPool("slow");
+    RelayFixture fixture;
+    ConfigurationContent content = RelayFixture::configuration(2)->content();
+    content.routes[4].stages = {{.pool = stagePool},
+                                {.pool = slowPool},
+                                {.pool = stagePool, .after = {0, 1}},
+                                {.pool = stagePool, .after = {0, 1}}};
+    content.pools.push_back(
+        {.id = slowPool, .batch = BatchRule {.maxItems = 1, .callTime = model::seconds(3)}});
+    fixture.system.setConfiguration(std::make_shared<RelayConfiguration>(std::move(content)));
+    fixture.listUpstream(slowPool, "slow0");
+    fixture.arrive("/staged/x");
+    fixture.answerBatch();
+    fixture.advanceTime(milliseconds(4500));
+    fixture.answerBatch();
+    REQUIRE(fixture.count<RunBatch>() > 0);
+    while (fixture.count<RunBatch>() > 0) {
+        for (const BatchItem &item : fixture.take<RunBatch>().items) {
+            CHECK(item.stage < 2);
+        }
+    }
+}
