--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -45,6 +45,7 @@
     if (!choice) {
         if (exchange.isAnswerStarted) {
             ++m_counters.answersAborted;
+            record(EventCode::AnswerBroken, exchange, exchange.route->id.text(), "why=no-upstream");
             m_commands.emplace_back(AbortAnswer {.request = id});
             closeExchange(id);
             return;
@@ -285,10 +286,15 @@
     closeExchange(id);
 }
 
-bool RelaySystem::acquireRetry(const Exchange &exchange, model::TimePoint now)
+bool RelaySystem::canRetry(const Exchange &exchange, model::TimePoint now)
 {
     return exchange.sentAttempts < exchange.route->maxAttempts
-           && now + minAttemptTime < exchange.deadline && m_budget.take(exchange.pool, now);
+           && now + minAttemptTime < exchange.deadline && m_budget.canTake(exchange.pool, now);
+}
+
+bool RelaySystem::acquireRetry(const Exchange &exchange, model::TimePoint now)
+{
+    return canRetry(exchange, now) && m_budget.take(exchange.pool, now);
 }
 
 } // namespace citronpick::relay
