Fleet: verdicts on prompt parts do not wait behind crash reports

In a large fleet, daemons would go on sending requests with a deadly part to upstreams for seconds after the first daemon had found the part.

Cause: facts share one byte budget (5000 bytes a second). The reports of all requests that a few crashes end use it up, and messages then carry no facts at all, the verdict included.

Change: verdicts (facts 5 and 6) are queued apart and leave with the next message whatever the budget says; they are few and still charged to it.

--- a/src/fleet/fact.h
+++ b/src/fleet/fact.h
@@ -100,6 +100,9 @@
 //! tell of a single event.
 bool isRefreshed(const Fact &fact);
 
+//! Whether the fact is a conclusion from reports of many daemons.
+bool isVerdict(const Fact &fact);
+
 //! Time after which a fact expires unless its origin publishes it again.
 model::Duration lifetimeOf(const Fact &fact);
 
--- a/src/fleet/fleetsystem.h
+++ b/src/fleet/fleetsystem.h
@@ -111,6 +111,9 @@
     //! Estimated encoded size of one member in a message.
     static constexpr double memberBytes = 95.0;
 
+    //! Fact updates to be sent, with the number of remaining sends.
+    using PendingFacts = std::map<FactKey, uint32_t>;
+
     struct OpenExchange {
         model::DaemonId peer; //!< Empty for a seed whose identity is not known yet.
         model::TimePoint startedAt;
@@ -131,6 +134,8 @@
 
     FleetMessage message(MessageKind kind);
     void addDeltas(FleetMessage &message, bool countsAsSend);
+    void addDelta(FleetMessage &message, PendingFacts &pending, const FactKey &key,
+                  bool countsAsSend);
     Fact agedFact(const FactTable::Row &row) const;
     uint64_t tableDigest() const;
     void addFullState(FleetMessage &message);
@@ -148,7 +153,7 @@
     void expireSuspects(model::TimePoint now);
     void refreshOwnFacts(model::TimePoint now);
     void queueMember(const model::DaemonId &id);
-    void queueFact(const FactKey &key);
+    void queueFact(const Fact &fact);
     uint32_t sendsPerItem() const;
     void onIndirectProbeFailed(const model::DaemonId &peer, model::TimePoint now);
     void replyToIndirectProbe(uint64_t exchange, bool wasReached);
@@ -167,8 +172,8 @@
     std::map<model::DaemonId, ListedDaemon> m_listed;
     //! Member updates to be sent, with the number of remaining sends.
     std::map<model::DaemonId, uint32_t> m_pendingMembers;
-    //! Fact updates to be sent, with the number of remaining sends.
-    std::map<FactKey, uint32_t> m_pendingFacts;
+    PendingFacts m_pendingFacts;
+    PendingFacts m_pendingVerdicts; //!< Those for which isVerdict() is true.
     std::map<uint64_t, OpenExchange> m_open;
     uint64_t m_lastExchange = 0;
     uint32_t m_periods = 0;
--- a/src/fleet/internal/fact.cpp
+++ b/src/fleet/internal/fact.cpp
@@ -42,9 +42,13 @@
 // A refreshed crash report would count again after an answer had cleared it.
 bool isRefreshed(const Fact &fact)
 {
-    return !std::holds_alternative<CrashFact>(fact.body)
-           && !std::holds_alternative<DeadlyPartFact>(fact.body)
-           && !std::holds_alternative<SoundPartFact>(fact.body);
+    return !std::holds_alternative<CrashFact>(fact.body) && !isVerdict(fact);
+}
+
+bool isVerdict(const Fact &fact)
+{
+    return std::holds_alternative<DeadlyPartFact>(fact.body)
+           || std::holds_alternative<SoundPartFact>(fact.body);
 }
 
 model::Duration lifetimeOf(const Fact &fact)
@@ -65,17 +69,14 @@
 {
     return std::holds_alternative<CrashFact>(fact.body)
            || std::holds_alternative<ReturnFact>(fact.body)
-           || std::holds_alternative<LeavingFact>(fact.body)
-           || std::holds_alternative<DeadlyPartFact>(fact.body)
-           || std::holds_alternative<SoundPartFact>(fact.body);
+           || std::holds_alternative<LeavingFact>(fact.body) || isVerdict(fact);
 }
 
 bool isUrgent(const Fact &fact)
 {
     const bool isAlwaysUrgent = std::holds_alternative<CrashFact>(fact.body)
                                 || std::holds_alternative<LeavingFact>(fact.body)
-                                || std::holds_alternative<DeadlyPartFact>(fact.body)
-                                || std::holds_alternative<SoundPartFact>(fact.body);
+                                || isVerdict(fact);
     if (isAlwaysUrgent) {
         return true;
     }
--- a/src/fleet/internal/fleetexchange.cpp
+++ b/src/fleet/internal/fleetexchange.cpp
@@ -254,8 +254,12 @@
 }
 
 // Adds the pending updates that were sent least often first; updates beyond the byte budget wait.
+// The few verdicts do not wait for the budget, which the reports that led to them may have used up.
 void FleetSystem::addDeltas(FleetMessage &message, bool countsAsSend)
 {
+    for (const FactKey &key : leastSentFirst(m_pendingVerdicts)) {
+        addDelta(message, m_pendingVerdicts, key, countsAsSend);
+    }
     for (const model::DaemonId &id : leastSentFirst(m_pendingMembers)) {
         if (m_byteTokens < memberBytes) {
             return;
@@ -270,13 +274,19 @@
         if (m_byteTokens < factBytes) {
             return;
         }
-        const auto row = m_facts.rows().find(key);
-        if (row != m_facts.rows().end()) {
-            message.facts.push_back(agedFact(row->second));
-            chargeBudget(factBytes);
-        }
-        countSend(m_pendingFacts, key, countsAsSend || row == m_facts.rows().end());
+        addDelta(message, m_pendingFacts, key, countsAsSend);
+    }
+}
+
+void FleetSystem::addDelta(FleetMessage &message, PendingFacts &pending, const FactKey &key,
+                           bool countsAsSend)
+{
+    const auto row = m_facts.rows().find(key);
+    if (row != m_facts.rows().end()) {
+        message.facts.push_back(agedFact(row->second));
+        chargeBudget(factBytes);
     }
+    countSend(pending, key, countsAsSend || row == m_facts.rows().end());
 }
 
 void FleetSystem::chargeBudget(double bytes)
--- a/src/fleet/internal/fleetsystem.cpp
+++ b/src/fleet/internal/fleetsystem.cpp
@@ -85,7 +85,7 @@
     if (isRefreshed(fact)) {
         m_ownFacts[key] = now;
     }
-    queueFact(key);
+    queueFact(fact);
     m_hasUrgentUpdates = m_hasUrgentUpdates || isUrgent(fact);
 }
 
@@ -325,7 +325,7 @@
     if (isOwn || !m_facts.apply(fact, now)) {
         return;
     }
-    queueFact(keyOf(fact));
+    queueFact(fact);
     // Where the origin sends to all peers, forwarding would only use up the budget for other facts.
     m_hasUrgentUpdates = m_hasUrgentUpdates || (isUrgent(fact) && !sendsToAllPeers());
     if (const auto *crash = std::get_if<CrashFact>(&fact.body)) {
@@ -367,9 +367,9 @@
     m_pendingMembers[id] = m_isApplyingFullExchange ? fullExchangeSends : sendsPerItem();
 }
 
-void FleetSystem::queueFact(const FactKey &key)
+void FleetSystem::queueFact(const Fact &fact)
 {
-    m_pendingFacts[key] = sendsPerItem();
+    (isVerdict(fact) ? m_pendingVerdicts : m_pendingFacts)[keyOf(fact)] = sendsPerItem();
 }
 
 bool FleetSystem::hasLargeBacklog() const
--- a/src/fleet/tests/factspreadtest.cpp
+++ b/src/fleet/tests/factspreadtest.cpp
@@ -145,3 +145,27 @@
         CHECK(fleet.received(daemon).deadlyParts.size() == 1);
     }
 }
+
+// Guards against findings that wait behind the crash reports of all requests that were lost with
+// the upstreams: in a large fleet both pass from daemon to daemon within a byte budget.
+TEST_CASE("Load pattern: a finding reaches a large fleet before many crash reports")
+{
+    constexpr uint16_t count = 67;
+    Fleet fleet(count);
+    fleet.run(model::seconds(20));
+    REQUIRE(fleet.daemon(0).members().usableCount() == count);
+    uint64_t fingerprint = 100;
+    for (int crash = 0; crash < 5; ++crash) {
+        for (uint16_t daemon = 0; daemon < count; ++daemon) {
+            fleet.publishCrash(daemon, ++fingerprint);
+        }
+        fleet.run(model::milliseconds(400));
+    }
+    fleet.publishDeadlyPart(0, 7);
+    fleet.run(model::seconds(1));
+    size_t informed = 0;
+    for (uint16_t daemon = 1; daemon < count; ++daemon) {
+        informed += fleet.received(daemon).deadlyParts.size();
+    }
+    CHECK(informed == count - 1);
+}
