Fleet: messages are built in a file of their own; crash reports charge their parts

Moved code only, but for the byte budget: a crash report charges 21 bytes for each prompt part that it names, which its estimate left out. fleet_test passes.

--- /dev/null
+++ b/src/fleet/internal/fleetmessages.cpp
@@ -0,0 +1,147 @@
+#include <algorithm>
+
+#include "fleet/fleetsystem.h"
+
+// The part of FleetSystem that builds messages within its traffic limits.
+
+namespace citronpick::fleet
+{
+
+namespace
+{
+
+//! Estimated encoded size of one fact in a message.
+constexpr double factBytes = 60.0;
+//! Estimated encoded size of one prompt part of a crash report.
+constexpr double partBytes = 21.0;
+//! Estimated encoded size of a message without members and facts.
+constexpr double messageBytes = 500.0;
+//! Maximum number of facts in one full exchange; the others follow in later exchanges.
+constexpr size_t maxFactsAtOnce = 500;
+
+//! Keys of pending updates, least often sent first, at most as many as one message may hold.
+template<typename Key>
+std::vector<Key> leastSentFirst(const std::map<Key, uint32_t> &pending)
+{
+    constexpr size_t maxKeys = 300;
+    std::vector<std::pair<uint32_t, const Key *>> order;
+    order.reserve(pending.size());
+    for (const auto &[key, sends] : pending) {
+        order.emplace_back(sends, &key);
+    }
+    const size_t count = std::min(maxKeys, order.size());
+    std::partial_sort(order.begin(), order.begin() + static_cast<ptrdiff_t>(count), order.end(),
+                      [](const auto &left, const auto &right) {
+                          return left.first != right.first ? left.first > right.first
+                                                           : *left.second < *right.second;
+                      });
+    std::vector<Key> keys;
+    keys.reserve(count);
+    for (size_t i = 0; i < count; ++i) {
+        keys.push_back(*order[i].second);
+    }
+    return keys;
+}
+
+template<typename Key>
+void countSend(std::map<Key, uint32_t> &pending, const Key &key, bool countsAsSend)
+{
+    const auto it = pending.find(key);
+    if (countsAsSend && --it->second == 0) {
+        pending.erase(it);
+    }
+}
+
+} // namespace
+
+FleetMessage FleetSystem::message(MessageKind kind)
+{
+    chargeBudget(messageBytes);
+    FleetMessage result;
+    result.kind = kind;
+    result.from = m_self;
+    result.revision = m_revision;
+    result.digest = m_digest;
+    result.tableDigest = tableDigest();
+    return result;
+}
+
+// Adds the pending updates that were sent least often first; updates beyond the byte budget wait.
+// The few verdicts do not wait for the budget, which the reports that led to them may have used up.
+void FleetSystem::addDeltas(FleetMessage &message, bool countsAsSend)
+{
+    for (const FactKey &key : leastSentFirst(m_pendingVerdicts)) {
+        addDelta(message, m_pendingVerdicts, key, countsAsSend);
+    }
+    for (const model::DaemonId &id : leastSentFirst(m_pendingMembers)) {
+        if (m_byteTokens < memberBytes) {
+            return;
+        }
+        if (const MemberTable::Row *row = m_members.find(id)) {
+            message.members.push_back(row->member);
+            chargeBudget(memberBytes);
+        }
+        countSend(m_pendingMembers, id, countsAsSend);
+    }
+    for (const FactKey &key : leastSentFirst(m_pendingFacts)) {
+        if (m_byteTokens < factBytes) {
+            return;
+        }
+        addDelta(message, m_pendingFacts, key, countsAsSend);
+    }
+}
+
+void FleetSystem::addDelta(FleetMessage &message, PendingFacts &pending, const FactKey &key,
+                           bool countsAsSend)
+{
+    const auto row = m_facts.rows().find(key);
+    if (row != m_facts.rows().end()) {
+        const auto *crash = std::get_if<CrashFact>(&row->second.fact.body);
+        message.facts.push_back(agedFact(row->second));
+        chargeBudget(factBytes
+                     + (crash ? partBytes * static_cast<double>(crash->parts.size()) : 0.0));
+    }
+    countSend(pending, key, countsAsSend || row == m_facts.rows().end());
+}
+
+void FleetSystem::chargeBudget(double bytes)
+{
+    m_byteTokens -= bytes;
+    m_sentBytes += static_cast<uint64_t>(bytes);
+}
+
+void FleetSystem::addFullState(FleetMessage &message)
+{
+    for (const auto &[id, row] : m_members.rows()) {
+        message.members.push_back(row.member);
+    }
+    for (const auto &[key, row] : m_facts.rows()) {
+        if (message.facts.size() >= maxFactsAtOnce) {
+            break;
+        }
+        message.facts.push_back(agedFact(row));
+    }
+    // Full exchanges are not charged to the byte budget, as this would leave nothing for
+    // incremental updates; the minimum time between two of them limits their traffic.
+    m_sentBytes += static_cast<uint64_t>(fullExchangeBytes());
+}
+
+double FleetSystem::fullExchangeBytes() const
+{
+    return memberBytes * static_cast<double>(m_members.rows().size())
+           + factBytes * static_cast<double>(std::min(maxFactsAtOnce, m_facts.rows().size()));
+}
+
+Fact FleetSystem::agedFact(const FactTable::Row &row) const
+{
+    Fact fact = row.fact;
+    fact.age = m_lastRun - row.publishedAt;
+    return fact;
+}
+
+uint64_t FleetSystem::tableDigest() const
+{
+    return m_members.digest() ^ m_facts.digest();
+}
+
+} // namespace citronpick::fleet
