Relay: sound prompt parts are told from the deadly one before they are refused

On 67 daemons, callers of whole kinds of requests would have been refused: the first parts of prompts, which a quarter of a kind's requests share, were quarantined on 16 and on 46 daemons for 0.3 to 8 s beside the deadly part.

Cause: each daemon counted crashes by itself and knew only the answers that it had passed on itself, one every two seconds for such a part; the answers that others reported arrived after the third crash. Class: a verdict on evidence for one side only.

Change: PartQuarantine keeps crashes with the parts of all requests that were lost in them. Three crashes make a part suspected; that is announced (fact 7), and a daemon that answered a request with the part since the first crash objects at once. After 1.5 s without an objection the most specific suspected part is quarantined; the crashes that it explains count against no other part. A finding that a daemon's own answers disprove is objected to as well.

--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -234,6 +234,12 @@
                                                    .parts = publish.parts},
                                  net::EventLoop::now());
             },
+            [this](const relay::PublishSuspectedPart &publish) {
+                m_fleet->publish(
+                    fleet::SuspectedPartFact {.part = publish.suspicion.part,
+                                              .sinceFirstCrash = publish.suspicion.sinceFirstCrash},
+                    net::EventLoop::now());
+            },
             [this](const relay::PublishDeadlyPart &publish) {
                 m_fleet->publish(fleet::DeadlyPartFact {.part = publish.part},
                                  net::EventLoop::now());
--- a/src/daemon/internal/relayfleet.cpp
+++ b/src/daemon/internal/relayfleet.cpp
@@ -51,6 +51,10 @@
             m_relay->onPeerPartCrash({.parts = crash.parts, .upstream = crash.upstream}, now);
         }
     }
+    for (const auto &[suspected, age] : updates.suspectedParts) {
+        m_relay->onPeerSuspectedPart(
+            {.part = suspected.part, .sinceFirstCrash = suspected.sinceFirstCrash + age}, now);
+    }
     for (const auto &[deadly, age] : updates.deadlyParts) {
         m_relay->onPeerDeadlyPart(deadly.part, age, now);
     }
--- a/src/fleet/fact.h
+++ b/src/fleet/fact.h
@@ -71,8 +71,17 @@
     friend auto operator<=>(const SoundPartFact &, const SoundPartFact &) = default;
 };
 
+//! Requests with this part of a prompt may crash upstreams; the first one did so \a sinceFirstCrash
+//! before the publication.
+struct SuspectedPartFact {
+    model::Fingerprint part;
+    model::Duration sinceFirstCrash {};
+
+    friend auto operator<=>(const SuspectedPartFact &, const SuspectedPartFact &) = default;
+};
+
 using FactBody = std::variant<CrashFact, ReturnFact, DemandFact, LoadFact, LeavingFact,
-                              DeadlyPartFact, SoundPartFact>;
+                              DeadlyPartFact, SoundPartFact, SuspectedPartFact>;
 
 //! Identifies the subject of a fact; a newer fact replaces an older one with the same key.
 struct FactKey {
@@ -100,7 +109,7 @@
 //! tell of a single event.
 bool isRefreshed(const Fact &fact);
 
-//! Whether the fact is a conclusion from reports of many daemons.
+//! Whether the fact is about a suspected part of prompts. Such facts are few.
 bool isVerdict(const Fact &fact);
 
 //! Time after which a fact expires unless its origin publishes it again.
--- a/src/fleet/fleetsystem.h
+++ b/src/fleet/fleetsystem.h
@@ -41,6 +41,7 @@
     std::vector<Received<CrashFact>> crashes;
     std::vector<Received<DeadlyPartFact>> deadlyParts;
     std::vector<Received<SoundPartFact>> soundParts;
+    std::vector<Received<SuspectedPartFact>> suspectedParts;
     std::vector<LeavingFact> leavingUpstreams;
     std::vector<NewerConfiguration> newerConfigurations;
 };
--- a/src/fleet/internal/fact.cpp
+++ b/src/fleet/internal/fact.cpp
@@ -28,6 +28,9 @@
             [](const LeavingFact &leaving) { return leaving.upstream.text(); },
             [](const DeadlyPartFact &deadly) { return std::to_string(deadly.part.value()); },
             [](const SoundPartFact &sound) { return std::to_string(sound.part.value()); },
+            [](const SuspectedPartFact &suspected) {
+                return std::to_string(suspected.part.value());
+            },
         },
         body);
 }
@@ -48,7 +51,8 @@
 bool isVerdict(const Fact &fact)
 {
     return std::holds_alternative<DeadlyPartFact>(fact.body)
-           || std::holds_alternative<SoundPartFact>(fact.body);
+           || std::holds_alternative<SoundPartFact>(fact.body)
+           || std::holds_alternative<SuspectedPartFact>(fact.body);
 }
 
 model::Duration lifetimeOf(const Fact &fact)
@@ -61,6 +65,7 @@
                           [](const LeavingFact &) { return leavingLifetime; },
                           [](const DeadlyPartFact &) { return deadlyPartLifetime; },
                           [](const SoundPartFact &) { return deadlyPartLifetime; },
+                          [](const SuspectedPartFact &) { return crashReportLifetime; },
                       },
                       fact.body);
 }
--- a/src/fleet/internal/fleetsystem.cpp
+++ b/src/fleet/internal/fleetsystem.cpp
@@ -337,6 +337,9 @@
     if (const auto *sound = std::get_if<SoundPartFact>(&fact.body)) {
         m_updates.soundParts.push_back({.body = *sound, .age = fact.age});
     }
+    if (const auto *suspected = std::get_if<SuspectedPartFact>(&fact.body)) {
+        m_updates.suspectedParts.push_back({.body = *suspected, .age = fact.age});
+    }
     if (const auto *leaving = std::get_if<LeavingFact>(&fact.body)) {
         m_updates.leavingUpstreams.push_back(*leaving);
     }
--- a/src/net/internal/fleetcodec.cpp
+++ b/src/net/internal/fleetcodec.cpp
@@ -1,5 +1,6 @@
 #include "net/fleetcodec.h"
 
+#include <algorithm>
 #include <optional>
 
 #include "model/overloaded.h"
@@ -176,6 +177,11 @@
                    [&](const fleet::SoundPartFact &sound) {
                        value.append(Json::UInt64(sound.part.value()));
                    },
+                   [&](const fleet::SuspectedPartFact &suspected) {
+                       value.append(Json::UInt64(suspected.part.value()));
+                       value.append(Json::UInt64(
+                           std::max<int64_t>(0, model::toMilliseconds(suspected.sinceFirstCrash))));
+                   },
                },
                body);
     return value;
@@ -193,7 +199,7 @@
 
 fleet::FactBody decodeBody(uint32_t kind, const Json::Value &input, FieldReader &reader)
 {
-    constexpr std::array<Json::ArrayIndex, 7> fieldCounts = {3, 4, 2, 1, 2, 1, 1};
+    constexpr std::array<Json::ArrayIndex, 8> fieldCounts = {3, 4, 2, 1, 2, 1, 1, 2};
     const Json::Value &value = reader.fields(input, fieldCounts[kind]);
     if (value.empty()) {
         return fleet::LoadFact {};
@@ -217,6 +223,10 @@
         return fleet::DeadlyPartFact {.part = model::Fingerprint(reader.number(value[0]))};
     case 6:
         return fleet::SoundPartFact {.part = model::Fingerprint(reader.number(value[0]))};
+    case 7:
+        return fleet::SuspectedPartFact {
+            .part = model::Fingerprint(reader.number(value[0])),
+            .sinceFirstCrash = model::milliseconds(reader.smallNumber(value[1], maxFactAgeMs))};
     default:
         return fleet::LoadFact {.percent = reader.smallNumber(value[0], 100)};
     }
--- a/src/net/tests/fleetcodectest.cpp
+++ b/src/net/tests/fleetcodectest.cpp
@@ -42,6 +42,8 @@
                                   .parts = {model::Fingerprint(7), model::Fingerprint(8)}}),
            fact(fleet::DeadlyPartFact {.part = model::Fingerprint(7)}),
            fact(fleet::SoundPartFact {.part = model::Fingerprint(8)}),
+           fact(fleet::SuspectedPartFact {.part = model::Fingerprint(9),
+                                          .sinceFirstCrash = model::milliseconds(1200)}),
            fact(fleet::ReturnFact {.upstream = model::UpstreamId("u1"),
                                    .state = health::HealthState::Ramping,
                                    .rampStep = 2,
--- a/src/observability/event.h
+++ b/src/observability/event.h
@@ -50,6 +50,7 @@
     StreamResumed = 409,
     CallerLeft = 410,
     QuarantineEnded = 411,
+    PartSuspected = 412,
     MemberJoined = 501,
     MemberSuspected = 502,
     MemberDead = 503,
--- a/src/observability/internal/event.cpp
+++ b/src/observability/internal/event.cpp
@@ -49,6 +49,7 @@
     EventDescription {StreamResumed, Info, "stream-resumed"},
     EventDescription {CallerLeft, Debug, "caller-left"},
     EventDescription {QuarantineEnded, Info, "quarantine-ended"},
+    EventDescription {PartSuspected, Warning, "part-suspected"},
     EventDescription {MemberJoined, Info, "member-joined"},
     EventDescription {MemberSuspected, Warning, "member-suspected"},
     EventDescription {MemberDead, Warning, "member-dead"},
--- a/src/pipeline/internal/requestarrival.cpp
+++ b/src/pipeline/internal/requestarrival.cpp
@@ -43,9 +43,8 @@
     : m_options(options)
     , m_dependencies(dependencies)
     , m_random(seed)
-    , m_quarantine({.crashesToQuarantine = options.crashesToQuarantine,
-                    .crashReportLifetime = options.crashReportLifetime,
-                    .quarantineLifetime = options.quarantineLifetime})
+    , m_quarantine(options.crashesToQuarantine, options.crashReportLifetime,
+                   options.quarantineLifetime)
     , m_limits(dependencies.accountShare)
 {
 }
--- a/src/relay/internal/partquarantine.cpp
+++ b/src/relay/internal/partquarantine.cpp
@@ -1,6 +1,7 @@
 #include "relay/partquarantine.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "model/hash.h"
 
@@ -10,15 +11,20 @@
 namespace
 {
 
-constexpr uint32_t crashesToQuarantine = 3;
+//! Number of upstreams that have to crash under requests with a part.
+constexpr size_t minUpstreams = 3;
 //! Upstreams that fail together for another reason take requests of many parts with them. Parts
 //! that are common enough to be hit on several upstreams are answered elsewhere within this time.
 constexpr model::Duration minCrashSpan = model::seconds(1);
-//! An answer that ends the suspicion of a part is reported to the other daemons if they need only
-//! one more crash report for a quarantine.
-constexpr size_t crashesToReport = crashesToQuarantine - 1;
-constexpr model::Duration crashReportLifetime = model::seconds(60);
+//! From the suspicion to the quarantine: time for the reports of other requests that were lost in
+//! the same crashes, and for answers at other daemons that disprove the suspicion.
+constexpr model::Duration objectionTime = model::milliseconds(1500);
+//! Reports about an upstream within this time belong to the same crash; a restart takes longer.
+constexpr model::Duration crashWindow = model::seconds(2);
+constexpr model::Duration crashLifetime = model::seconds(60);
 constexpr model::Duration quarantineLifetime = model::seconds(600);
+constexpr size_t maxCrashes = 256; //!< The oldest are removed beyond this.
+constexpr size_t maxAnsweredParts = 8192; //!< The oldest are removed beyond this.
 //! The last parts are the most specific ones. Bounds what one request adds to fleet messages.
 constexpr size_t maxParts = 32;
 //! Keeps fingerprints of parts apart from other hashes of the same text.
@@ -36,58 +42,215 @@
     return fingerprints;
 }
 
-PartQuarantine::PartQuarantine()
-    : m_table({.crashesToQuarantine = crashesToQuarantine,
-               .minCrashSpan = minCrashSpan,
-               .crashReportLifetime = crashReportLifetime,
-               .quarantineLifetime = quarantineLifetime})
+void PartQuarantine::addCrash(const PartCrash &crash, model::TimePoint now)
 {
-}
-
-PartFingerprints PartQuarantine::addCrash(const PartCrash &crash, model::TimePoint now)
-{
-    // A part that is known to crash upstreams explains the crash.
-    if (isQuarantined(crash.parts, now)) {
-        return {};
+    if (crash.parts.empty()) {
+        return;
     }
-    PartFingerprints quarantined;
-    for (const model::Fingerprint part : crash.parts) {
-        if (m_table.addCrashReport({.fingerprint = part, .upstream = crash.upstream}, now)) {
-            quarantined.push_back(part);
+    const auto known
+        = std::find_if(m_crashes.rbegin(), m_crashes.rend(), [&](const Crash &earlier) {
+              return earlier.upstream == crash.upstream && now - earlier.at <= crashWindow;
+          });
+    if (known == m_crashes.rend()) {
+        m_crashes.push_back({.upstream = crash.upstream, .at = now, .parts = {}});
+        if (m_crashes.size() > maxCrashes) {
+            m_crashes.pop_front();
         }
     }
-    return quarantined;
+    Crash &row = known == m_crashes.rend() ? m_crashes.back() : *known;
+    for (size_t position = 0; position < crash.parts.size(); ++position) {
+        size_t &last = row.parts[crash.parts[position]];
+        last = std::max(last, position);
+    }
+    row.isExplained = row.isExplained || isQuarantined(crash.parts, now);
+    m_nextRun = now;
 }
 
 // A part that crashes each upstream is never answered completely, so one answer clears its parts,
 // also those in quarantine.
 PartFingerprints PartQuarantine::addAnswer(const PartFingerprints &parts, model::TimePoint now)
 {
-    PartFingerprints suspected;
+    PartFingerprints disproved;
     for (const model::Fingerprint part : parts) {
-        const pipeline::QuarantineState before = m_table.release(part, now);
-        if (before.isQuarantined || before.crashes >= crashesToReport) {
-            suspected.push_back(part);
+        noteAnswer(part, now);
+        const bool wasQuarantined = m_quarantinedAt.erase(part) > 0;
+        const bool wasSuspected = m_suspectedAt.erase(part) + m_peerSuspectedAt.erase(part) > 0;
+        if (wasQuarantined || wasSuspected) {
+            disproved.push_back(part);
         }
     }
-    return suspected;
+    return disproved;
 }
 
-bool PartQuarantine::addFinding(model::Fingerprint part, model::TimePoint at)
+bool PartQuarantine::addPeerAnswer(model::Fingerprint part, model::TimePoint at)
 {
-    return m_table.quarantine(part, at);
+    noteAnswer(part, at);
+    m_suspectedAt.erase(part);
+    m_peerSuspectedAt.erase(part);
+    const auto quarantined = m_quarantinedAt.find(part);
+    if (quarantined == m_quarantinedAt.end() || at < quarantined->second) {
+        return false;
+    }
+    m_quarantinedAt.erase(quarantined);
+    return true;
 }
 
-bool PartQuarantine::addPeerAnswer(model::Fingerprint part, model::TimePoint at)
+bool PartQuarantine::addPeerSuspicion(model::Fingerprint part, model::TimePoint since,
+                                      model::TimePoint now)
+{
+    if (answeredAt(part) >= since) {
+        return true;
+    }
+    m_peerSuspectedAt[part] = now;
+    return false;
+}
+
+PartQuarantine::FindingResult PartQuarantine::addFinding(model::Fingerprint part,
+                                                         model::TimePoint at, model::TimePoint now)
+{
+    if (answeredAt(part) > at - objectionTime) {
+        return FindingResult::Disproved;
+    }
+    const bool isKnown = isQuarantined(part, now);
+    quarantine(part, at);
+    return isKnown ? FindingResult::Known : FindingResult::Applied;
+}
+
+PartVerdicts PartQuarantine::run(model::TimePoint now)
+{
+    PartVerdicts verdicts;
+    if (!m_nextRun || now < *m_nextRun) {
+        return verdicts;
+    }
+    m_nextRun.reset();
+    forgetExpired(now);
+    for (std::vector<Candidate> rows = candidates(); !rows.empty(); rows = candidates()) {
+        suspect(rows, verdicts, now);
+        // A part that many requests share is in most crashes. A more specific one in as many
+        // crashes is the better explanation, and refusing it does less harm.
+        const auto best
+            = std::max_element(rows.begin(), rows.end(), [](const auto &left, const auto &right) {
+                  return std::tuple(left.position, left.upstreams.size(), left.part)
+                         < std::tuple(right.position, right.upstreams.size(), right.part);
+              });
+        const model::TimePoint due = m_suspectedAt[best->part] + objectionTime;
+        if (now < due) {
+            m_nextRun = due;
+            return verdicts;
+        }
+        quarantine(best->part, now);
+        verdicts.quarantined.push_back(best->part);
+        if (!m_peerSuspectedAt.contains(best->part)) {
+            verdicts.findings.push_back(best->part);
+        }
+    }
+    m_suspectedAt.clear();
+    return verdicts;
+}
+
+// Counts only crashes that no quarantined part explains and that no answer followed.
+std::vector<PartQuarantine::Candidate> PartQuarantine::candidates() const
+{
+    absl::flat_hash_map<model::Fingerprint, Candidate> rows;
+    for (const Crash &crash : m_crashes) {
+        if (crash.isExplained) {
+            continue;
+        }
+        for (const auto &[part, position] : crash.parts) {
+            if (answeredAt(part) >= crash.at) {
+                continue;
+            }
+            const auto [it, isNew]
+                = rows.try_emplace(part, Candidate {.part = part, .firstAt = crash.at});
+            Candidate &row = it->second;
+            row.position = std::max(row.position, position);
+            row.lastAt = crash.at;
+            if (std::find(row.upstreams.begin(), row.upstreams.end(), crash.upstream)
+                == row.upstreams.end()) {
+                row.upstreams.push_back(crash.upstream);
+            }
+        }
+    }
+    std::vector<Candidate> enough;
+    for (auto &[part, row] : rows) {
+        if (isEnough(row)) {
+            enough.push_back(std::move(row));
+        }
+    }
+    return enough;
+}
+
+bool PartQuarantine::isEnough(const Candidate &candidate)
+{
+    return candidate.upstreams.size() >= minUpstreams
+           && candidate.lastAt - candidate.firstAt >= minCrashSpan;
+}
+
+void PartQuarantine::suspect(const std::vector<Candidate> &candidates, PartVerdicts &verdicts,
+                             model::TimePoint now)
+{
+    for (const Candidate &candidate : candidates) {
+        const bool isNew = m_suspectedAt.try_emplace(candidate.part, now).second;
+        if (isNew && !m_peerSuspectedAt.contains(candidate.part)) {
+            verdicts.suspicions.push_back(
+                {.part = candidate.part, .sinceFirstCrash = now - candidate.firstAt});
+        }
+    }
+    std::sort(verdicts.suspicions.begin(), verdicts.suspicions.end());
+}
+
+void PartQuarantine::quarantine(model::Fingerprint part, model::TimePoint at)
 {
-    return m_table.release(part, at).isQuarantined;
+    model::TimePoint &since = m_quarantinedAt[part];
+    since = std::max(since, at);
+    m_suspectedAt.erase(part);
+    for (Crash &crash : m_crashes) {
+        crash.isExplained = crash.isExplained || crash.parts.contains(part);
+    }
+}
+
+bool PartQuarantine::isQuarantined(model::Fingerprint part, model::TimePoint now) const
+{
+    const auto it = m_quarantinedAt.find(part);
+    return it != m_quarantinedAt.end() && now - it->second < quarantineLifetime;
 }
 
 bool PartQuarantine::isQuarantined(const PartFingerprints &parts, model::TimePoint now) const
 {
-    return std::any_of(parts.begin(), parts.end(), [&](model::Fingerprint part) {
-        return m_table.remaining(part, now).has_value();
-    });
+    return !m_quarantinedAt.empty()
+           && std::any_of(parts.begin(), parts.end(),
+                          [&](model::Fingerprint part) { return isQuarantined(part, now); });
+}
+
+model::TimePoint PartQuarantine::answeredAt(model::Fingerprint part) const
+{
+    const auto it = m_answeredAt.find(part);
+    return it == m_answeredAt.end() ? model::TimePoint::min() : it->second;
+}
+
+void PartQuarantine::noteAnswer(model::Fingerprint part, model::TimePoint at)
+{
+    const auto [it, isNew] = m_answeredAt.try_emplace(part, at);
+    it->second = std::max(it->second, at);
+    if (!isNew) {
+        return;
+    }
+    m_answerOrder.push_back(part);
+    if (m_answerOrder.size() > maxAnsweredParts) {
+        m_answeredAt.erase(m_answerOrder.front());
+        m_answerOrder.pop_front();
+    }
+}
+
+void PartQuarantine::forgetExpired(model::TimePoint now)
+{
+    while (!m_crashes.empty() && now - m_crashes.front().at > crashLifetime) {
+        m_crashes.pop_front();
+    }
+    absl::erase_if(m_quarantinedAt,
+                   [&](const auto &entry) { return now - entry.second >= quarantineLifetime; });
+    absl::erase_if(m_peerSuspectedAt,
+                   [&](const auto &entry) { return now - entry.second > crashLifetime; });
 }
 
 } // namespace citronpick::relay
--- a/src/relay/internal/relayquarantine.cpp
+++ b/src/relay/internal/relayquarantine.cpp
@@ -66,38 +66,52 @@
         record(EventCode::RequestQuarantined, exchange, attempt.upstream.text(),
                absl::StrCat("fingerprint=", absl::Hex(report.fingerprint.value())));
     }
-    const PartFingerprints quarantined = m_partQuarantine.addCrash(partCrash, now);
-    recordQuarantine(quarantined, attempt.upstream, "own");
-    for (const model::Fingerprint part : quarantined) {
-        m_commands.emplace_back(PublishDeadlyPart {.part = part});
-    }
-    return isRequestQuarantined || !quarantined.empty();
+    m_partQuarantine.addCrash(partCrash, now);
+    return isRequestQuarantined;
 }
 
-void RelaySystem::addAnswer(const Exchange &exchange, const model::UpstreamId &upstream,
-                            model::TimePoint now)
+void RelaySystem::addAnswer(const Exchange &exchange, model::TimePoint now)
 {
     m_quarantine.clear(exchange.arrived.fingerprint);
     for (const model::Fingerprint part : m_partQuarantine.addAnswer(exchange.sharedParts, now)) {
-        ++m_counters.releasedParts;
-        record(EventCode::QuarantineEnded, exchange, upstream.text(),
-               absl::StrCat("part=", absl::Hex(part.value()), " source=own"));
-        m_commands.emplace_back(PublishSoundPart {.part = part});
+        publishSound(part);
     }
 }
 
-void RelaySystem::recordQuarantine(const PartFingerprints &parts, const model::UpstreamId &upstream,
-                                   std::string_view source)
+void RelaySystem::publishSound(model::Fingerprint part)
 {
-    if (parts.empty()) {
-        return;
+    ++m_counters.releasedParts;
+    recordPart(EventCode::QuarantineEnded, part, "source=own");
+    m_commands.emplace_back(PublishSoundPart {.part = part});
+}
+
+void RelaySystem::runQuarantine(model::TimePoint now)
+{
+    const PartVerdicts verdicts = m_partQuarantine.run(now);
+    for (const PartSuspicion &suspicion : verdicts.suspicions) {
+        recordPart(EventCode::PartSuspected, suspicion.part,
+                   absl::StrCat("firstCrashMs=", model::toMilliseconds(suspicion.sinceFirstCrash)));
+        m_commands.emplace_back(PublishSuspectedPart {.suspicion = suspicion});
+    }
+    for (const model::Fingerprint part : verdicts.quarantined) {
+        ++m_counters.quarantinedParts;
+        recordPart(EventCode::RequestQuarantined, part, "source=reports");
+    }
+    for (const model::Fingerprint part : verdicts.findings) {
+        m_commands.emplace_back(PublishDeadlyPart {.part = part});
+    }
+    if (!verdicts.quarantined.empty()) {
+        refuseQuarantined(now);
     }
-    m_counters.quarantinedParts += parts.size();
-    m_commands.emplace_back(observability::Event {
-        .code = EventCode::RequestQuarantined,
-        .request = {},
-        .subject = upstream.text(),
-        .detail = absl::StrCat("parts=", hexNames(parts), " source=", model::toAbsl(source))});
+}
+
+void RelaySystem::recordPart(EventCode code, model::Fingerprint part, std::string detail)
+{
+    m_commands.emplace_back(
+        observability::Event {.code = code,
+                              .request = {},
+                              .subject = absl::StrCat("part-", absl::Hex(part.value())),
+                              .detail = std::move(detail)});
 }
 
 void RelaySystem::onPeerCrashReport(const pipeline::CrashReport &report, model::TimePoint now)
@@ -109,19 +123,31 @@
 
 void RelaySystem::onPeerPartCrash(const PartCrash &crash, model::TimePoint now)
 {
-    const PartFingerprints quarantined = m_partQuarantine.addCrash(crash, now);
-    if (!quarantined.empty()) {
-        recordQuarantine(quarantined, crash.upstream, "peer");
-        refuseQuarantined(now);
+    m_partQuarantine.addCrash(crash, now);
+}
+
+void RelaySystem::onPeerSuspectedPart(const PartSuspicion &suspicion, model::TimePoint now)
+{
+    if (m_partQuarantine.addPeerSuspicion(suspicion.part, now - suspicion.sinceFirstCrash, now)) {
+        publishSound(suspicion.part);
     }
 }
 
 void RelaySystem::onPeerDeadlyPart(model::Fingerprint part, model::Duration age,
                                    model::TimePoint now)
 {
-    if (m_partQuarantine.addFinding(part, now - age)) {
-        recordQuarantine({part}, {}, "finding");
+    switch (m_partQuarantine.addFinding(part, now - age, now)) {
+    case PartQuarantine::FindingResult::Applied:
+        ++m_counters.quarantinedParts;
+        recordPart(EventCode::RequestQuarantined, part,
+                   absl::StrCat("source=finding ageMs=", model::toMilliseconds(age)));
         refuseQuarantined(now);
+        return;
+    case PartQuarantine::FindingResult::Disproved:
+        publishSound(part);
+        return;
+    case PartQuarantine::FindingResult::Known:
+        return;
     }
 }
 
@@ -130,11 +156,8 @@
 {
     if (m_partQuarantine.addPeerAnswer(part, now - age)) {
         ++m_counters.releasedParts;
-        m_commands.emplace_back(observability::Event {
-            .code = EventCode::QuarantineEnded,
-            .request = {},
-            .subject = {},
-            .detail = absl::StrCat("part=", absl::Hex(part.value()), " source=peer")});
+        recordPart(EventCode::QuarantineEnded, part,
+                   absl::StrCat("source=peer ageMs=", model::toMilliseconds(age)));
     }
 }
 
--- a/src/relay/internal/relaysystem.cpp
+++ b/src/relay/internal/relaysystem.cpp
@@ -97,9 +97,7 @@
     , m_chooser(m_directory, m_options.seed)
     , m_scheduler(m_directory)
     , m_budget(m_options.retries)
-    , m_quarantine({.crashesToQuarantine = crashesToQuarantine,
-                    .crashReportLifetime = crashReportLifetime,
-                    .quarantineLifetime = quarantineLifetime})
+    , m_quarantine(crashesToQuarantine, crashReportLifetime, quarantineLifetime)
 {
 }
 
@@ -367,6 +365,7 @@
     while (const auto request = m_timeouts.takeDue(now)) {
         onTimeout(*request, now);
     }
+    runQuarantine(now);
     m_scheduler.run(now);
     handleSchedulerOutput(now);
     checkPeers(now);
@@ -375,9 +374,11 @@
 std::optional<model::TimePoint> RelaySystem::nextRun() const
 {
     std::optional<model::TimePoint> next = m_timeouts.earliest();
-    const std::optional<model::TimePoint> scheduler = m_scheduler.nextRun();
-    if (scheduler && (!next || *scheduler < *next)) {
-        next = scheduler;
+    for (const std::optional<model::TimePoint> other :
+         {m_scheduler.nextRun(), m_partQuarantine.nextRun()}) {
+        if (other && (!next || *other < *next)) {
+            next = other;
+        }
     }
     return next;
 }
--- a/src/relay/partquarantine.h
+++ b/src/relay/partquarantine.h
@@ -1,9 +1,15 @@
 #ifndef CITRONPICK_RELAY_PARTQUARANTINE_H
 #define CITRONPICK_RELAY_PARTQUARANTINE_H
 
+#include <compare>
+#include <deque>
+#include <optional>
 #include <vector>
 
-#include "pipeline/quarantinetable.h"
+#include <absl/container/flat_hash_map.h>
+
+#include "model/ids.h"
+#include "model/time.h"
 #include "relay/relayevents.h"
 
 namespace citronpick::relay
@@ -11,7 +17,8 @@
 
 using PartFingerprints = std::vector<model::Fingerprint>;
 
-//! Fingerprints of the parts of a prompt that other requests may share: all but the last one.
+//! Fingerprints of the parts of a prompt that other requests may share: all but the last one. The
+//! most specific one comes last.
 PartFingerprints sharedParts(const std::vector<PromptPart> &parts);
 
 //! The connection to \a upstream was lost while it ran a request with these parts in its prompt.
@@ -22,33 +29,98 @@
     friend auto operator<=>(const PartCrash &, const PartCrash &) = default;
 };
 
+//! A part that will be quarantined unless a request with it was answered since the first crash.
+struct PartSuspicion {
+    model::Fingerprint part;
+    model::Duration sinceFirstCrash {};
+
+    friend auto operator<=>(const PartSuspicion &, const PartSuspicion &) = default;
+};
+
+//! What PartQuarantine::run() concluded.
+struct PartVerdicts {
+    std::vector<PartSuspicion> suspicions; //!< New ones that no other daemon has announced.
+    PartFingerprints quarantined;
+    PartFingerprints findings; //!< Those of them that other daemons have to be told of.
+};
+
 /*!
  * Finds parts of prompts that crash each upstream that answers them, and keeps requests with such
  * parts from reaching further upstreams.
+ *
+ * The requests beside the one that crashes an upstream are lost as well. Their parts are told apart
+ * by complete answers, which all daemons report for suspected parts, and by crashes that another
+ * part explains.
  */
 class PartQuarantine
 {
 public:
-    PartQuarantine();
-
-    //! Returns the parts that this crash puts into quarantine.
-    PartFingerprints addCrash(const PartCrash &crash, model::TimePoint now);
+    //! A request was lost, here or at another daemon. Reports of one upstream within a short time
+    //! belong to the same crash.
+    void addCrash(const PartCrash &crash, model::TimePoint now);
 
-    //! An upstream answered a request with these parts completely. Returns the parts that other
-    //! daemons may still suspect.
+    //! A request with these parts was answered completely here. Returns the parts that are
+    //! suspected or in quarantine; they no longer are.
     PartFingerprints addAnswer(const PartFingerprints &parts, model::TimePoint now);
-
-    //! Another daemon found at \a at that the part is deadly. Returns false if that is known, or
-    //! outdated by an answer.
-    bool addFinding(model::Fingerprint part, model::TimePoint at);
-    //! Another daemon passed on an answer to a request with this part at \a at. Returns whether
-    //! that ends a quarantine.
+    //! The same at another daemon at \a at. Returns whether that ends a quarantine.
     bool addPeerAnswer(model::Fingerprint part, model::TimePoint at);
 
+    //! Another daemon suspects the part. Returns true if an answer since \a since disproves that.
+    bool addPeerSuspicion(model::Fingerprint part, model::TimePoint since, model::TimePoint now);
+
+    enum class FindingResult {
+        Applied,
+        Known,
+        Disproved, //!< A request with the part was answered since.
+    };
+    //! Another daemon put the part into quarantine at \a at.
+    FindingResult addFinding(model::Fingerprint part, model::TimePoint at, model::TimePoint now);
+
+    PartVerdicts run(model::TimePoint now);
+    //! When run() has to be called next.
+    std::optional<model::TimePoint> nextRun() const
+    {
+        return m_nextRun;
+    }
+
     bool isQuarantined(const PartFingerprints &parts, model::TimePoint now) const;
 
 private:
-    pipeline::QuarantineTable m_table;
+    struct Crash {
+        model::UpstreamId upstream;
+        model::TimePoint at;
+        //! Parts of the lost requests, with their position in the prompt.
+        absl::flat_hash_map<model::Fingerprint, size_t> parts;
+        bool isExplained = false; //!< One of the parts is in quarantine.
+    };
+    //! Crashes that count against a part.
+    struct Candidate {
+        model::Fingerprint part;
+        size_t position = 0;
+        std::vector<model::UpstreamId> upstreams;
+        model::TimePoint firstAt;
+        model::TimePoint lastAt;
+    };
+
+    std::vector<Candidate> candidates() const;
+    static bool isEnough(const Candidate &candidate);
+    void suspect(const std::vector<Candidate> &candidates, PartVerdicts &verdicts,
+                 model::TimePoint now);
+    void quarantine(model::Fingerprint part, model::TimePoint at);
+    bool isQuarantined(model::Fingerprint part, model::TimePoint now) const;
+    model::TimePoint answeredAt(model::Fingerprint part) const;
+    void noteAnswer(model::Fingerprint part, model::TimePoint at);
+    void forgetExpired(model::TimePoint now);
+
+    std::deque<Crash> m_crashes; //!< Oldest first.
+    absl::flat_hash_map<model::Fingerprint, model::TimePoint> m_quarantinedAt;
+    absl::flat_hash_map<model::Fingerprint, model::TimePoint> m_suspectedAt;
+    //! When another daemon announced its suspicion of the part.
+    absl::flat_hash_map<model::Fingerprint, model::TimePoint> m_peerSuspectedAt;
+    //! When a request with the part was last answered completely, here or at another daemon.
+    absl::flat_hash_map<model::Fingerprint, model::TimePoint> m_answeredAt;
+    std::deque<model::Fingerprint> m_answerOrder;
+    std::optional<model::TimePoint> m_nextRun;
 };
 
 } // namespace citronpick::relay
--- a/src/relay/relaycommands.h
+++ b/src/relay/relaycommands.h
@@ -119,6 +119,11 @@
     PartFingerprints parts; //!< Parts of the request's prompt that may be the cause.
 };
 
+//! Ask the other daemons whether they have passed on an answer to a request with this part.
+struct PublishSuspectedPart {
+    PartSuspicion suspicion;
+};
+
 //! Tell the other daemons that requests with this part of a prompt crash upstreams.
 struct PublishDeadlyPart {
     model::Fingerprint part;
@@ -133,7 +138,7 @@
     = std::variant<StartAttempt, CancelAttempt, StartStream, ResumeStream, FinishStream,
                    ForwardAnswer, AbortAnswer, RefuseRequest, RunBatch, CancelBatch, ForwardJob,
                    CancelForwardedJob, AnswerPeer, ReleaseResults, PublishCrashReport,
-                   PublishDeadlyPart, PublishSoundPart, observability::Event>;
+                   PublishSuspectedPart, PublishDeadlyPart, PublishSoundPart, observability::Event>;
 
 } // namespace citronpick::relay
 
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -115,6 +115,8 @@
     void onPeerCrashReport(const pipeline::CrashReport &report, model::TimePoint now);
     //! The same for the parts of that request's prompt.
     void onPeerPartCrash(const PartCrash &crash, model::TimePoint now);
+    //! Another daemon suspects a part of prompts.
+    void onPeerSuspectedPart(const PartSuspicion &suspicion, model::TimePoint now);
     //! Another daemon found \a age ago that a part of prompts crashes upstreams.
     void onPeerDeadlyPart(model::Fingerprint part, model::Duration age, model::TimePoint now);
     //! Another daemon passed on an answer \a age ago to a request with a suspected part.
@@ -273,10 +275,10 @@
     bool isQuarantined(const Exchange &exchange, model::TimePoint now) const;
     //! Returns whether the report puts something into quarantine.
     bool addCrashReport(const Exchange &exchange, const Attempt &attempt, model::TimePoint now);
-    void addAnswer(const Exchange &exchange, const model::UpstreamId &upstream,
-                   model::TimePoint now);
-    void recordQuarantine(const PartFingerprints &parts, const model::UpstreamId &upstream,
-                          std::string_view source);
+    void addAnswer(const Exchange &exchange, model::TimePoint now);
+    void runQuarantine(model::TimePoint now);
+    void recordPart(observability::EventCode code, model::Fingerprint part, std::string detail);
+    void publishSound(model::Fingerprint part);
     void refuseQuarantined(model::TimePoint now);
     void refuseAfterCrash(Exchange &exchange);
 
