--- a/src/fleet/tests/factspreadtest.cpp
+++ b/src/fleet/tests/factspreadtest.cpp
@@ -59,6 +59,13 @@
         m_daemons[daemon]->publish(DeadlyPartFact {.part = model::Fingerprint(part)}, m_now);
     }
 
+    void publishSuspectedPart(size_t daemon, uint64_t part)
+    {
+        m_daemons[daemon]->publish(SuspectedPartFact {.part = model::Fingerprint(part),
+                                                      .sinceFirstCrash = model::seconds(1)},
+                                   m_now);
+    }
+
     //! What the daemon has received since the start.
     const FleetUpdates &received(size_t daemon) const
     {
@@ -89,6 +96,9 @@
             const FleetUpdates updates = m_daemons[i]->takeUpdates();
             m_received[i].crashes.insert(m_received[i].crashes.end(), updates.crashes.begin(),
                                          updates.crashes.end());
+            m_received[i].suspectedParts.insert(m_received[i].suspectedParts.end(),
+                                                updates.suspectedParts.begin(),
+                                                updates.suspectedParts.end());
             m_received[i].deadlyParts.insert(m_received[i].deadlyParts.end(),
                                              updates.deadlyParts.begin(),
                                              updates.deadlyParts.end());
@@ -169,3 +179,16 @@
     }
     CHECK(informed == count - 1);
 }
+
+// Guards against a daemon that hears nothing of a suspicion to which its answers could object.
+TEST_CASE("A suspicion that two daemons announce at once reaches all daemons of a small fleet")
+{
+    constexpr uint16_t count = 6;
+    Fleet fleet(count);
+    fleet.publishSuspectedPart(0, 7);
+    fleet.publishSuspectedPart(1, 7);
+    fleet.run(model::milliseconds(100));
+    for (uint16_t daemon = 0; daemon < count; ++daemon) {
+        CHECK(fleet.received(daemon).suspectedParts.size() == (daemon < 2 ? 1 : 2));
+    }
+}
