Relay: refuse requests that are read while a stopping daemon ends

A caller could see its connection close without an answer although the request had been read and passed on. Same class as the requests that were lost at the end of a planned stop.

Cause: a stop that ends early, once no request is open, still runs the event loop once more to complete writes. A request read there on a kept connection was accepted, as the relay accepts requests for 0.8 of the stop's limit. With the default settings this time (5.9 s) is over before a stop can end early (6.4 s); with an accept period well below the limit it is not.

Change: the end of the stop moves to now when the daemon ends.

--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -315,6 +315,8 @@
                 .request = {},
                 .subject = m_settings.daemon.text(),
                 .detail = absl::StrCat("requests=", m_relay->requestCount())});
+        // The event loop runs once more and may read another request.
+        m_relay->beginShutdown(now, model::Duration::zero());
         m_isFinished = true;
     }
 }
