Net: nothing follows an answer that has no body

Callers that send HEAD on an open connection, or whose upstream answers 204 or 304, got bytes behind the head: the text of a refusal, or the end of a chunked body where the answer was relayed as a stream. A caller takes such bytes for the next answer.

Cause: ExchangeServer framed each answer by its handler's arguments alone; it knew neither the method of the request nor that some statuses have no body.

Change: the connection remembers whether the current answer may have a body. If not, it has neither a length nor chunks, and body bytes are dropped.

Test: exchangeservertest, "A response that has no body…"; on the code before, 12 of its checks failed.

--- a/src/net/internal/exchangeserver.cpp
+++ b/src/net/internal/exchangeserver.cpp
@@ -81,6 +81,8 @@
         uint64_t exchange = 0; //!< Zero while no request awaits its response.
         std::string sending; //!< Passed to the socket.
         std::string queued; //!< To be sent once the current write has completed.
+        bool isHeadRequest = false;
+        bool hasBody = true; //!< The current response may have a body.
         bool isChunked = false;
         bool isWriting = false;
         bool isReadPaused = false;
@@ -216,6 +218,7 @@
         m_exchanges[connection.exchange] = &connection;
         connection.closesAfterWrite
             = !connection.request.head.isKeepAlive || m_closesAfterResponses;
+        connection.isHeadRequest = connection.request.head.method == "HEAD";
         IncomingRequest request = std::move(connection.request);
         connection.request = {};
         connection.hasSentContinue = false;
@@ -226,6 +229,7 @@
     {
         connection.exchange = ++m_lastExchange;
         m_exchanges[connection.exchange] = &connection;
+        connection.isHeadRequest = connection.request.head.method == "HEAD";
         connection.closesAfterWrite = true;
         respond(connection.exchange, status, {}, {});
     }
@@ -245,16 +249,20 @@
         for (const Header &header : headers) {
             appendHeader(connection.queued, header.name, header.value);
         }
-        if (length) {
-            absl::StrAppend(&connection.queued, "content-length: ", *length, "\r\n");
-        } else {
+        constexpr uint16_t noContent = 204;
+        constexpr uint16_t notModified = 304;
+        connection.hasBody
+            = !connection.isHeadRequest && status != noContent && status != notModified;
+        connection.isChunked = connection.hasBody && !length;
+        if (connection.isChunked) {
             connection.queued += "transfer-encoding: chunked\r\n";
+        } else if (connection.hasBody) {
+            absl::StrAppend(&connection.queued, "content-length: ", *length, "\r\n");
         }
         if (connection.closesAfterWrite) {
             connection.queued += "connection: close\r\n";
         }
         connection.queued += "\r\n";
-        connection.isChunked = !length;
     }
 
     void respond(uint64_t exchange, uint16_t status, const Headers &headers, std::string_view body)
@@ -264,7 +272,9 @@
             return;
         }
         appendHead(*connection, status, headers, body.size());
-        connection->queued.append(body);
+        if (connection->hasBody) {
+            connection->queued.append(body);
+        }
         finish(*connection);
     }
 
@@ -280,7 +290,7 @@
     void write(uint64_t exchange, std::string_view bytes)
     {
         Connection *connection = find(exchange);
-        if (!connection || bytes.empty()) {
+        if (!connection || !connection->hasBody || bytes.empty()) {
             return;
         }
         if (connection->isChunked) {
--- a/src/net/tests/exchangeservertest.cpp
+++ b/src/net/tests/exchangeservertest.cpp
@@ -198,3 +198,36 @@
         return !fixture.server.hasUnsentResponses();
     }));
 }
+
+// Guards against bytes that the caller takes for the next response: a response to HEAD, and one
+// with a status that has no body, was followed by a body or by the end of a chunked one.
+TEST_CASE("A response that has no body is followed by nothing but the next response")
+{
+    for (const auto &[method, status] :
+         {std::pair("HEAD", 200), {"HEAD", 404}, {"GET", 204}, {"GET", 304}}) {
+        for (const bool isStream : {false, true}) {
+            CAPTURE(method, status, isStream);
+            Fixture fixture;
+            RawPeer peer
+                = fixture.sendRequest(std::string(method) + " /x HTTP/1.1\r\nHost: a\r\n\r\n");
+            REQUIRE(fixture.handler.exchanges.size() == 1);
+            const uint64_t exchange = fixture.handler.exchanges[0];
+            const auto code = static_cast<uint16_t>(status);
+            if (isStream) {
+                fixture.server.begin(exchange, code, {}, std::nullopt);
+                fixture.server.write(exchange, "body");
+                fixture.server.end(exchange);
+            } else {
+                fixture.server.respond(exchange, code, {}, "body");
+            }
+            peer.send(simpleRequest);
+            REQUIRE(runUntil(fixture.loop, [&] { return fixture.handler.exchanges.size() == 2; }));
+            fixture.server.respond(fixture.handler.exchanges[1], 200, {}, "next");
+            REQUIRE(fixture.waitFor(peer, "next"));
+            const std::string &received = peer.received();
+            const size_t end = received.find("\r\n\r\n");
+            CHECK(received.substr(end + 4).starts_with("HTTP/1.1 200"));
+            CHECK(received.substr(0, end).find("chunked") == std::string::npos);
+        }
+    }
+}
