Net: limits of a new configuration hold on open connections

A caller on an open connection got 431 for a request whose head the configuration in force allows, if the connection was accepted under a lower limit (before the first configuration, the built-in 16 KB).

Cause: ExchangeServer gave its parser the head limit once, at the accept. The other limits are read when they are needed.

Change: the parser gets the limit at the start of each request, so a request is judged by one limit from its first byte to its last.

Tests: exchangeservertest, "New limits hold for the next request on an open connection" failed on the code before (1 of 1: 431 instead of a second request); "Lower limits do not end a request that was accepted before" held.

--- a/src/net/internal/exchangeserver.cpp
+++ b/src/net/internal/exchangeserver.cpp
@@ -138,7 +138,6 @@
         const uint64_t id = ++m_lastConnection;
         auto connection = std::make_unique<Connection>(*this, id, socket);
         connection->timeoutStart = EventLoop::now();
-        connection->parser.setMaxHeadBytes(m_limits.maxHeadBytes);
         socket->data = connection.get();
         h2o_socket_read_start(socket, &Impl::onRead);
         m_connections.emplace(id, std::move(connection));
@@ -183,6 +182,7 @@
         if (connection.parser.isAtStart()) {
             connection.timeoutStart = EventLoop::now();
             connection.request.startedAt = connection.timeoutStart;
+            connection.parser.setMaxHeadBytes(m_limits.maxHeadBytes);
         }
         const size_t consumed = connection.parser.feed({input->bytes, input->size});
         h2o_buffer_consume(&input, consumed);
--- a/src/net/tests/exchangeservertest.cpp
+++ b/src/net/tests/exchangeservertest.cpp
@@ -231,3 +231,45 @@
         }
     }
 }
+
+// Guards against proper requests that are refused with 431: open connections kept the limits in
+// force when they were accepted.
+TEST_CASE("New limits hold for the next request on an open connection")
+{
+    constexpr size_t headBytes = 8U << 10U;
+    Fixture fixture({.maxHeadBytes = headBytes / 2});
+    RawPeer peer = fixture.sendRequest(simpleRequest);
+    REQUIRE(fixture.handler.exchanges.size() == 1);
+    fixture.server.respond(fixture.handler.exchanges[0], 200, {}, "first");
+    REQUIRE(fixture.waitFor(peer, "first"));
+    fixture.server.setLimits({.maxHeadBytes = 2 * headBytes});
+    peer.send("GET /x HTTP/1.1\r\nHost: a\r\nX-A: " + std::string(headBytes, 'a'));
+    constexpr int iterations = 20; // The first part of the head is read before the rest arrives.
+    for (int i = 0; i < iterations; ++i) {
+        fixture.loop.runOnce(model::milliseconds(1));
+    }
+    peer.send("\r\n\r\n");
+    REQUIRE(runUntil(fixture.loop, [&] {
+        return fixture.handler.exchanges.size() == 2
+               || peer.received().find("431") != std::string::npos;
+    }));
+    CHECK(fixture.handler.exchanges.size() == 2);
+}
+
+// Guards against requests that end without an answer: lower limits of a new configuration must not
+// close a connection while a request on it is waiting for its answer.
+TEST_CASE("Lower limits do not end a request that was accepted before")
+{
+    Fixture fixture;
+    RawPeer peer = fixture.sendRequest(simpleRequest);
+    REQUIRE(fixture.handler.exchanges.size() == 1);
+    fixture.server.setLimits({.maxHeadBytes = 1,
+                              .maxBodyBytes = 0,
+                              .headTimeout = {},
+                              .idleTimeout = {},
+                              .maxConnections = 0});
+    fixture.server.sweep(EventLoop::now() + model::seconds(100));
+    CHECK(fixture.handler.disconnected.empty());
+    fixture.server.respond(fixture.handler.exchanges[0], 200, {}, "body");
+    CHECK(fixture.waitFor(peer, "\r\n\r\nbody"));
+}
