Registry: a key that is missing after an outage is kept for a bounded time

Cause: an upstream may leave by removing its entry. After an outage, missing keys were kept for 2.2 s from the first answer on. A watch that was lost at the beginning of a short silence ends 3.9 s later (3 s of long poll, 0.9 s of timeout), so the outage seemed to last until then. An upstream that left 3 s after the real end was used until 14.85 s although its removal was acknowledged at 12.46 s.

Evidence: silence 8.6 to 9.2 s, upstream-leaving of another upstream at 12.65 s (first answer), upstream-removed at 14.852 s on all six daemons, exchange-sent to it until 14.517 s.

The end of the grace period is now also bounded from the last time at which the registry surely did not answer: the start of the last call without an answer. 4.5 s after it, an upstream that left when the platform holds daemons to their bounds again (3 s) is within its 2 s. With readers the bounds are 4 s and 3 s, so 6 s.

The test fails on the code before (no removal reported within the bound).

--- a/src/registry/internal/registryfollower.cpp
+++ b/src/registry/internal/registryfollower.cpp
@@ -132,7 +132,9 @@
     const bool isOutageOver = m_failures >= outageFailureCount
                               || (m_failures > 0 && now - m_lostSince >= m_options.minOutage);
     if (isOutageOver) {
-        m_graceEndsAt = now + m_options.recoveryGracePeriod;
+        const model::Duration longest
+            = m_source.hasReaders() ? m_options.maxSharedRecoveryGrace : m_options.maxRecoveryGrace;
+        m_graceEndsAt = std::min(now + m_options.recoveryGracePeriod, m_mayAnswerSince + longest);
     }
     if (m_failures >= outageFailureCount) {
         m_notifications.emplace_back(ReachabilityChanged {.isReachable = true});
@@ -256,10 +258,12 @@
         restartListing(now);
         return;
     }
+    // A call that outlasted its timeout got no answer from its start on, and the registry may have
+    // returned at any time after that.
+    const bool wasSilent = now - m_callStartedAt > m_callTimeout;
+    m_mayAnswerSince = wasSilent ? m_callStartedAt : now;
     if (m_failures == 0) {
-        // A call that outlasted its timeout got no answer from its start on.
-        const bool wasSilent = now - m_callStartedAt > m_callTimeout;
-        m_lostSince = wasSilent ? m_callStartedAt : now;
+        m_lostSince = m_mayAnswerSince;
     }
     ++m_failures;
     if (m_failures == outageFailureCount) {
--- a/src/registry/registryfollower.h
+++ b/src/registry/registryfollower.h
@@ -44,6 +44,11 @@
     //! Keys that expired during a registry outage are kept for this long after it ends, so that
     //! their owners can write them again.
     model::Duration recoveryGracePeriod = model::milliseconds(2200);
+    //! Keys are not kept for longer than this after the registry may have returned: a later removal
+    //! can be that of an upstream that leaves, which must get no more requests.
+    model::Duration maxRecoveryGrace = model::milliseconds(4500);
+    //! The same while there are readers; their backoff makes the return less certain.
+    model::Duration maxSharedRecoveryGrace = model::milliseconds(6000);
     //! Content that differs from a reader's is listed again at most this often.
     model::Duration mismatchInterval = model::seconds(10);
     //! Whether the first listing may be read from outdated copies of the registry, which costs
@@ -218,6 +223,7 @@
     model::TimePoint m_callStartedAt;
     model::Duration m_callTimeout {}; //!< For how long the registry may hold the pending call.
     model::TimePoint m_lostSince; //!< Since when the registry does not answer.
+    model::TimePoint m_mayAnswerSince; //!< Until when the registry surely did not answer.
     model::TimePoint m_graceEndsAt; //!< Missing keys are kept until then.
     std::vector<FollowerUpdate> m_notifications;
 };
--- /dev/null
+++ b/src/registry/tests/outagetest.cpp
@@ -0,0 +1,27 @@
+#include "registry/tests/followerfixture.h"
+
+using namespace citronpick;
+using namespace citronpick::registry;
+using namespace citronpick::registry::testing;
+using model::milliseconds;
+
+// Guards against requests to an upstream that is gone: it was removed seconds after a short silence
+// of the registry had ended, but a watch that hung made the silence seem to last until just then.
+TEST_CASE("A key that is removed after a hung watch is kept no longer than a leaving upstream may")
+{
+    constexpr model::Duration contactTime = model::seconds(3);
+    constexpr model::Duration leavingBound = model::seconds(2);
+    Fixture fixture;
+    fixture.follower = RegistryFollower({.prefix = "u/", .watchTimeout = model::seconds(3)}, 1);
+    fixture.list({item("u/a", "1", 3)}, 5);
+    fixture.changes();
+    // The registry is silent for an instant and loses this watch.
+    fixture.call();
+    const model::TimePoint removedAt = fixture.now + contactTime;
+    fixture.now += milliseconds(3900);
+    fixture.follower.onError(CallError::Unreachable, fixture.now);
+    fixture.now = *fixture.follower.nextRun();
+    fixture.watch({removal("u/a", 6)}, 6);
+    fixture.now = removedAt + leavingBound - milliseconds(100);
+    CHECK(fixture.changes() == Changes {"-u/a"});
+}
