Registry: a daemon that takes a listing over learns which keys are missing

Cause: a daemon whose call to the registry fails applies the listing of a peer. While that peer keeps missing keys after an outage, its listing holds them as if nothing had happened, at a revision that is later than their removal. The watch goes on from that revision and never repeats the removal, so the daemon keeps these upstreams for good; without readers, nothing compares the content.

Evidence: at 12.67 s front-wa-south-c-1 took such a listing; at 13.18 s the other five daemons removed five upstreams (revision 47), this one removed one of them, and its exchange-sent to the four others went on.

A listing now names the missing keys and the time for which they are kept, and the daemon that applies it removes them after that time unless they are written again. Daemons of an earlier version ignore the new fields, and their listings have none.

The test fails on the code before (the key is never removed).

--- a/src/daemon/internal/listingcodec.cpp
+++ b/src/daemon/internal/listingcodec.cpp
@@ -52,11 +52,13 @@
     }
 }
 
-registry::RegistryPage toListing(const Json &document)
+registry::PeerListing toListing(const Json &document)
 {
-    registry::RegistryPage listing {.items = decodeItems(document.at("items")),
-                                    .revision = document.at("revision")};
-    for (const registry::RegistryItem &item : listing.items) {
+    registry::PeerListing listing {
+        .page = {.items = decodeItems(document.at("items")), .revision = document.at("revision")},
+        .missingKeys = document.value("missing", std::vector<std::string>()),
+        .graceLeft = model::Duration(document.value("graceUs", int64_t {0}))};
+    for (const registry::RegistryItem &item : listing.page.items) {
         if (!item.value) {
             throw std::invalid_argument("item of a listing without a value");
         }
@@ -74,12 +76,16 @@
 
 } // namespace
 
-std::string encodeListing(const registry::RegistryPage &listing)
+std::string encodeListing(const registry::PeerListing &listing)
 {
-    return Json {{"revision", listing.revision}, {"items", encodeItems(listing.items)}}.dump();
+    return Json {{"revision", listing.page.revision},
+                 {"items", encodeItems(listing.page.items)},
+                 {"missing", listing.missingKeys},
+                 {"graceUs", listing.graceLeft.count()}}
+        .dump();
 }
 
-absl::StatusOr<registry::RegistryPage> decodeListing(std::string_view text)
+absl::StatusOr<registry::PeerListing> decodeListing(std::string_view text)
 {
     return decode(text, &toListing);
 }
--- a/src/daemon/internal/listingcodec.h
+++ b/src/daemon/internal/listingcodec.h
@@ -13,8 +13,8 @@
 
 //! Encodes the registry content that a daemon holds as JSON text for another daemon. Decoding
 //! returns InvalidArgument for malformed text.
-std::string encodeListing(const registry::RegistryPage &listing);
-absl::StatusOr<registry::RegistryPage> decodeListing(std::string_view text);
+std::string encodeListing(const registry::PeerListing &listing);
+absl::StatusOr<registry::PeerListing> decodeListing(std::string_view text);
 
 //! The same for changes that a daemon passes on. An item without a value is a removal.
 std::string encodePeerChanges(const registry::PeerChanges &changes);
--- a/src/daemon/internal/registryreader.cpp
+++ b/src/daemon/internal/registryreader.cpp
@@ -82,7 +82,7 @@
     run(now);
 }
 
-void RegistryReader::applyPeerListing(const registry::RegistryPage &listing, model::TimePoint now)
+void RegistryReader::applyPeerListing(const registry::PeerListing &listing, model::TimePoint now)
 {
     m_follower.onPeerListing(listing, now);
     run(now);
--- a/src/daemon/internal/registryreader.h
+++ b/src/daemon/internal/registryreader.h
@@ -34,7 +34,7 @@
     void run(model::TimePoint now);
 
     //! Applies the registry listing of a peer and delivers the resulting updates immediately.
-    void applyPeerListing(const registry::RegistryPage &listing, model::TimePoint now);
+    void applyPeerListing(const registry::PeerListing &listing, model::TimePoint now);
 
     const registry::RegistryFollower &follower() const
     {
--- a/src/daemon/internal/relayregistry.cpp
+++ b/src/daemon/internal/relayregistry.cpp
@@ -37,7 +37,7 @@
     if (!m_registry->follower().isSynchronized()) {
         return std::nullopt;
     }
-    return encodeListing(m_registry->follower().listing());
+    return encodeListing(m_registry->follower().listing(net::EventLoop::now()));
 }
 
 // While this daemon cannot reach the registry, the most recent content available is what a peer
--- a/src/daemon/tests/codectest.cpp
+++ b/src/daemon/tests/codectest.cpp
@@ -148,9 +148,11 @@
 
 TEST_CASE("A registry listing survives encoding and decoding, with arbitrary bytes in its values")
 {
-    const registry::RegistryPage listing {
-        .items = {{.key = "k", .value = std::string("\xff\x00 x", 4), .revision = 4}},
-        .revision = 9};
+    const registry::PeerListing listing {
+        .page = {.items = {{.key = "k", .value = std::string("\xff\x00 x", 4), .revision = 4}},
+                 .revision = 9},
+        .missingKeys = {"k"},
+        .graceLeft = model::milliseconds(700)};
     const auto decoded = decodeListing(encodeListing(listing));
     REQUIRE(decoded.ok());
     CHECK(*decoded == listing);
--- a/src/registry/internal/registrycontent.cpp
+++ b/src/registry/internal/registrycontent.cpp
@@ -9,13 +9,19 @@
 namespace citronpick::registry
 {
 
-RegistryPage RegistryFollower::listing() const
+// The revision is later than the removals that are not believed yet, so no watch repeats them to
+// the daemon that applies the listing.
+PeerListing RegistryFollower::listing(model::TimePoint now) const
 {
-    RegistryPage page {.revision = m_revision};
+    PeerListing result {.page = {.revision = m_revision},
+                        .graceLeft = std::max(model::Duration::zero(), m_graceEndsAt - now)};
     for (const auto &[key, item] : m_items) {
-        page.items.push_back(item);
+        result.page.items.push_back(item);
     }
-    return page;
+    for (const auto &[key, removeAt] : m_pendingRemovals) {
+        result.missingKeys.push_back(key);
+    }
+    return result;
 }
 
 void RegistryFollower::removeUnlisted(uint64_t revision, model::TimePoint now)
--- a/src/registry/internal/registryfollower.cpp
+++ b/src/registry/internal/registryfollower.cpp
@@ -196,20 +196,24 @@
 // A daemon that starts while the registry is unreachable or refuses its calls gets the listing from
 // another daemon. Comparing registry revisions prevents an older listing from replacing a newer
 // one.
-void RegistryFollower::onPeerListing(const RegistryPage &listing, model::TimePoint now)
+void RegistryFollower::onPeerListing(const PeerListing &listing, model::TimePoint now)
 {
-    if (listing.revision <= m_revision) {
+    if (listing.page.revision <= m_revision) {
         return;
     }
+    m_graceEndsAt = std::max(m_graceEndsAt, now + listing.graceLeft);
     m_listedKeys.clear();
-    for (const RegistryItem &item : listing.items) {
+    for (const RegistryItem &item : listing.page.items) {
         m_listedKeys.insert(item.key);
         applyItem(item, now);
     }
-    removeUnlisted(listing.revision, now);
-    m_isSynchronized ? m_history.skip(m_revision, listing.revision)
-                     : m_history.start(listing.revision);
-    m_revision = listing.revision;
+    removeUnlisted(listing.page.revision, now);
+    for (const std::string &key : listing.missingKeys) {
+        removeKey(key, listing.page.revision, now);
+    }
+    m_isSynchronized ? m_history.skip(m_revision, listing.page.revision)
+                     : m_history.start(listing.page.revision);
+    m_revision = listing.page.revision;
     m_isPendingPageObsolete = m_isCallPending && m_isListing;
     m_isListingStale = false;
     m_isConfirming = false;
--- a/src/registry/registryfollower.h
+++ b/src/registry/registryfollower.h
@@ -147,9 +147,9 @@
 
     //! Applies the listing() of another follower of the same prefix; ignored unless its revision is
     //! newer than revision().
-    void onPeerListing(const RegistryPage &listing, model::TimePoint now);
+    void onPeerListing(const PeerListing &listing, model::TimePoint now);
     //! All keys with a value, as of revision(). Serves followers that cannot reach the registry.
-    RegistryPage listing() const;
+    PeerListing listing(model::TimePoint now) const;
 
     //! Whether other daemons may rely on this one: it watches the registry for them and was
     //! answered recently.
--- a/src/registry/registryitem.h
+++ b/src/registry/registryitem.h
@@ -49,6 +49,16 @@
     friend bool operator==(const PeerChanges &, const PeerChanges &) = default;
 };
 
+//! The content of a daemon as it passes it on to one that cannot reach the registry.
+struct PeerListing {
+    RegistryPage page; //!< Includes the missing keys.
+    //! Keys that are missing since an outage; they count as removed when graceLeft is over.
+    std::vector<std::string> missingKeys;
+    model::Duration graceLeft {};
+
+    friend bool operator==(const PeerListing &, const PeerListing &) = default;
+};
+
 } // namespace citronpick::registry
 
 #endif // CITRONPICK_REGISTRY_REGISTRYITEM_H
--- a/src/registry/tests/outagetest.cpp
+++ b/src/registry/tests/outagetest.cpp
@@ -25,3 +25,24 @@
     fixture.now = removedAt + leavingBound - milliseconds(100);
     CHECK(fixture.changes() == Changes {"-u/a"});
 }
+
+// Guards against requests to an upstream that is gone for good: its removal was not believed yet
+// when another daemon took the listing over, and no watch repeats it there.
+TEST_CASE("A removal that is not believed yet reaches a daemon that applies the listing")
+{
+    Fixture keeper;
+    Fixture cutOff;
+    for (Fixture *each : {&keeper, &cutOff}) {
+        each->list({item("u/a", "1", 3), item("u/b", "1", 4)}, 5);
+        each->changes();
+        each->makeRegistryUnreachable();
+    }
+    keeper.watch({removal("u/a", 6), item("u/b", "2", 7)}, 7);
+    CHECK(keeper.changes() == Changes {"u/b=2"});
+    cutOff.follower.onPeerListing(keeper.follower.listing(keeper.now), cutOff.now);
+    // The owner of u/a may still write it again.
+    CHECK(cutOff.changes() == Changes {"u/b=2"});
+    cutOff.watch({}, 7);
+    cutOff.now += milliseconds(2300);
+    CHECK(cutOff.changes() == Changes {"-u/a"});
+}
--- a/src/registry/tests/registryfollowertest.cpp
+++ b/src/registry/tests/registryfollowertest.cpp
@@ -119,7 +119,8 @@
 {
     Fixture fixture;
     fixture.makeRegistryUnreachable();
-    fixture.follower.onPeerListing({.items = {item("u/a", "1", 3)}, .revision = 8}, fixture.now);
+    fixture.follower.onPeerListing({.page = {.items = {item("u/a", "1", 3)}, .revision = 8}},
+                                   fixture.now);
     CHECK(fixture.follower.isSynchronized());
     CHECK(fixture.changes() == Changes {"u/a=1"});
     CHECK(std::get<WatchChanges>(fixture.call()).afterRevision == 8);
@@ -154,12 +155,14 @@
     Fixture fixture;
     fixture.list({item("u/a", "2", 9), item("u/b", "1", 4)}, 10);
     fixture.changes();
-    fixture.follower.onPeerListing({.items = {item("u/a", "1", 3)}, .revision = 9}, fixture.now);
+    fixture.follower.onPeerListing({.page = {.items = {item("u/a", "1", 3)}, .revision = 9}},
+                                   fixture.now);
     CHECK(fixture.changes().empty());
-    fixture.follower.onPeerListing({.items = {item("u/a", "3", 12)}, .revision = 12}, fixture.now);
+    fixture.follower.onPeerListing({.page = {.items = {item("u/a", "3", 12)}, .revision = 12}},
+                                   fixture.now);
     CHECK(fixture.changes() == Changes {"u/a=3", "-u/b"});
-    CHECK(fixture.follower.listing().items.size() == 1);
-    CHECK(fixture.follower.listing().revision == 12);
+    CHECK(fixture.follower.listing(fixture.now).page.items.size() == 1);
+    CHECK(fixture.follower.listing(fixture.now).page.revision == 12);
 }
 
 TEST_CASE("A peer's listing replaces a listing that is being read page by page")
@@ -170,7 +173,8 @@
                             fixture.now);
     CHECK(std::get<ReadPage>(fixture.call()).afterKey == "u/a");
     fixture.follower.onPeerListing(
-        {.items = {item("u/a", "1", 3), item("u/b", "1", 4), item("u/c", "1", 5)}, .revision = 12},
+        {.page = {.items = {item("u/a", "1", 3), item("u/b", "1", 4), item("u/c", "1", 5)},
+                  .revision = 12}},
         fixture.now);
     CHECK(fixture.changes() == Changes {"u/a=1", "u/b=1", "u/c=1"});
     // The page was read before u/d was removed and without u/a, which the first page holds.
@@ -189,7 +193,8 @@
     fixture.follower.onPage({.items = {item("u/a", "1", 3)}, .hasMore = true, .revision = 10},
                             fixture.now);
     fixture.call();
-    fixture.follower.onPeerListing({.items = {item("u/a", "1", 3)}, .revision = 12}, fixture.now);
+    fixture.follower.onPeerListing({.page = {.items = {item("u/a", "1", 3)}, .revision = 12}},
+                                   fixture.now);
     fixture.follower.onError(CallError::Unreachable, fixture.now);
     fixture.now += model::seconds(1);
     CHECK(std::get<WatchChanges>(fixture.call()).afterRevision == 12);
@@ -288,7 +293,7 @@
     CHECK(fixture.reader->isCurrentReader(fixture.now));
     fixture.exchange();
     CHECK(fixture.hearer.revision() == 12);
-    CHECK(fixture.hearer.listing() == fixture.reader->listing());
+    CHECK(fixture.hearer.listing(fixture.now) == fixture.reader->listing(fixture.now));
     CHECK_FALSE(fixture.reader->changesAfter(9, fixture.now));
     fixture.now += milliseconds(2000);
     CHECK_FALSE(fixture.reader->isCurrentReader(fixture.now));
@@ -301,7 +306,7 @@
     // The follower missed a removal before its revision.
     const std::vector<RegistryItem> outdated {item("a", "1", 3), item("b", "2", 12),
                                               item("c", "1", 5)};
-    fixture.hearer.onPeerListing({.items = outdated, .revision = 12}, fixture.now);
+    fixture.hearer.onPeerListing({.page = {.items = outdated, .revision = 12}}, fixture.now);
     fixture.exchange();
     fixture.now += model::seconds(1);
     const auto relisting = fixture.hearer.takeCall(fixture.now);
