Upstreams: one that leaves is usable again only after a restart

Cause: the directory took over whatever the newest entry said. An entry of the same or an earlier start, or one without the time of its start, that said "ready" made a leaving upstream usable again, and no line in the log said so.

Nothing on the platform's pages lets an upstream take its leaving back: it serves on for a while and exits; a new start has a later time. Such an entry is now refused while the upstream is leaving, with 311 listing-rejected why=already-leaving. Upstreams that tell no start time behave as before. A removal ends the refusal.

The test fails on the code before for all three kinds of entry.

--- a/src/daemon/internal/relayregistry.cpp
+++ b/src/daemon/internal/relayregistry.cpp
@@ -198,6 +198,13 @@
     if (change == relay::ListingChange::None || change == relay::ListingChange::Updated) {
         return;
     }
+    if (change == relay::ListingChange::Outdated) {
+        record({.code = EventCode::ListingRejected,
+                .request = {},
+                .subject = id.text(),
+                .detail = absl::StrCat(revision, " why=already-leaving")});
+        return;
+    }
     const EventCode code = change == relay::ListingChange::Added ? EventCode::UpstreamListed
                            : change == relay::ListingChange::Restarted
                                ? EventCode::UpstreamRestarted
--- a/src/relay/internal/upstreamdirectory.cpp
+++ b/src/relay/internal/upstreamdirectory.cpp
@@ -17,6 +17,14 @@
 constexpr model::Duration maxAvoidance = model::seconds(4);
 constexpr uint32_t maxDoublings = 3;
 
+// An upstream that has begun to leave takes new requests only after a restart, so a listing of the
+// same or an earlier start that says otherwise was written late or by somebody else.
+bool isOutdated(const UpstreamListing &known, const UpstreamListing &listing)
+{
+    return known.isLeaving && !listing.isLeaving && known.incarnation != 0
+           && listing.incarnation <= known.incarnation;
+}
+
 } // namespace
 
 ListingChange UpstreamDirectory::apply(const UpstreamListing &listing)
@@ -32,6 +40,9 @@
     if (known->listing == listing) {
         return ListingChange::None;
     }
+    if (isOutdated(known->listing, listing)) {
+        return ListingChange::Outdated;
+    }
     const UpstreamListing before = known->listing;
     eraseFromPool(*known);
     known->listing = listing;
--- a/src/relay/tests/upstreamtest.cpp
+++ b/src/relay/tests/upstreamtest.cpp
@@ -45,6 +45,27 @@
     CHECK(directory.inPool(pool).empty());
 }
 
+// Guards against requests to an upstream that leaves: its entry is written once more as it was
+// before, or without the time of its start.
+TEST_CASE("An upstream that has begun to leave is usable again only after a restart")
+{
+    UpstreamDirectory directory;
+    UpstreamListing entry = listing("u");
+    entry.incarnation = 7;
+    entry.isLeaving = true;
+    directory.apply(entry);
+    entry.isLeaving = false;
+    for (const uint64_t incarnation : {7, 6, 0}) {
+        CAPTURE(incarnation);
+        entry.incarnation = incarnation;
+        directory.apply(entry);
+        CHECK_FALSE(UpstreamDirectory::isUsable(*directory.find(entry.id), start));
+    }
+    entry.incarnation = 8;
+    CHECK(directory.apply(entry) == ListingChange::Restarted);
+    CHECK(UpstreamDirectory::isUsable(*directory.find(entry.id), start));
+}
+
 TEST_CASE("After two consecutive failures an upstream is avoided, then gets one request at a time")
 {
     UpstreamDirectory directory;
--- a/src/relay/upstreamdirectory.h
+++ b/src/relay/upstreamdirectory.h
@@ -45,6 +45,7 @@
     Restarted,
     BeganLeaving,
     Updated,
+    Outdated, //!< Older than the known one, which stays in force.
 };
 
 //! All registered upstreams, by id and by pool.
