Registry: log the keys that are kept although they are missing

On call, an upstream that a daemon kept after an outage could not be told from a listed one: 310 upstream-removed came seconds after the registry's removal, with nothing in between. 312 upstream-missing now says that its entry is gone and for how much longer it is used.

One line for each missing key after an outage; there are as many as expired entries.

--- a/src/daemon/internal/relayregistry.cpp
+++ b/src/daemon/internal/relayregistry.cpp
@@ -120,6 +120,13 @@
                 .subject = mismatch->reader.text(),
                 .detail = absl::StrCat("revision=", m_registry->follower().revision())});
     }
+    if (const auto *delayed = std::get_if<registry::RemovalDelayed>(&update)) {
+        record({.code = EventCode::UpstreamMissing,
+                .request = {},
+                .subject = delayed->key,
+                .detail = absl::StrCat("revision=", delayed->revision,
+                                       " keptMs=", model::toMilliseconds(delayed->delay))});
+    }
     const auto *changed = std::get_if<registry::KeyChanged>(&update);
     if (!changed) {
         return;
--- a/src/observability/event.h
+++ b/src/observability/event.h
@@ -39,6 +39,7 @@
     UpstreamRestarted = 309,
     UpstreamRemoved = 310,
     ListingRejected = 311,
+    UpstreamMissing = 312,
     RequestRefused = 401,
     RequestFailed = 402,
     RequestUnknown = 403,
--- a/src/observability/internal/event.cpp
+++ b/src/observability/internal/event.cpp
@@ -38,6 +38,7 @@
     EventDescription {UpstreamRestarted, Info, "upstream-restarted"},
     EventDescription {UpstreamRemoved, Info, "upstream-removed"},
     EventDescription {ListingRejected, Warning, "listing-rejected"},
+    EventDescription {UpstreamMissing, Info, "upstream-missing"},
     EventDescription {RequestRefused, Debug, "request-refused"},
     EventDescription {RequestFailed, Warning, "request-failed"},
     EventDescription {RequestUnknown, Error, "request-unknown"},
--- a/src/registry/internal/registrycontent.cpp
+++ b/src/registry/internal/registrycontent.cpp
@@ -125,7 +125,10 @@
     }
     m_history.recordRemoval(key, revision);
     if (now < m_graceEndsAt) {
-        m_pendingRemovals.emplace(key, m_graceEndsAt);
+        if (m_pendingRemovals.emplace(key, m_graceEndsAt).second) {
+            m_notifications.emplace_back(
+                RemovalDelayed {.key = key, .revision = revision, .delay = m_graceEndsAt - now});
+        }
         return;
     }
     m_items.erase(known);
--- a/src/registry/registryfollower.h
+++ b/src/registry/registryfollower.h
@@ -114,8 +114,15 @@
     model::DaemonId reader;
 };
 
-using FollowerUpdate
-    = std::variant<KeyChanged, Synchronized, ReachabilityChanged, SourceChanged, ContentMismatch>;
+//! A key is missing after an outage and counts as removed only after \a delay.
+struct RemovalDelayed {
+    std::string key;
+    uint64_t revision = 0;
+    model::Duration delay {};
+};
+
+using FollowerUpdate = std::variant<KeyChanged, Synchronized, ReachabilityChanged, SourceChanged,
+                                    ContentMismatch, RemovalDelayed>;
 
 /*!
  * Mirrors the keys under one prefix of a registry with read-only access: lists them once, then
--- a/src/registry/tests/outagetest.cpp
+++ b/src/registry/tests/outagetest.cpp
@@ -46,3 +46,22 @@
     cutOff.now += milliseconds(2300);
     CHECK(cutOff.changes() == Changes {"-u/a"});
 }
+
+// Guards against a log that cannot tell an upstream that is kept after an outage from a listed one.
+TEST_CASE("A delayed removal is reported once, with the time for which the key is kept")
+{
+    Fixture fixture;
+    fixture.list({item("u/a", "1", 3)}, 5);
+    fixture.makeRegistryUnreachable();
+    fixture.follower.takeUpdates(fixture.now);
+    fixture.watch({removal("u/a", 6), removal("u/a", 6)}, 6);
+    std::vector<RemovalDelayed> delayed;
+    for (const FollowerUpdate &update : fixture.follower.takeUpdates(fixture.now)) {
+        if (const auto *found = std::get_if<RemovalDelayed>(&update)) {
+            delayed.push_back(*found);
+        }
+    }
+    REQUIRE(delayed.size() == 1);
+    CHECK(delayed[0].key == "u/a");
+    CHECK(delayed[0].delay == milliseconds(2200));
+}
