--- a/src/daemon/internal/relayregistry.cpp
+++ b/src/daemon/internal/relayregistry.cpp
@@ -37,7 +37,7 @@
     if (!m_registry->follower().isSynchronized()) {
         return std::nullopt;
     }
-    return encodeListing(m_registry->follower().listing());
+    return encodeListing(m_registry->follower().listing(net::EventLoop::now()));
 }
 
 // While this daemon cannot reach the registry, the most recent content available is what a peer
@@ -120,6 +120,13 @@
                 .subject = mismatch->reader.text(),
                 .detail = absl::StrCat("revision=", m_registry->follower().revision())});
     }
+    if (const auto *delayed = std::get_if<registry::RemovalDelayed>(&update)) {
+        record({.code = EventCode::UpstreamMissing,
+                .request = {},
+                .subject = delayed->key,
+                .detail = absl::StrCat("revision=", delayed->revision,
+                                       " keptMs=", model::toMilliseconds(delayed->delay))});
+    }
     const auto *changed = std::get_if<registry::KeyChanged>(&update);
     if (!changed) {
         return;
@@ -198,6 +205,13 @@
     if (change == relay::ListingChange::None || change == relay::ListingChange::Updated) {
         return;
     }
+    if (change == relay::ListingChange::Outdated) {
+        record({.code = EventCode::ListingRejected,
+                .request = {},
+                .subject = id.text(),
+                .detail = absl::StrCat(revision, " why=already-leaving")});
+        return;
+    }
     const EventCode code = change == relay::ListingChange::Added ? EventCode::UpstreamListed
                            : change == relay::ListingChange::Restarted
                                ? EventCode::UpstreamRestarted
--- a/src/registry/internal/registrycontent.cpp
+++ b/src/registry/internal/registrycontent.cpp
@@ -9,13 +9,19 @@
 namespace citronpick::registry
 {
 
-RegistryPage RegistryFollower::listing() const
+// The revision is later than the removals that are not believed yet, so no watch repeats them to
+// the daemon that applies the listing.
+PeerListing RegistryFollower::listing(model::TimePoint now) const
 {
-    RegistryPage page {.revision = m_revision};
+    PeerListing result {.page = {.revision = m_revision},
+                        .graceLeft = std::max(model::Duration::zero(), m_graceEndsAt - now)};
     for (const auto &[key, item] : m_items) {
-        page.items.push_back(item);
+        result.page.items.push_back(item);
     }
-    return page;
+    for (const auto &[key, removeAt] : m_pendingRemovals) {
+        result.missingKeys.push_back(key);
+    }
+    return result;
 }
 
 void RegistryFollower::removeUnlisted(uint64_t revision, model::TimePoint now)
@@ -119,7 +125,10 @@
     }
     m_history.recordRemoval(key, revision);
     if (now < m_graceEndsAt) {
-        m_pendingRemovals.emplace(key, m_graceEndsAt);
+        if (m_pendingRemovals.emplace(key, m_graceEndsAt).second) {
+            m_notifications.emplace_back(
+                RemovalDelayed {.key = key, .revision = revision, .delay = m_graceEndsAt - now});
+        }
         return;
     }
     m_items.erase(known);
--- a/src/registry/internal/registryfollower.cpp
+++ b/src/registry/internal/registryfollower.cpp
@@ -132,7 +132,9 @@
     const bool isOutageOver = m_failures >= outageFailureCount
                               || (m_failures > 0 && now - m_lostSince >= m_options.minOutage);
     if (isOutageOver) {
-        m_graceEndsAt = now + m_options.recoveryGracePeriod;
+        const model::Duration longest
+            = m_source.hasReaders() ? m_options.maxSharedRecoveryGrace : m_options.maxRecoveryGrace;
+        m_graceEndsAt = std::min(now + m_options.recoveryGracePeriod, m_mayAnswerSince + longest);
     }
     if (m_failures >= outageFailureCount) {
         m_notifications.emplace_back(ReachabilityChanged {.isReachable = true});
@@ -194,20 +196,24 @@
 // A daemon that starts while the registry is unreachable or refuses its calls gets the listing from
 // another daemon. Comparing registry revisions prevents an older listing from replacing a newer
 // one.
-void RegistryFollower::onPeerListing(const RegistryPage &listing, model::TimePoint now)
+void RegistryFollower::onPeerListing(const PeerListing &listing, model::TimePoint now)
 {
-    if (listing.revision <= m_revision) {
+    if (listing.page.revision <= m_revision) {
         return;
     }
+    m_graceEndsAt = std::max(m_graceEndsAt, now + listing.graceLeft);
     m_listedKeys.clear();
-    for (const RegistryItem &item : listing.items) {
+    for (const RegistryItem &item : listing.page.items) {
         m_listedKeys.insert(item.key);
         applyItem(item, now);
     }
-    removeUnlisted(listing.revision, now);
-    m_isSynchronized ? m_history.skip(m_revision, listing.revision)
-                     : m_history.start(listing.revision);
-    m_revision = listing.revision;
+    removeUnlisted(listing.page.revision, now);
+    for (const std::string &key : listing.missingKeys) {
+        removeKey(key, listing.page.revision, now);
+    }
+    m_isSynchronized ? m_history.skip(m_revision, listing.page.revision)
+                     : m_history.start(listing.page.revision);
+    m_revision = listing.page.revision;
     m_isPendingPageObsolete = m_isCallPending && m_isListing;
     m_isListingStale = false;
     m_isConfirming = false;
@@ -256,10 +262,12 @@
         restartListing(now);
         return;
     }
+    // A call that outlasted its timeout got no answer from its start on, and the registry may have
+    // returned at any time after that.
+    const bool wasSilent = now - m_callStartedAt > m_callTimeout;
+    m_mayAnswerSince = wasSilent ? m_callStartedAt : now;
     if (m_failures == 0) {
-        // A call that outlasted its timeout got no answer from its start on.
-        const bool wasSilent = now - m_callStartedAt > m_callTimeout;
-        m_lostSince = wasSilent ? m_callStartedAt : now;
+        m_lostSince = m_mayAnswerSince;
     }
     ++m_failures;
     if (m_failures == outageFailureCount) {
--- a/src/registry/tests/registryfollowertest.cpp
+++ b/src/registry/tests/registryfollowertest.cpp
@@ -1,78 +1,12 @@
-#include <catch2/catch.hpp>
-
-#include "registry/registryfollower.h"
+#include "registry/tests/followerfixture.h"
 
 #include <set>
 
 using namespace citronpick;
 using namespace citronpick::registry;
+using namespace citronpick::registry::testing;
 using model::milliseconds;
 
-namespace
-{
-
-RegistryItem item(const std::string &key, const std::string &value, uint64_t revision)
-{
-    return {.key = key, .value = value, .revision = revision};
-}
-
-RegistryItem removal(const std::string &key, uint64_t revision)
-{
-    return {.key = key, .revision = revision};
-}
-
-struct Fixture {
-    FollowerCall call()
-    {
-        const auto due = follower.takeCall(now);
-        REQUIRE(due);
-        return *due;
-    }
-    void list(const std::vector<RegistryItem> &items, uint64_t revision)
-    {
-        REQUIRE(std::holds_alternative<ReadPage>(call()));
-        follower.onPage({.items = items, .revision = revision}, now);
-    }
-    void watch(const std::vector<RegistryItem> &items, uint64_t revision)
-    {
-        REQUIRE(std::holds_alternative<WatchChanges>(call()));
-        follower.onChanges({.items = items, .revision = revision}, now);
-    }
-    void failCall(CallError error = CallError::Unreachable)
-    {
-        call();
-        follower.onError(error, now);
-    }
-    //! Fails calls until the registry counts as unreachable.
-    void makeRegistryUnreachable()
-    {
-        for (int i = 0; i < 2; ++i) {
-            failCall();
-            now += model::seconds(1);
-        }
-    }
-
-    //! Changes since changes() was last called, as "key=value" or "-key".
-    std::vector<std::string> changes()
-    {
-        std::vector<std::string> found;
-        for (const FollowerUpdate &update : follower.takeUpdates(now)) {
-            if (const auto *changed = std::get_if<KeyChanged>(&update)) {
-                found.push_back(changed->value ? changed->key + "=" + *changed->value
-                                               : "-" + changed->key);
-            }
-        }
-        return found;
-    }
-
-    RegistryFollower follower {{.prefix = "u/"}, 1};
-    model::TimePoint now {model::seconds(10)};
-};
-
-using Changes = std::vector<std::string>;
-
-} // namespace
-
 TEST_CASE("Keys are listed page by page, then watched from the first page's revision")
 {
     Fixture fixture;
@@ -185,7 +119,8 @@
 {
     Fixture fixture;
     fixture.makeRegistryUnreachable();
-    fixture.follower.onPeerListing({.items = {item("u/a", "1", 3)}, .revision = 8}, fixture.now);
+    fixture.follower.onPeerListing({.page = {.items = {item("u/a", "1", 3)}, .revision = 8}},
+                                   fixture.now);
     CHECK(fixture.follower.isSynchronized());
     CHECK(fixture.changes() == Changes {"u/a=1"});
     CHECK(std::get<WatchChanges>(fixture.call()).afterRevision == 8);
@@ -220,12 +155,14 @@
     Fixture fixture;
     fixture.list({item("u/a", "2", 9), item("u/b", "1", 4)}, 10);
     fixture.changes();
-    fixture.follower.onPeerListing({.items = {item("u/a", "1", 3)}, .revision = 9}, fixture.now);
+    fixture.follower.onPeerListing({.page = {.items = {item("u/a", "1", 3)}, .revision = 9}},
+                                   fixture.now);
     CHECK(fixture.changes().empty());
-    fixture.follower.onPeerListing({.items = {item("u/a", "3", 12)}, .revision = 12}, fixture.now);
+    fixture.follower.onPeerListing({.page = {.items = {item("u/a", "3", 12)}, .revision = 12}},
+                                   fixture.now);
     CHECK(fixture.changes() == Changes {"u/a=3", "-u/b"});
-    CHECK(fixture.follower.listing().items.size() == 1);
-    CHECK(fixture.follower.listing().revision == 12);
+    CHECK(fixture.follower.listing(fixture.now).page.items.size() == 1);
+    CHECK(fixture.follower.listing(fixture.now).page.revision == 12);
 }
 
 TEST_CASE("A peer's listing replaces a listing that is being read page by page")
@@ -236,7 +173,8 @@
                             fixture.now);
     CHECK(std::get<ReadPage>(fixture.call()).afterKey == "u/a");
     fixture.follower.onPeerListing(
-        {.items = {item("u/a", "1", 3), item("u/b", "1", 4), item("u/c", "1", 5)}, .revision = 12},
+        {.page = {.items = {item("u/a", "1", 3), item("u/b", "1", 4), item("u/c", "1", 5)},
+                  .revision = 12}},
         fixture.now);
     CHECK(fixture.changes() == Changes {"u/a=1", "u/b=1", "u/c=1"});
     // The page was read before u/d was removed and without u/a, which the first page holds.
@@ -255,7 +193,8 @@
     fixture.follower.onPage({.items = {item("u/a", "1", 3)}, .hasMore = true, .revision = 10},
                             fixture.now);
     fixture.call();
-    fixture.follower.onPeerListing({.items = {item("u/a", "1", 3)}, .revision = 12}, fixture.now);
+    fixture.follower.onPeerListing({.page = {.items = {item("u/a", "1", 3)}, .revision = 12}},
+                                   fixture.now);
     fixture.follower.onError(CallError::Unreachable, fixture.now);
     fixture.now += model::seconds(1);
     CHECK(std::get<WatchChanges>(fixture.call()).afterRevision == 12);
@@ -354,7 +293,7 @@
     CHECK(fixture.reader->isCurrentReader(fixture.now));
     fixture.exchange();
     CHECK(fixture.hearer.revision() == 12);
-    CHECK(fixture.hearer.listing() == fixture.reader->listing());
+    CHECK(fixture.hearer.listing(fixture.now) == fixture.reader->listing(fixture.now));
     CHECK_FALSE(fixture.reader->changesAfter(9, fixture.now));
     fixture.now += milliseconds(2000);
     CHECK_FALSE(fixture.reader->isCurrentReader(fixture.now));
@@ -367,7 +306,7 @@
     // The follower missed a removal before its revision.
     const std::vector<RegistryItem> outdated {item("a", "1", 3), item("b", "2", 12),
                                               item("c", "1", 5)};
-    fixture.hearer.onPeerListing({.items = outdated, .revision = 12}, fixture.now);
+    fixture.hearer.onPeerListing({.page = {.items = outdated, .revision = 12}}, fixture.now);
     fixture.exchange();
     fixture.now += model::seconds(1);
     const auto relisting = fixture.hearer.takeCall(fixture.now);
