Registry: log each failed call with its age, and the silence of its source

Callers saw a revoked API key honoured for 2.5 s, and no daemon said that it no longer heard the registry: only the second failure in a row left a line (701), without an age.

706 names kind, end and age of each call that got no usable answer, and the time since the last answer of any source; 707 the first answer after that; 704 has the same ages. A quiet registry answers each watch and leaves no line, so the two can be told apart.

--- a/src/daemon/internal/registryreader.cpp
+++ b/src/daemon/internal/registryreader.cpp
@@ -1,5 +1,8 @@
 #include "daemon/internal/registryreader.h"
 
+#include <absl/strings/str_cat.h>
+
+#include "model/abslview.h"
 #include "model/overloaded.h"
 
 namespace citronpick::daemon
@@ -22,7 +25,7 @@
 RegistryReader::RegistryReader(net::UpstreamClient &client, const IWireFormat &format,
                                config::Endpoint registry, registry::FollowerOptions options,
                                uint64_t seed, UpdateHandler handler,
-                               PeerWatchStarter startPeerWatch)
+                               PeerWatchStarter startPeerWatch, IEventSink &sink)
     : m_client(client)
     , m_format(format)
     , m_registry(std::move(registry))
@@ -30,6 +33,7 @@
     , m_follower(std::move(options), seed)
     , m_handler(std::move(handler))
     , m_startPeerWatch(std::move(startPeerWatch))
+    , m_sink(sink)
 {
 }
 
@@ -44,16 +48,16 @@
     }
     std::visit(model::Overloaded {
                    [this](const registry::ReadPage &page) {
+                       m_isWatch = false;
                        net::UpstreamCall read = m_format.encodeRead(m_registry, m_prefix, page);
                        read.timeout = readTimeout;
-                       m_isWatch = false;
                        startCall(std::move(read));
                    },
                    [this](const registry::WatchChanges &watch) {
+                       m_isWatch = true;
                        net::UpstreamCall wait = m_format.encodeWatch(
                            m_registry, m_prefix, watch.afterRevision, watch.timeout);
                        wait.timeout = watch.timeout + readTimeout;
-                       m_isWatch = true;
                        startCall(std::move(wait));
                    },
                    [this](const registry::WatchPeer &watch) { m_startPeerWatch(watch); },
@@ -70,6 +74,33 @@
     m_call = m_client.start(std::move(call), *this);
 }
 
+void RegistryReader::failCall(registry::CallError error, std::string_view why, model::TimePoint now)
+{
+    m_sink.record(
+        {.code = observability::EventCode::RegistryCallFailed,
+         .request = {},
+         .subject = config::toText(m_registry),
+         .detail = absl::StrCat("call=", m_isWatch ? "watch" : "read", " why=", model::toAbsl(why),
+                                " age_ms=", model::toMilliseconds(m_follower.callAge(now)),
+                                " silent_ms=", model::toMilliseconds(m_follower.silence(now)),
+                                " failures=", m_follower.failures() + 1,
+                                " revision=", m_follower.revision())});
+    m_follower.onError(error, now);
+}
+
+void RegistryReader::recordReturn(model::TimePoint now)
+{
+    if (m_follower.failures() == 0) {
+        return;
+    }
+    m_sink.record({.code = observability::EventCode::RegistryAnswersAgain,
+                   .request = {},
+                   .subject = config::toText(m_registry),
+                   .detail = absl::StrCat("call=", m_isWatch ? "watch" : "read", " silent_ms=",
+                                          model::toMilliseconds(m_follower.silence(now)),
+                                          " failures=", m_follower.failures())});
+}
+
 void RegistryReader::onPeerChanges(const registry::PeerChanges &changes, model::TimePoint now)
 {
     m_follower.onPeerChanges(changes, now);
@@ -112,9 +143,9 @@
     if (m_status == success) {
         handleAnswer(now);
     } else {
-        m_follower.onError(m_status == compacted ? registry::CallError::Compacted
-                                                 : registry::CallError::Refused,
-                           now);
+        failCall(m_status == compacted ? registry::CallError::Compacted
+                                       : registry::CallError::Refused,
+                 absl::StrCat("status-", m_status), now);
     }
     run(now);
 }
@@ -124,27 +155,29 @@
     if (m_isWatch) {
         const auto changes = m_format.decodeChanges(m_body);
         if (changes.ok()) {
+            recordReturn(now);
             m_follower.onChanges(*changes, now);
             return;
         }
     } else {
         const auto page = m_format.decodePage(m_body);
         if (page.ok()) {
+            recordReturn(now);
             m_follower.onPage(*page, now);
             return;
         }
     }
-    m_follower.onError(registry::CallError::Unreachable, now);
+    failCall(registry::CallError::Unreachable, "undecodable", now);
 }
 
-void RegistryReader::onFailure(uint64_t call, net::CallFailure)
+void RegistryReader::onFailure(uint64_t call, net::CallFailure failure)
 {
     if (call != m_call) {
         return;
     }
     m_call = 0;
     const model::TimePoint now = net::EventLoop::now();
-    m_follower.onError(registry::CallError::Unreachable, now);
+    failCall(registry::CallError::Unreachable, net::toString(failure), now);
     run(now);
 }
 
--- a/src/daemon/internal/registryreader.h
+++ b/src/daemon/internal/registryreader.h
@@ -3,7 +3,9 @@
 
 #include <functional>
 #include <string>
+#include <string_view>
 
+#include "daemon/ieventsink.h"
 #include "daemon/iwireformat.h"
 #include "net/upstreamclient.h"
 #include "registry/registryfollower.h"
@@ -21,7 +23,7 @@
 
     RegistryReader(net::UpstreamClient &client, const IWireFormat &format,
                    config::Endpoint registry, registry::FollowerOptions options, uint64_t seed,
-                   UpdateHandler handler, PeerWatchStarter startPeerWatch);
+                   UpdateHandler handler, PeerWatchStarter startPeerWatch, IEventSink &sink);
 
     void setDaemons(const std::vector<registry::ReaderCandidate> &daemons)
     {
@@ -49,6 +51,8 @@
 private:
     void startCall(net::UpstreamCall call);
     void handleAnswer(model::TimePoint now);
+    void failCall(registry::CallError error, std::string_view why, model::TimePoint now);
+    void recordReturn(model::TimePoint now);
 
     net::UpstreamClient &m_client;
     const IWireFormat &m_format;
@@ -57,6 +61,7 @@
     registry::RegistryFollower m_follower;
     UpdateHandler m_handler;
     PeerWatchStarter m_startPeerWatch;
+    IEventSink &m_sink;
     uint64_t m_call = 0;
     bool m_isWatch = false;
     uint16_t m_status = 0;
--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -137,7 +137,7 @@
                                    .source
                                    = {.daemon = m_settings.daemon, .zone = m_settings.zone}},
         seed, [this](const registry::FollowerUpdate &update) { onRegistryUpdate(update); },
-        [this](const registry::WatchPeer &watch) { startPeerWatch(watch); });
+        [this](const registry::WatchPeer &watch) { startPeerWatch(watch); }, *this);
     m_watchers = std::make_unique<PeerWatchers>(*m_fleetApi, m_registry->follower());
 }
 
--- a/src/daemon/internal/relayregistry.cpp
+++ b/src/daemon/internal/relayregistry.cpp
@@ -93,8 +93,11 @@
             record({.code = EventCode::ReaderFailed,
                     .request = {},
                     .subject = id.text(),
-                    .detail = absl::StrCat("revision=", m_registry->follower().revision(),
-                                           " why=", changes.status().message())});
+                    .detail = absl::StrCat(
+                        "revision=", m_registry->follower().revision(),
+                        " age_ms=", model::toMilliseconds(m_registry->follower().callAge(now)),
+                        " silent_ms=", model::toMilliseconds(m_registry->follower().silence(now)),
+                        " why=", changes.status().message())});
             m_registry->onPeerError(error, now);
         });
 }
--- a/src/observability/event.h
+++ b/src/observability/event.h
@@ -62,6 +62,8 @@
     RegistrySourceChanged = 703,
     ReaderFailed = 704,
     RegistryContentMismatch = 705,
+    RegistryCallFailed = 706,
+    RegistryAnswersAgain = 707,
     ExchangeAdmitted = 801,
     StageFinished = 802,
     StagesRestarted = 803,
--- a/src/observability/internal/event.cpp
+++ b/src/observability/internal/event.cpp
@@ -61,6 +61,8 @@
     EventDescription {RegistrySourceChanged, Info, "registry-source-changed"},
     EventDescription {ReaderFailed, Info, "reader-failed"},
     EventDescription {RegistryContentMismatch, Error, "registry-content-mismatch"},
+    EventDescription {RegistryCallFailed, Info, "registry-call-failed"},
+    EventDescription {RegistryAnswersAgain, Info, "registry-answers-again"},
     EventDescription {ExchangeAdmitted, Info, "exchange-admitted"},
     EventDescription {StageFinished, Info, "stage-finished"},
     EventDescription {StagesRestarted, Warning, "stages-restarted"},
--- a/src/registry/internal/registryfollower.cpp
+++ b/src/registry/internal/registryfollower.cpp
@@ -92,6 +92,7 @@
     m_isCallPending = true;
     m_callStartedAt = now;
     m_callTimeout = timeout;
+    m_answeredAt = m_answeredAt.value_or(now);
     return call;
 }
 
@@ -138,6 +139,7 @@
         m_notifications.emplace_back(ReachabilityChanged {.isReachable = true});
     }
     m_failures = 0;
+    m_answeredAt = now;
 }
 
 void RegistryFollower::onPage(const RegistryPage &page, model::TimePoint now)
--- a/src/registry/registryfollower.h
+++ b/src/registry/registryfollower.h
@@ -168,6 +168,21 @@
     {
         return m_revision;
     }
+    //! Consecutive failed calls to the registry.
+    uint32_t failures() const
+    {
+        return m_failures;
+    }
+    //! Since the last answer of the registry or a reader, also one without changes.
+    model::Duration silence(model::TimePoint now) const
+    {
+        return now - m_answeredAt.value_or(now);
+    }
+    //! Since the pending or last call was made.
+    model::Duration callAge(model::TimePoint now) const
+    {
+        return now - m_callStartedAt;
+    }
 
 private:
     void recordAnswer(model::TimePoint now);
@@ -217,6 +232,7 @@
     model::TimePoint m_listedAt; //!< When the first page of the current listing was read.
     model::TimePoint m_callStartedAt;
     model::Duration m_callTimeout {}; //!< For how long the registry may hold the pending call.
+    std::optional<model::TimePoint> m_answeredAt; //!< Last answer of any source.
     model::TimePoint m_lostSince; //!< Since when the registry does not answer.
     model::TimePoint m_graceEndsAt; //!< Missing keys are kept until then.
     std::vector<FollowerUpdate> m_notifications;
