Registry: a lost watch is replaced within the contact time

Callers: for 2.5 s after the acknowledgement that an API key was revoked, all daemons ran requests with it and answered 404 for a route that was there (CONFIG), since 3.4 s after the registry's return none of them had asked it anything.

Cause: a daemon knows of the registry through one call at a time. A call whose answer is lost ends by its own timeout only, which was the contact time and 0.9 s; after it the same long call was made, and could be lost in the last moments of the silence.

Change: registrySilenceMs (was registryWatchMs) bounds watch, detection and the next answer together; a watch counts as lost 125 ms after its long-poll timeout and is replaced at once on a new connection. While calls fail, each is a watch of 1 ms that the registry answers immediately and that counts as lost after 0.9 s. Daemons with readers watch the registry for 1 s at a time. The follower owns the time at which its call is lost; an answer that has begun may take longer. So the registry is asked within the contact time of any loss, and within 1.7 s of its return after longer silences.

--- a/src/config/internal/relaysettings.cpp
+++ b/src/config/internal/relaysettings.cpp
@@ -94,7 +94,7 @@
         .stagePort = document.at("fleetPorts").at(0),
         .metricsPort = document.at("fleetPorts").at(1),
         .registry = endpoints.at("registry"),
-        .registryWatch = millisecondsAt(document, "registryWatchMs", defaults.registryWatch),
+        .registrySilence = millisecondsAt(document, "registrySilenceMs", defaults.registrySilence),
         .entryLifetime = millisecondsAt(document, "entryLifetimeMs", defaults.entryLifetime),
         .maxConnections = document.value("maxConnections", defaults.maxConnections),
         .linkMbps = static_cast<uint32_t>(document.value("linkMbps", 0.0)),
--- a/src/config/internal/schemas.cpp
+++ b/src/config/internal/schemas.cpp
@@ -102,7 +102,7 @@
     },
     "seeds": { "type": "array", "maxItems": 64, "items": { "$ref": "#/definitions/address" } },
     "registry": { "$ref": "#/definitions/address" },
-    "registryWatchMs": { "$ref": "#/definitions/milliseconds" },
+    "registrySilenceMs": { "$ref": "#/definitions/milliseconds" },
     "entryLifetimeMs": { "$ref": "#/definitions/milliseconds" },
     "linkMbps": { "type": "number", "minimum": 0, "maximum": 1000000 },
     "maxConnections": { "type": "integer", "minimum": 1, "maximum": 1000000 },
--- a/src/config/relaysettings.h
+++ b/src/config/relaysettings.h
@@ -20,7 +20,8 @@
     uint16_t metricsPort = 0;
     std::vector<Endpoint> seeds;
     Endpoint registry;
-    model::Duration registryWatch = model::milliseconds(2000); //!< Long-poll timeout.
+    //! Time within which a watch of the registry that was lost is replaced.
+    model::Duration registrySilence = model::milliseconds(2300);
     model::Duration entryLifetime = model::seconds(1); //!< Cache time of daemon addresses.
     size_t maxConnections = 3000;
     uint32_t linkMbps = 0; //!< Link speed of the instance; zero when unknown.
--- a/src/config/tests/configtest.cpp
+++ b/src/config/tests/configtest.cpp
@@ -127,7 +127,7 @@
   "mode": "relay", "daemon": "d1", "zone": "z", "callers": "10.0.0.1:80",
   "readiness": "10.0.0.1:81", "directory": "10.0.0.1:82", "fleet": "10.0.0.1:83",
   "fleetKey": "at-least-eight", "fleetPorts": [90, 91], "seeds": ["10.0.0.2:83"],
-  "registry": "10.0.0.9:84", "registryWatchMs": 1500, "linkMbps": 200.0,
+  "registry": "10.0.0.9:84", "registrySilenceMs": 1500, "linkMbps": 200.0,
   "retries": { "ratio": 0.1, "slack": 20, "windowMs": 5000 }
 })";
 
@@ -149,7 +149,7 @@
     CHECK(settings->stagePort == 90);
     CHECK(settings->metricsPort == 91);
     CHECK(settings->seeds.size() == 1);
-    CHECK(settings->registryWatch == model::milliseconds(1500));
+    CHECK(settings->registrySilence == model::milliseconds(1500));
     CHECK(settings->linkMbps == 200);
     CHECK(settings->retryRatio == Approx(0.1));
     CHECK(settings->retryWindow == model::seconds(5));
--- a/src/daemon/internal/registryreader.cpp
+++ b/src/daemon/internal/registryreader.cpp
@@ -11,9 +11,9 @@
 namespace
 {
 
-//! The registry normally answers within milliseconds; without an answer after this timeout it
-//! counts as unreachable.
-constexpr model::Duration readTimeout = model::milliseconds(900);
+//! Ends a call whose answer keeps arriving but never completes. The follower abandons a call that
+//! is not answered long before.
+constexpr model::Duration maxCallTime = model::seconds(10);
 constexpr model::Duration connectTimeout = model::milliseconds(400);
 //! Exceeds a page of the listing and many changes of the configuration.
 constexpr uint64_t maxBodyBytes = 16U << 20U;
@@ -39,6 +39,7 @@
 
 void RegistryReader::run(model::TimePoint now)
 {
+    abandonOverdueCall(now);
     for (const registry::FollowerUpdate &update : m_follower.takeUpdates(now)) {
         m_handler(update);
     }
@@ -49,16 +50,12 @@
     std::visit(model::Overloaded {
                    [this](const registry::ReadPage &page) {
                        m_isWatch = false;
-                       net::UpstreamCall read = m_format.encodeRead(m_registry, m_prefix, page);
-                       read.timeout = readTimeout;
-                       startCall(std::move(read));
+                       startCall(m_format.encodeRead(m_registry, m_prefix, page));
                    },
                    [this](const registry::WatchChanges &watch) {
                        m_isWatch = true;
-                       net::UpstreamCall wait = m_format.encodeWatch(
-                           m_registry, m_prefix, watch.afterRevision, watch.timeout);
-                       wait.timeout = watch.timeout + readTimeout;
-                       startCall(std::move(wait));
+                       startCall(m_format.encodeWatch(m_registry, m_prefix, watch.afterRevision,
+                                                      watch.timeout));
                    },
                    [this](const registry::WatchPeer &watch) { m_startPeerWatch(watch); },
                },
@@ -70,22 +67,36 @@
     m_status = 0;
     m_body.clear();
     call.connectTimeout = connectTimeout;
+    call.timeout = maxCallTime;
     call.maxBodyBytes = maxBodyBytes;
     m_call = m_client.start(std::move(call), *this);
 }
 
+void RegistryReader::abandonOverdueCall(model::TimePoint now)
+{
+    const std::optional<model::TimePoint> deadline = m_follower.callDeadline();
+    if (m_call == 0 || !deadline || now < *deadline) {
+        return;
+    }
+    m_client.cancel(std::exchange(m_call, 0));
+    failCall(registry::CallError::TimedOut, net::toString(net::CallFailure::TimedOut), now);
+}
+
 void RegistryReader::failCall(registry::CallError error, std::string_view why, model::TimePoint now)
 {
-    m_sink.record(
-        {.code = observability::EventCode::RegistryCallFailed,
-         .request = {},
-         .subject = config::toText(m_registry),
-         .detail = absl::StrCat("call=", m_isWatch ? "watch" : "read", " why=", model::toAbsl(why),
-                                " age_ms=", model::toMilliseconds(m_follower.callAge(now)),
-                                " silent_ms=", model::toMilliseconds(m_follower.silence(now)),
-                                " failures=", m_follower.failures() + 1,
-                                " revision=", m_follower.revision())});
+    // Another connection may have gone silent at the same moment as this one.
+    m_client.closeIdleConnections(m_registry);
+    const std::string call
+        = absl::StrCat("call=", m_isWatch ? "watch" : "read", " why=", model::toAbsl(why),
+                       " hold_ms=", model::toMilliseconds(m_follower.callTimeout()),
+                       " age_ms=", model::toMilliseconds(m_follower.callAge(now)),
+                       " silent_ms=", model::toMilliseconds(m_follower.silence(now)));
     m_follower.onError(error, now);
+    m_sink.record({.code = observability::EventCode::RegistryCallFailed,
+                   .request = {},
+                   .subject = config::toText(m_registry),
+                   .detail = absl::StrCat(call, " failures=", m_follower.failures(),
+                                          " revision=", m_follower.revision())});
 }
 
 void RegistryReader::recordReturn(model::TimePoint now)
@@ -123,6 +134,7 @@
 {
     if (call == m_call) {
         m_status = head.status;
+        m_follower.onProgress(net::EventLoop::now());
     }
 }
 
@@ -130,6 +142,7 @@
 {
     if (call == m_call) {
         m_body.append(bytes);
+        m_follower.onProgress(net::EventLoop::now());
     }
 }
 
--- a/src/daemon/internal/registryreader.h
+++ b/src/daemon/internal/registryreader.h
@@ -50,6 +50,7 @@
 
 private:
     void startCall(net::UpstreamCall call);
+    void abandonOverdueCall(model::TimePoint now);
     void handleAnswer(model::TimePoint now);
     void failCall(registry::CallError error, std::string_view why, model::TimePoint now);
     void recordReturn(model::TimePoint now);
--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -132,7 +132,7 @@
     m_registry = std::make_unique<RegistryReader>(
         m_client, m_format, m_settings.registry,
         registry::FollowerOptions {.prefix = m_format.registryPrefix(),
-                                   .watchTimeout = m_settings.registryWatch,
+                                   .maxSilence = m_settings.registrySilence,
                                    .allowsStaleStart = true,
                                    .source
                                    = {.daemon = m_settings.daemon, .zone = m_settings.zone}},
--- a/src/registry/internal/registryfollower.cpp
+++ b/src/registry/internal/registryfollower.cpp
@@ -59,43 +59,75 @@
     }
     if (m_isListing) {
         return take(ReadPage {.afterKey = m_afterKey, .allowsStale = m_isListingStale},
-                    model::Duration::zero(), now);
+                    model::Duration::zero(), m_options.readTimeout, now);
     }
     if (now < m_watchDueAt) {
         return std::nullopt;
     }
     if (m_isConfirming) {
-        constexpr model::Duration shortest = model::milliseconds(1);
-        return isRegistryDue ? std::optional(take(
-                   WatchChanges {.afterRevision = m_revision, .timeout = shortest}, shortest, now))
-                             : std::nullopt;
+        return isRegistryDue ? std::optional(probeRegistry(now)) : std::nullopt;
     }
     if (const std::optional<ReaderCandidate> reader = m_source.choose(now, isRegistryDue)) {
         setSource(reader->id);
-        return take(WatchPeer {.reader = reader->id,
-                               .afterRevision = m_revision,
-                               .timeout = m_options.sharedWatchTimeout},
-                    m_options.sharedWatchTimeout, now);
+        const FollowerCall call = take(WatchPeer {.reader = reader->id,
+                                                  .afterRevision = m_revision,
+                                                  .timeout = m_options.sharedWatchTimeout},
+                                       m_options.sharedWatchTimeout, model::Duration::zero(), now);
+        // The sender of the call knows when a reader is lost.
+        m_callDeadline.reset();
+        return call;
     }
     if (!isRegistryDue) {
         return std::nullopt;
     }
     setSource({});
+    // A registry that has failed is asked for an immediate answer: a long poll that is lost before
+    // the registry returns would hide its return.
+    return m_failures > 0 ? probeRegistry(now) : watchRegistry(now);
+}
+
+FollowerCall RegistryFollower::watchRegistry(model::TimePoint now)
+{
+    // One margin to notice that the watch was lost, one for the answer of the call that follows.
     const model::Duration timeout
-        = m_source.isReader() ? m_options.sharedWatchTimeout : m_options.watchTimeout;
-    return take(WatchChanges {.afterRevision = m_revision, .timeout = timeout}, timeout, now);
+        = m_source.isReader() || m_source.hasReaders()
+              ? m_options.sharedWatchTimeout
+              : std::max(m_options.maxSilence - 2 * m_options.answerMargin, m_options.answerMargin);
+    return take(WatchChanges {.afterRevision = m_revision, .timeout = timeout}, timeout,
+                m_options.answerMargin, now);
+}
+
+FollowerCall RegistryFollower::probeRegistry(model::TimePoint now)
+{
+    constexpr model::Duration shortest = model::milliseconds(1);
+    return take(WatchChanges {.afterRevision = m_revision, .timeout = shortest}, shortest,
+                m_options.readTimeout, now);
 }
 
 FollowerCall RegistryFollower::take(FollowerCall call, model::Duration timeout,
-                                    model::TimePoint now)
+                                    model::Duration margin, model::TimePoint now)
 {
     m_isCallPending = true;
     m_callStartedAt = now;
     m_callTimeout = timeout;
+    m_callDeadline = now + timeout + margin;
     m_answeredAt = m_answeredAt.value_or(now);
     return call;
 }
 
+void RegistryFollower::endCall()
+{
+    m_isCallPending = false;
+    m_callDeadline.reset();
+}
+
+void RegistryFollower::onProgress(model::TimePoint now)
+{
+    if (m_callDeadline) {
+        m_callDeadline = std::max(*m_callDeadline, now + m_options.readTimeout);
+    }
+}
+
 void RegistryFollower::setSource(const model::DaemonId &reader)
 {
     if (reader != m_reader) {
@@ -106,7 +138,7 @@
 
 std::optional<model::TimePoint> RegistryFollower::nextRun() const
 {
-    std::optional<model::TimePoint> next;
+    std::optional<model::TimePoint> next = m_callDeadline;
     if (!m_isCallPending) {
         const bool asksReader
             = !m_isListing && !m_isConfirming && m_source.choose(m_watchDueAt, false);
@@ -122,7 +154,7 @@
 
 void RegistryFollower::recordAnswer(model::TimePoint now)
 {
-    m_isCallPending = false;
+    endCall();
     m_registryDueAt = now;
     m_source.onRegistryCallEnded();
     recordReachable(now);
@@ -234,7 +266,7 @@
 
 void RegistryFollower::onPeerChanges(const PeerChanges &changes, model::TimePoint now)
 {
-    m_isCallPending = false;
+    endCall();
     m_source.onPeerAnswered();
     // The content is current although this daemon itself may not reach the registry.
     recordReachable(now);
@@ -245,13 +277,13 @@
 
 void RegistryFollower::onPeerError(PeerError error, model::TimePoint now)
 {
-    m_isCallPending = false;
+    endCall();
     m_source.onPeerFailed(m_reader, error, now);
 }
 
 void RegistryFollower::onError(CallError error, model::TimePoint now)
 {
-    m_isCallPending = false;
+    endCall();
     m_source.onRegistryCallEnded();
     const bool wasPageObsolete = std::exchange(m_isPendingPageObsolete, false);
     if (error == CallError::Compacted && !wasPageObsolete) {
@@ -267,7 +299,17 @@
     if (m_failures == outageFailureCount) {
         m_notifications.emplace_back(ReachabilityChanged {.isReachable = false});
     }
+    scheduleRetry(error, now);
+}
+
+void RegistryFollower::scheduleRetry(CallError error, model::TimePoint now)
+{
     const bool hasReaders = m_source.hasReaders();
+    if (error == CallError::TimedOut && m_failures == 1 && !hasReaders) {
+        // The lost call has lasted longer than any backoff.
+        m_registryDueAt = now;
+        return;
+    }
     const model::Duration initial
         = hasReaders ? m_options.initialSharedBackoff : m_options.initialBackoff;
     const model::Duration backoff
--- a/src/registry/registryfollower.h
+++ b/src/registry/registryfollower.h
@@ -19,14 +19,19 @@
 
 struct FollowerOptions {
     std::string prefix; //!< Only keys that start with this prefix are followed.
-    //! Long-poll timeout of one watch call. A connection that stopped responding isn't detected
-    //! before this timeout expires.
-    model::Duration watchTimeout = model::milliseconds(2000);
-    //! The same while other daemons rely on this one, and for watches of a reader. Changes reach
-    //! all daemons late by at most about three times this when a reader is lost.
+    //! A watch whose answer was lost is replaced, and the next call answered, within this time if
+    //! the registry answers by then.
+    model::Duration maxSilence = model::milliseconds(2300);
+    //! A watch without an answer this long after its long-poll timeout has been lost.
+    model::Duration answerMargin = model::milliseconds(125);
+    //! Timeout of a call that the registry answers immediately, and the time in which more of an
+    //! answer has to arrive that has begun.
+    model::Duration readTimeout = model::milliseconds(900);
+    //! Long-poll timeout in a fleet with readers. Changes reach all daemons late by at most about
+    //! three times this when a reader is lost.
     model::Duration sharedWatchTimeout = model::milliseconds(1000);
     //! A reader whose content was last known to be complete before that has no current content.
-    //! Covers a watch and the time after which it counts as failed.
+    //! Covers a watch and the call that replaces it if it was lost.
     model::Duration maxReaderAge = model::milliseconds(1900);
     //! Delay before the next watch after one that returned changes, so that changes in quick
     //! succession are fetched with one call.
@@ -79,7 +84,8 @@
 //! Why a call to the registry failed.
 enum class CallError {
     Refused, //!< The registry answered with an error status.
-    Unreachable, //!< No answer, or one that could not be decoded.
+    Unreachable, //!< The connection failed, or the answer could not be decoded.
+    TimedOut, //!< No answer by callDeadline().
     Compacted, //!< The registry no longer keeps the requested revisions.
 };
 
@@ -131,8 +137,16 @@
     //! The next call to make, if one is due. It is pending until onPage(), onChanges(), onError(),
     //! onPeerChanges() or onPeerError().
     std::optional<FollowerCall> takeCall(model::TimePoint now);
-    //! When takeCall() or takeUpdates() will next return something if no answer arrives before.
+    //! When takeCall() or takeUpdates() will next return something, or the pending call is lost, if
+    //! no answer arrives before.
     std::optional<model::TimePoint> nextRun() const;
+    //! When the pending call to the registry is to be abandoned with CallError::TimedOut.
+    std::optional<model::TimePoint> callDeadline() const
+    {
+        return m_callDeadline;
+    }
+    //! A part of the pending call's answer has arrived.
+    void onProgress(model::TimePoint now);
 
     void onPage(const RegistryPage &page, model::TimePoint now);
     void onChanges(const RegistryChanges &changes, model::TimePoint now);
@@ -183,6 +197,11 @@
     {
         return now - m_callStartedAt;
     }
+    //! Long-poll timeout of that call; zero for a read.
+    model::Duration callTimeout() const
+    {
+        return m_callTimeout;
+    }
 
 private:
     void recordAnswer(model::TimePoint now);
@@ -191,7 +210,12 @@
     void setSource(const model::DaemonId &reader);
     uint64_t contentDigest() const;
     void compareContent(const PeerChanges &changes, model::TimePoint now);
-    FollowerCall take(FollowerCall call, model::Duration timeout, model::TimePoint now);
+    FollowerCall take(FollowerCall call, model::Duration timeout, model::Duration margin,
+                      model::TimePoint now);
+    FollowerCall watchRegistry(model::TimePoint now);
+    FollowerCall probeRegistry(model::TimePoint now);
+    void endCall();
+    void scheduleRetry(CallError error, model::TimePoint now);
     void applyItem(const RegistryItem &item, model::TimePoint now);
     void removeUnlisted(uint64_t revision, model::TimePoint now);
     void markSynchronized();
@@ -232,6 +256,7 @@
     model::TimePoint m_listedAt; //!< When the first page of the current listing was read.
     model::TimePoint m_callStartedAt;
     model::Duration m_callTimeout {}; //!< For how long the registry may hold the pending call.
+    std::optional<model::TimePoint> m_callDeadline; //!< Empty without a pending registry call.
     std::optional<model::TimePoint> m_answeredAt; //!< Last answer of any source.
     model::TimePoint m_lostSince; //!< Since when the registry does not answer.
     model::TimePoint m_graceEndsAt; //!< Missing keys are kept until then.
--- a/src/registry/tests/registryfleet.cpp
+++ b/src/registry/tests/registryfleet.cpp
@@ -11,8 +11,6 @@
 {
 
 constexpr model::Duration stepTime = model::milliseconds(20);
-//! How long a daemon waits for an answer beyond the time that a watch may take.
-constexpr model::Duration registryTimeout = model::milliseconds(900);
 constexpr model::Duration peerTimeout = model::milliseconds(500);
 //! Time until the other daemons consider a silent one dead.
 constexpr model::Duration detectionTime = model::seconds(5);
@@ -120,24 +118,56 @@
     m_daemons[second].cutPeers.insert(first);
 }
 
-bool RegistryFleet::reachesRegistry(const Daemon &daemon) const
+void RegistryFleet::setRegistrySilent(bool isSilent)
 {
-    return !daemon.isCutFromRegistry;
+    m_isRegistrySilent = isSilent;
+    loseConnections();
+}
+
+void RegistryFleet::setSilentFor(size_t daemon, bool isSilent)
+{
+    m_daemons[daemon].isUnanswered = isSilent;
+    if (m_daemons[daemon].pending) {
+        m_daemons[daemon].pending->isLost = true;
+    }
+}
+
+void RegistryFleet::loseConnections()
+{
+    for (Daemon &daemon : m_daemons) {
+        if (daemon.pending) {
+            daemon.pending->isLost = true;
+        }
+    }
+}
+
+uint64_t RegistryFleet::takePeakRate()
+{
+    return std::exchange(m_peakRate, 0);
+}
+
+bool RegistryFleet::reachesRegistry(const Daemon &daemon)
+{
+    return !daemon.isCutFromRegistry && !daemon.pending->isLost;
+}
+
+void RegistryFleet::abandonOverdueCall(Daemon &daemon) const
+{
+    if (m_now >= daemon.follower->callDeadline()) {
+        daemon.pending.reset();
+        daemon.follower->onError(CallError::TimedOut, m_now);
+    }
 }
 
 void RegistryFleet::answer(Daemon &daemon, const ReadPage &page)
 {
-    const PendingCall pending = *daemon.pending;
     if (m_isRegistryDown && reachesRegistry(daemon)) {
         daemon.pending.reset();
         daemon.follower->onError(CallError::Refused, m_now);
         return;
     }
     if (!reachesRegistry(daemon)) {
-        if (m_now >= pending.startedAt + registryTimeout) {
-            daemon.pending.reset();
-            daemon.follower->onError(CallError::Unreachable, m_now);
-        }
+        abandonOverdueCall(daemon);
         return;
     }
     const auto [items, revision]
@@ -163,10 +193,7 @@
         return;
     }
     if (!reachesRegistry(daemon)) {
-        if (m_now >= pending.startedAt + watch.timeout + registryTimeout) {
-            daemon.pending.reset();
-            daemon.follower->onError(CallError::Unreachable, m_now);
-        }
+        abandonOverdueCall(daemon);
         return;
     }
     if (watch.afterRevision < m_historyStart) {
@@ -216,6 +243,16 @@
     }
 }
 
+void RegistryFleet::countCall()
+{
+    ++m_registryCalls;
+    m_recentCalls.push_back(m_now);
+    while (m_recentCalls.front() <= m_now - model::seconds(1)) {
+        m_recentCalls.pop_front();
+    }
+    m_peakRate = std::max<uint64_t>(m_peakRate, m_recentCalls.size());
+}
+
 void RegistryFleet::answer(size_t index)
 {
     Daemon &daemon = m_daemons[index];
@@ -226,8 +263,11 @@
         }
         const auto *page = std::get_if<ReadPage>(&*call);
         const bool isCopyRead = page && page->allowsStale;
-        m_registryCalls += std::holds_alternative<WatchPeer>(*call) || isCopyRead ? 0 : 1;
-        daemon.pending = PendingCall {.call = *call, .startedAt = m_now};
+        if (!std::holds_alternative<WatchPeer>(*call) && !isCopyRead) {
+            countCall();
+        }
+        daemon.pending = PendingCall {
+            .call = *call, .startedAt = m_now, .isLost = m_isRegistrySilent || daemon.isUnanswered};
         return;
     }
     const FollowerCall call = daemon.pending->call;
--- a/src/registry/tests/registryfleet.h
+++ b/src/registry/tests/registryfleet.h
@@ -1,6 +1,7 @@
 #ifndef CITRONPICK_REGISTRY_TESTS_REGISTRYFLEET_H
 #define CITRONPICK_REGISTRY_TESTS_REGISTRYFLEET_H
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <set>
@@ -14,7 +15,7 @@
     size_t daemons = 300;
     size_t zones = 5;
     size_t keys = 425; //!< Keys in the registry at the start.
-    FollowerOptions follower {.watchTimeout = model::seconds(4)};
+    FollowerOptions follower {.maxSilence = model::seconds(4)};
     //! Age of the copies that answer reads that allow outdated content.
     model::Duration copyAge {};
 };
@@ -33,6 +34,13 @@
     // Faults. Calls over a cut connection get no answer; a registry that is down refuses them.
     void cutFromRegistry(size_t daemon, bool isCut);
     void setRegistryDown(bool isDown);
+    //! The registry answers none of the calls that are pending or made while it is silent, nor
+    //! later.
+    void setRegistrySilent(bool isSilent);
+    //! The same for one daemon only.
+    void setSilentFor(size_t daemon, bool isSilent);
+    //! All connections to the registry go silent; new ones work.
+    void loseConnections();
     void kill(size_t daemon);
     void cutBetween(size_t first, size_t second);
 
@@ -49,6 +57,8 @@
     {
         return m_registryCalls;
     }
+    //! The most calls that began within one second since the last call of this function.
+    uint64_t takePeakRate();
     std::vector<size_t> readers() const;
     //! Whether all running daemons have the key with this value; an empty one means none.
     bool allHave(const std::string &key, const std::optional<std::string> &value) const;
@@ -63,6 +73,7 @@
     struct PendingCall {
         FollowerCall call;
         model::TimePoint startedAt;
+        bool isLost = false; //!< It never gets an answer.
     };
     struct Daemon {
         ReaderCandidate identity;
@@ -71,17 +82,20 @@
         std::map<std::string, std::string> known;
         bool isAlive = true;
         bool isCutFromRegistry = false;
+        bool isUnanswered = false; //!< The registry is silent for this daemon.
         std::set<size_t> cutPeers;
         model::TimePoint diedAt;
     };
 
     void step();
     void collect(Daemon &daemon);
+    void countCall();
+    void abandonOverdueCall(Daemon &daemon) const;
     void answer(size_t index);
     void answer(Daemon &daemon, const ReadPage &page);
     void answer(Daemon &daemon, const WatchChanges &watch);
     void answer(Daemon &daemon, const WatchPeer &watch);
-    bool reachesRegistry(const Daemon &daemon) const;
+    static bool reachesRegistry(const Daemon &daemon);
     void change(RegistryItem item);
     //! The registry's keys and revision at an earlier time.
     std::pair<std::map<std::string, RegistryItem>, uint64_t> contentAt(model::TimePoint at) const;
@@ -95,7 +109,10 @@
     uint64_t m_revision = 1;
     uint64_t m_historyStart = 0;
     bool m_isRegistryDown = false;
+    bool m_isRegistrySilent = false;
     uint64_t m_registryCalls = 0;
+    std::deque<model::TimePoint> m_recentCalls; //!< Starts of the calls of the last second.
+    uint64_t m_peakRate = 0;
     uint64_t m_removalsReported = 0;
     model::TimePoint m_now {model::seconds(100)};
 };
