Registry: test that a slow registry is not taken for a lost one

A watch that is abandoned 125 ms after its timeout must not make a registry whose answers are late by half a second count as unreachable.

--- a/src/registry/tests/silencetest.cpp
+++ b/src/registry/tests/silencetest.cpp
@@ -198,3 +198,24 @@
     REQUIRE(next);
     CHECK(std::get<WatchChanges>(*next).timeout == usual);
 }
+
+// Guards against a slow registry that is taken for a lost one.
+TEST_CASE("A registry whose answers are late by half a second stays reachable")
+{
+    RegistryFollower follower({.maxSilence = model::seconds(3)}, 1);
+    model::TimePoint now {model::seconds(10)};
+    REQUIRE(follower.takeCall(now));
+    follower.onPage({.revision = 5}, now);
+    follower.takeUpdates(now);
+    for (int watch = 0; watch < 5; ++watch) {
+        REQUIRE(follower.takeCall(now));
+        now = *follower.callDeadline();
+        follower.onError(CallError::TimedOut, now);
+        REQUIRE(follower.takeCall(now));
+        now += milliseconds(500);
+        REQUIRE(now < follower.callDeadline());
+        follower.onChanges({.revision = 5}, now);
+        CHECK(follower.takeUpdates(now).empty());
+        CHECK(follower.isReachable());
+    }
+}
