Fault soak: planned stops in series, and no request lost in them

Change: faults with steps (SIGTERM in series, a second SIGTERM during a drain, SIGHUP with other drain settings during a drain) and slow stages; they have a random stream of their own, so that the other faults of a seed stay as they were. Seeds from 1000 on play planned work only, as a kill ends most stops of the mixed plans.

--- a/tests/soak/daemonprocess.cpp
+++ b/tests/soak/daemonprocess.cpp
@@ -25,6 +25,8 @@
 constexpr model::Duration restartDelay = model::milliseconds(300);
 //! Limit of a planned stop: the platform kills a process that runs 8 s after SIGTERM.
 constexpr model::Duration stopLimit = model::seconds(8);
+//! A pause may have effects for this long after its end.
+constexpr model::Duration pauseEffect = model::seconds(3);
 
 } // namespace
 
@@ -43,7 +45,13 @@
     }
 }
 
-void DaemonProcess::start()
+void DaemonProcess::writeSettings(const std::string &text, model::Duration stopLimit)
+{
+    std::ofstream(m_settings) << text;
+    m_writtenStopLimit = stopLimit;
+}
+
+void DaemonProcess::start(model::TimePoint now)
 {
     std::string settings = "--settings=" + m_settings;
     std::string program = m_program;
@@ -61,9 +69,8 @@
     }
     posix_spawn_file_actions_destroy(&files);
     m_restartAt.reset();
-    m_stoppedAt.reset();
     m_isPaused = false;
-    m_wasKilled = false;
+    m_life = {.startedAt = now, .stopLimit = m_writtenStopLimit};
 }
 
 void DaemonProcess::send(int signal) const
@@ -92,28 +99,39 @@
 
 void DaemonProcess::stop(model::TimePoint now)
 {
-    if (!m_stoppedAt) {
-        m_stoppedAt = now;
-        m_wasKilled = m_wasKilled || !handles(SIGTERM);
+    if (m_pid > 0 && !m_life.stoppedAt) {
+        m_life.stoppedAt = now;
+        m_life.wasKilled = m_life.wasKilled || !handles(SIGTERM);
+        m_life.wasPaused = m_isPaused || now - m_resumedAt < pauseEffect;
+        send(SIGTERM);
+    }
+}
+
+void DaemonProcess::repeatStop(model::TimePoint now)
+{
+    if (m_pid > 0 && m_life.stoppedAt && !m_life.stopRepeatedAt) {
+        m_life.stopRepeatedAt = now;
         send(SIGTERM);
     }
 }
 
 void DaemonProcess::kill()
 {
-    m_wasKilled = true;
+    m_life.wasKilled = true;
     send(SIGKILL);
 }
 
 void DaemonProcess::pause()
 {
     m_isPaused = true;
+    m_life.wasPaused = m_life.stoppedAt.has_value();
     send(SIGSTOP);
 }
 
-void DaemonProcess::resume()
+void DaemonProcess::resume(model::TimePoint now)
 {
     m_isPaused = false;
+    m_resumedAt = now;
     send(SIGCONT);
 }
 
@@ -121,6 +139,7 @@
 {
     if (handles(SIGHUP)) {
         send(SIGHUP);
+        m_life.stopLimit = m_life.stoppedAt ? m_life.stopLimit : m_writtenStopLimit;
     }
 }
 
@@ -128,11 +147,11 @@
 {
     if (m_pid == 0) {
         if (m_restartAt && now >= *m_restartAt) {
-            start();
+            start(now);
         }
         return std::nullopt;
     }
-    if (m_stoppedAt && !m_isPaused && now - *m_stoppedAt > 2 * stopLimit) {
+    if (m_life.stoppedAt && !m_isPaused && now - *m_life.stoppedAt > 2 * stopLimit) {
         kill();
         return "a planned stop did not finish: " + m_settings;
     }
@@ -142,8 +161,10 @@
     }
     m_pid = 0;
     m_restartAt = now + restartDelay;
+    m_life.endedAt = now;
+    m_endedLife = m_life;
     const bool hasExitedCleanly = WIFEXITED(status) && WEXITSTATUS(status) == 0;
-    if (m_wasKilled || (m_stoppedAt && hasExitedCleanly)) {
+    if (m_life.wasKilled || (m_life.stoppedAt && hasExitedCleanly)) {
         return std::nullopt;
     }
     return absl::StrCat("a daemon exited unexpectedly with status ", status, ": ", m_settings);
--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -1,27 +1,76 @@
 #include "soak/faultplan.h"
 
+#include <algorithm>
+
 namespace citronpick::soak
 {
 
 namespace
 {
 
-constexpr uint32_t kindCount = static_cast<uint32_t>(FaultKind::ConfigurationChanges) + 1;
-//! This and later kinds affect upstreams and configurations only, not daemons or the store.
-constexpr auto firstUpstreamKind = static_cast<uint32_t>(FaultKind::ReplicaSheds);
-//! Every third seed gets only such faults: most time limits are checked only for daemons that had
-//! no disruption for some seconds.
-constexpr uint64_t upstreamPlanInterval = 3;
-//! Longer than the time limit after which a leaving upstream must get no new work.
-constexpr model::Duration minLeavingDuration = model::seconds(4);
+//! Every third seed gets only faults of upstreams and configurations: most time limits are checked
+//! only for daemons that had no disruption for some seconds.
+constexpr uint64_t mildInterval = 3;
+constexpr uint64_t firstPlannedSeed = 1000;
+//! Interval between faults that take several steps.
+constexpr model::Duration minStepsGap = model::milliseconds(500);
+constexpr model::Duration stepsGapRange = model::milliseconds(2000);
+constexpr uint64_t stepsStream = 0x9e3779b97f4a7c15; //!< Distinguishes the second random stream.
+//! Longer than the time limit after which a leaving upstream must get no new work, and than a
+//! planned stop that begins while stages are slow.
+constexpr model::Duration minLongDuration = model::seconds(4);
 //! Interval between faults: shorter than the duration of most faults, so that faults overlap.
 constexpr model::Duration minGap = model::milliseconds(100);
 constexpr model::Duration gapRange = model::milliseconds(700);
 constexpr model::Duration minDuration = model::milliseconds(300);
 constexpr model::Duration durationRange = model::milliseconds(3700);
 
+std::vector<FaultKind> rangeOf(FaultKind first, FaultKind last)
+{
+    std::vector<FaultKind> kinds;
+    for (auto kind = static_cast<uint32_t>(first); kind <= static_cast<uint32_t>(last); ++kind) {
+        kinds.push_back(static_cast<FaultKind>(kind));
+    }
+    return kinds;
+}
+
+std::vector<FaultKind> kindsOf(PlanKind plan)
+{
+    switch (plan) {
+    case PlanKind::Mixed:
+        return rangeOf(FaultKind::KillDaemon, FaultKind::ConfigurationChanges);
+    case PlanKind::Mild:
+        return rangeOf(FaultKind::ReplicaSheds, FaultKind::ConfigurationChanges);
+    case PlanKind::PlannedWork:
+        return {FaultKind::StopDaemon, FaultKind::HangUp, FaultKind::ReplicaLeaves,
+                FaultKind::ConfigurationChanges};
+    }
+    return {};
+}
+
+std::vector<FaultKind> kindsWithStepsOf(PlanKind plan)
+{
+    switch (plan) {
+    case PlanKind::Mixed:
+    case PlanKind::PlannedWork:
+        return {FaultKind::StopSeries, FaultKind::StopTwice, FaultKind::HangUpInStop,
+                FaultKind::StageSlow, FaultKind::StageSlow};
+    case PlanKind::Mild:
+        return {FaultKind::StageSlow};
+    }
+    return {};
+}
+
 } // namespace
 
+PlanKind planKindOf(uint64_t seed)
+{
+    if (seed < firstPlannedSeed) {
+        return seed % mildInterval == 0 ? PlanKind::Mild : PlanKind::Mixed;
+    }
+    return PlanKind::PlannedWork;
+}
+
 std::string_view toString(FaultKind kind)
 {
     switch (kind) {
@@ -55,24 +104,39 @@
         return "replica-leaves";
     case FaultKind::ConfigurationChanges:
         return "configuration-changes";
+    case FaultKind::StopSeries:
+        return "stop-series";
+    case FaultKind::StopTwice:
+        return "stop-twice";
+    case FaultKind::HangUpInStop:
+        return "hang-up-in-stop";
+    case FaultKind::StageSlow:
+        return "stage-slow";
     }
     return "unknown";
 }
 
-std::vector<PlannedFault> planFaults(uint64_t seed, model::Duration length)
+namespace
+{
+
+//! Gaps between the starts of faults.
+struct Gaps {
+    model::Duration shortest;
+    model::Duration range;
+};
+
+void addFaults(std::vector<PlannedFault> &plan, const std::vector<FaultKind> &kinds,
+               model::Random random, Gaps gaps, model::Duration length)
 {
-    model::Random random(seed);
-    const uint32_t firstKind = seed % upstreamPlanInterval == 0 ? firstUpstreamKind : 0;
-    std::vector<PlannedFault> plan;
     model::Duration at {};
-    while (true) {
-        at += minGap + model::scaled(gapRange, random.uniformDouble());
+    while (!kinds.empty()) {
+        at += gaps.shortest + model::scaled(gaps.range, random.uniformDouble());
         if (at >= length) {
-            return plan;
+            return;
         }
-        const auto kind = static_cast<FaultKind>(firstKind + random.below(kindCount - firstKind));
-        const model::Duration shortest
-            = kind == FaultKind::ReplicaLeaves ? minLeavingDuration : minDuration;
+        const FaultKind kind = kinds[random.below(static_cast<uint32_t>(kinds.size()))];
+        const bool isLong = kind == FaultKind::ReplicaLeaves || kind == FaultKind::StageSlow;
+        const model::Duration shortest = isLong ? minLongDuration : minDuration;
         plan.push_back({.at = at,
                         .duration = shortest + model::scaled(durationRange, random.uniformDouble()),
                         .kind = kind,
@@ -81,4 +145,21 @@
     }
 }
 
+} // namespace
+
+// Faults with steps have a random stream of their own, so that a seed's other faults do not depend
+// on them.
+std::vector<PlannedFault> planFaults(uint64_t seed, model::Duration length)
+{
+    const PlanKind kind = planKindOf(seed);
+    std::vector<PlannedFault> plan;
+    addFaults(plan, kindsOf(kind), model::Random(seed), {minGap, gapRange}, length);
+    addFaults(plan, kindsWithStepsOf(kind), model::Random(seed ^ stepsStream),
+              {minStepsGap, stepsGapRange}, length);
+    std::stable_sort(
+        plan.begin(), plan.end(),
+        [](const PlannedFault &left, const PlannedFault &right) { return left.at < right.at; });
+    return plan;
+}
+
 } // namespace citronpick::soak
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -1,6 +1,7 @@
 #ifndef CITRONPICK_SOAK_FAULTPLAN_H
 #define CITRONPICK_SOAK_FAULTPLAN_H
 
+#include <cstdint>
 #include <string_view>
 #include <vector>
 
@@ -27,8 +28,22 @@
     ReplicaFails, //!< A replica runs every request and answers with status 500.
     ReplicaLeaves, //!< A replica is listed as leaving.
     ConfigurationChanges, //!< A new configuration version is stored.
+    StopSeries, //!< SIGTERM to several daemons, one after the other.
+    StopTwice, //!< SIGTERM and a second one during the drain.
+    HangUpInStop, //!< SIGTERM, then SIGHUP with other drain settings.
+    StageSlow, //!< All replicas of a stage take many times as long.
 };
 
+//! Which faults a seed gets.
+enum class PlanKind {
+    Mixed, //!< All kinds.
+    Mild, //!< Upstreams and configurations only: bounds for undisturbed daemons are checked.
+    PlannedWork, //!< Stops, changes of settings and configuration, leaving upstreams, slow stages.
+};
+
+//! Seeds from 1000 on get plans of planned work only.
+PlanKind planKindOf(uint64_t seed);
+
 std::string_view toString(FaultKind kind);
 
 struct PlannedFault {
--- a/tests/soak/faultplantest.cpp
+++ b/tests/soak/faultplantest.cpp
@@ -15,8 +15,11 @@
 
 TEST_CASE("Every third fault plan disrupts neither daemons nor the store")
 {
+    const std::set<FaultKind> allowed {FaultKind::ReplicaSheds,         FaultKind::ReplicaBreaks,
+                                       FaultKind::ReplicaFails,         FaultKind::ReplicaLeaves,
+                                       FaultKind::ConfigurationChanges, FaultKind::StageSlow};
     for (const PlannedFault &fault : planFaults(9, model::seconds(300))) {
-        CHECK(fault.kind >= FaultKind::ReplicaSheds);
+        CHECK(allowed.contains(fault.kind));
     }
 }
 
@@ -30,6 +33,29 @@
         overlaps += i > 0 && plan[i - 1].at + plan[i - 1].duration > plan[i].at ? 1 : 0;
         CHECK(plan[i].at < model::seconds(300));
     }
-    CHECK(kinds.size() == 15);
+    CHECK(kinds.size() == 19);
     CHECK(overlaps * 2 > plan.size());
 }
+
+// Guards against plans in which a kill ends most planned stops, so that their promise is not
+// checked.
+TEST_CASE("Plans from seed 1000 on have no unplanned disruption")
+{
+    for (uint64_t seed = 1000; seed < 1010; ++seed) {
+        for (const PlannedFault &fault : planFaults(seed, model::seconds(300))) {
+            const bool isPlanned = fault.kind == FaultKind::StopDaemon
+                                   || fault.kind == FaultKind::HangUp
+                                   || fault.kind == FaultKind::ReplicaLeaves
+                                   || fault.kind >= FaultKind::ConfigurationChanges;
+            CHECK(isPlanned);
+        }
+    }
+}
+
+TEST_CASE("Faults of a plan are ordered by their start")
+{
+    const std::vector<PlannedFault> plan = planFaults(1001, model::seconds(60));
+    for (size_t i = 1; i < plan.size(); ++i) {
+        CHECK(plan[i - 1].at <= plan[i].at);
+    }
+}
--- /dev/null
+++ b/tests/soak/soakfaults.cpp
@@ -0,0 +1,340 @@
+#include "soak/soakrun.h"
+
+#include <algorithm>
+#include <iostream>
+
+#include <absl/strings/str_cat.h>
+
+#include "platform/names.h"
+
+namespace citronpick::soak
+{
+
+using platform::standin::RegistryState;
+using platform::standin::ReplicaFault;
+
+namespace
+{
+
+//! A disruption may have effects for this long after its end.
+constexpr model::Duration disruptionGrace = model::seconds(3);
+//! A leaving upstream gets no new work after this time.
+constexpr model::Duration drainLimit = model::seconds(2);
+//! Tolerance for stand-ins that are scheduled late.
+constexpr model::Duration drainMargin = model::milliseconds(500);
+constexpr uint32_t linkFaultCount = 5;
+//! Steps of a fault come at most this long after each other.
+constexpr int64_t maxSeriesGapMs = 800;
+constexpr int64_t maxRepeatGapMs = 2500;
+//! Slow stages take 10 to 80 times as long.
+constexpr uint32_t minSlowness = 10;
+constexpr uint32_t slownessRange = 71;
+
+LinkFault linkFault(uint32_t variant)
+{
+    return static_cast<LinkFault>(1 + variant % linkFaultCount);
+}
+
+//! Whether the fault has an end to be planned.
+bool isLasting(FaultKind kind)
+{
+    switch (kind) {
+    case FaultKind::PauseDaemon:
+    case FaultKind::StoreLink:
+    case FaultKind::ReplicaLink:
+    case FaultKind::StoreBusy:
+    case FaultKind::StoreSilent:
+    case FaultKind::ReplicaSheds:
+    case FaultKind::ReplicaBreaks:
+    case FaultKind::ReplicaFails:
+    case FaultKind::ReplicaLeaves:
+    case FaultKind::StageSlow:
+        return true;
+    default:
+        return false;
+    }
+}
+
+//! Whether the fault affects a daemon, a link or the store.
+bool isDisruptive(FaultKind kind)
+{
+    const bool isOneStep = kind <= FaultKind::StoreDropsHistory && kind != FaultKind::HangUp;
+    return isOneStep || (kind >= FaultKind::StopSeries && kind <= FaultKind::HangUpInStop);
+}
+
+} // namespace
+
+void SoakRun::logFault(const PlannedFault &fault, const char *what) const
+{
+    std::cout << model::toMilliseconds(m_now - m_trafficStart) << " ms " << what << ' '
+              << toString(fault.kind) << " target=" << fault.target << " variant=" << fault.variant
+              << std::endl;
+}
+
+SoakRun::Replica &SoakRun::replicaFor(const PlannedFault &fault)
+{
+    // Every pool is equally likely, regardless of its number of replicas.
+    const std::string &pool = m_spec.pools[fault.target % m_spec.pools.size()].name;
+    std::vector<Replica *> candidates;
+    for (Replica &replica : m_replicas) {
+        if (replica.standIn->id().starts_with(pool + "-")) {
+            candidates.push_back(&replica);
+        }
+    }
+    return *candidates[fault.variant % candidates.size()];
+}
+
+void SoakRun::runFaults()
+{
+    for (const PlannedFault &fault : planFaults(m_options.seed, m_options.faultTime)) {
+        while (m_now < m_trafficStart + fault.at) {
+            runIteration();
+            endExpiredFaults();
+        }
+        beginFault(fault);
+    }
+    for (const ScheduledEnd &scheduled : std::exchange(m_scheduledEnds, {})) {
+        endFault(scheduled.fault);
+    }
+}
+
+void SoakRun::endExpiredFaults()
+{
+    std::vector<PlannedFault> expired;
+    std::erase_if(m_scheduledEnds, [&](const ScheduledEnd &scheduled) {
+        const bool isExpired = m_now >= scheduled.at;
+        if (isExpired) {
+            expired.push_back(scheduled.fault);
+        }
+        return isExpired;
+    });
+    std::for_each(expired.begin(), expired.end(),
+                  [this](const PlannedFault &each) { endFault(each); });
+}
+
+void SoakRun::beginFault(const PlannedFault &fault)
+{
+    logFault(fault, "begins");
+    if (!beginDaemonFault(fault) && !beginStopSteps(fault) && !beginStoreFault(fault)) {
+        beginReplicaFault(fault);
+    }
+    const model::TimePoint end = isLasting(fault.kind) ? m_now + fault.duration : m_now;
+    if (isDisruptive(fault.kind)) {
+        m_disruptedUntil = std::max(m_disruptedUntil, end);
+    }
+    if (isLasting(fault.kind)) {
+        m_scheduledEnds.push_back({.at = m_now + fault.duration, .fault = fault});
+    }
+}
+
+bool SoakRun::beginDaemonFault(const PlannedFault &fault)
+{
+    DaemonProcess &process = *m_daemons[fault.target % m_daemons.size()].process;
+    switch (fault.kind) {
+    case FaultKind::KillDaemon:
+        process.kill();
+        return true;
+    case FaultKind::KillAll:
+        for (const Daemon &each : m_daemons) {
+            each.process->kill();
+        }
+        return true;
+    case FaultKind::StopDaemon:
+        process.stop(m_now);
+        return true;
+    case FaultKind::PauseDaemon:
+        process.pause();
+        return true;
+    case FaultKind::HangUp:
+        process.sendSighup();
+        return true;
+    default:
+        return false;
+    }
+}
+
+bool SoakRun::beginStopSteps(const PlannedFault &fault)
+{
+    const auto after = [&fault](int64_t maxGapMs) {
+        return model::milliseconds(fault.variant % maxGapMs);
+    };
+    switch (fault.kind) {
+    case FaultKind::StopSeries: {
+        // Up to two thirds of the daemons.
+        const auto most = std::max<size_t>(2, m_daemons.size() * 2 / 3);
+        const auto count = static_cast<uint32_t>(2 + fault.variant % (most - 1));
+        for (uint32_t i = 0; i < count; ++i) {
+            m_scheduledSignals.push_back({.at = m_now + after(maxSeriesGapMs) * i,
+                                          .daemon = fault.target + i,
+                                          .signal = Signal::Stop});
+        }
+        return true;
+    }
+    case FaultKind::StopTwice:
+    case FaultKind::HangUpInStop:
+        send({.at = m_now, .daemon = fault.target, .signal = Signal::Stop});
+        m_scheduledSignals.push_back(
+            {.at = m_now + after(maxRepeatGapMs),
+             .daemon = fault.target,
+             .signal = fault.kind == FaultKind::StopTwice ? Signal::RepeatStop : Signal::HangUp});
+        return true;
+    default:
+        return false;
+    }
+}
+
+void SoakRun::send(const ScheduledSignal &scheduled)
+{
+    const auto daemon = static_cast<uint32_t>(scheduled.daemon % m_daemons.size());
+    DaemonProcess &process = *m_daemons[daemon].process;
+    switch (scheduled.signal) {
+    case Signal::Stop:
+        process.stop(m_now);
+        m_disruptedUntil = std::max(m_disruptedUntil, m_now);
+        break;
+    case Signal::RepeatStop:
+        process.repeatStop(m_now);
+        break;
+    case Signal::HangUp:
+        ++m_daemons[daemon].drainSettings;
+        writeSettings(daemon);
+        process.sendSighup();
+        break;
+    }
+}
+
+bool SoakRun::beginStoreFault(const PlannedFault &fault)
+{
+    switch (fault.kind) {
+    case FaultKind::StoreLink:
+        m_daemons[fault.target % m_daemons.size()].storeLink->setFault(linkFault(fault.variant));
+        return true;
+    case FaultKind::StoreBusy:
+        m_store.setState(RegistryState::Busy);
+        return true;
+    case FaultKind::StoreSilent:
+        m_store.setState(RegistryState::Silent);
+        return true;
+    case FaultKind::StoreDropsHistory:
+        m_store.dropHistory();
+        return true;
+    case FaultKind::ConfigurationChanges:
+        m_store.put(platform::names::configurationKey,
+                    platform::standin::configurationOf(m_spec, ++m_configuration));
+        return true;
+    default:
+        return false;
+    }
+}
+
+void SoakRun::beginReplicaFault(const PlannedFault &fault)
+{
+    Replica &replica = replicaFor(fault);
+    switch (fault.kind) {
+    case FaultKind::ReplicaLink:
+        setLinkFault(replica, linkFault(fault.variant));
+        break;
+    case FaultKind::ReplicaSheds:
+        replica.standIn->setFault(ReplicaFault::Sheds);
+        break;
+    case FaultKind::ReplicaBreaks:
+        replica.standIn->setFault(ReplicaFault::Breaks);
+        break;
+    case FaultKind::ReplicaFails:
+        replica.standIn->setFault(ReplicaFault::Fails);
+        break;
+    case FaultKind::ReplicaLeaves:
+        setLeaving(replica, true);
+        break;
+    case FaultKind::StageSlow:
+        setStageSlowness(fault, minSlowness + fault.variant % slownessRange);
+        break;
+    default:
+        break;
+    }
+}
+
+void SoakRun::endFault(const PlannedFault &fault)
+{
+    logFault(fault, "ends");
+    Daemon &daemon = m_daemons[fault.target % m_daemons.size()];
+    switch (fault.kind) {
+    case FaultKind::PauseDaemon:
+        daemon.process->resume(m_now);
+        break;
+    case FaultKind::StoreLink:
+        daemon.storeLink->setFault(LinkFault::None);
+        break;
+    case FaultKind::ReplicaLink:
+        setLinkFault(replicaFor(fault), LinkFault::None);
+        break;
+    case FaultKind::StoreBusy:
+    case FaultKind::StoreSilent:
+        m_store.setState(RegistryState::Up);
+        break;
+    case FaultKind::ReplicaSheds:
+    case FaultKind::ReplicaBreaks:
+    case FaultKind::ReplicaFails:
+        replicaFor(fault).standIn->setFault(ReplicaFault::None);
+        break;
+    case FaultKind::ReplicaLeaves:
+        setLeaving(replicaFor(fault), false);
+        break;
+    case FaultKind::StageSlow:
+        setStageSlowness(fault, 1);
+        break;
+    default:
+        break;
+    }
+}
+
+void SoakRun::setLinkFault(Replica &replica, LinkFault fault)
+{
+    replica.proxy->setFault(fault);
+    replica.standIn->setLinkFaulty(fault != LinkFault::None);
+}
+
+void SoakRun::setStageSlowness(const PlannedFault &fault, int64_t factor)
+{
+    std::vector<std::string> stages;
+    for (const platform::standin::PoolSpec &pool : m_spec.pools) {
+        if (pool.kind == platform::standin::PoolKind::Stage) {
+            stages.push_back(pool.name);
+        }
+    }
+    const std::string prefix = stages[fault.target % stages.size()] + "-";
+    for (Replica &replica : m_replicas) {
+        if (replica.standIn->id().starts_with(prefix)) {
+            replica.standIn->setSlowness(factor);
+        }
+    }
+}
+
+void SoakRun::setLeaving(Replica &replica, bool isLeaving)
+{
+    replica.isLeaving = isLeaving;
+    replica.mustBeIdleFrom = model::TimePoint::max();
+    if (isLeaving) {
+        replica.mustBeIdleFrom = m_now + drainLimit + drainMargin;
+        replica.lastArrivals = 0;
+    }
+    m_store.put(absl::StrCat(platform::names::upstreamKeyPrefix, replica.standIn->id()),
+                replica.standIn->registryEntry(isLeaving));
+}
+
+// Checked only if no fault has recently disrupted the store, a link or a daemon.
+void SoakRun::checkLeaving(Replica &replica)
+{
+    if (!replica.isLeaving || m_now < replica.mustBeIdleFrom) {
+        return;
+    }
+    const uint64_t arrivals = replica.standIn->arrivals();
+    const bool isDisrupted = m_now < m_disruptedUntil + disruptionGrace + drainLimit + drainMargin;
+    if (replica.lastArrivals != 0 && arrivals > replica.lastArrivals && !isDisrupted) {
+        m_ledger.recordViolation("new work was sent to a leaving upstream: "
+                                 + replica.standIn->id());
+    }
+    replica.lastArrivals = arrivals;
+}
+
+} // namespace citronpick::soak
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -54,6 +54,23 @@
         model::TimePoint at;
         PlannedFault fault;
     };
+    enum class Signal {
+        Stop,
+        RepeatStop,
+        HangUp,
+    };
+    //! A later step of a fault.
+    struct ScheduledSignal {
+        model::TimePoint at;
+        uint32_t daemon = 0; //!< Index of the daemon, modulo their number.
+        Signal signal = Signal::Stop;
+    };
+    struct Daemon {
+        std::unique_ptr<DaemonProcess> process;
+        std::unique_ptr<FaultProxy> storeLink;
+        uint32_t drainSettings = 0; //!< Number of the drain settings in its file.
+        std::vector<ProcessLife> stoppedLives;
+    };
     struct Counts {
         size_t served = 0;
         size_t failed = 0;
@@ -63,11 +80,24 @@
     absl::Status startReplicas();
     absl::Status startDaemons();
     std::string settingsFor(uint32_t daemon) const;
+    void writeSettings(uint32_t daemon);
     void runIteration();
+    void runDaemons();
+    void runFaults();
+    void endExpiredFaults();
     void beginFault(const PlannedFault &fault);
+    //! These return false if they do not begin faults of this kind.
+    bool beginDaemonFault(const PlannedFault &fault);
+    bool beginStopSteps(const PlannedFault &fault);
+    bool beginStoreFault(const PlannedFault &fault);
+    void beginReplicaFault(const PlannedFault &fault);
     void endFault(const PlannedFault &fault);
+    void setLinkFault(Replica &replica, LinkFault fault);
+    void setStageSlowness(const PlannedFault &fault, int64_t factor);
+    void send(const ScheduledSignal &scheduled);
     void setLeaving(Replica &replica, bool isLeaving);
     void checkLeaving(Replica &replica);
+    void checkStops();
     void logFault(const PlannedFault &fault, const char *what) const;
     Replica &replicaFor(const PlannedFault &fault);
     Counts counts() const;
@@ -80,9 +110,9 @@
     platform::standin::RegistryStandIn m_store;
     std::unique_ptr<platform::standin::CallerStandIn> m_callers;
     std::vector<Replica> m_replicas;
-    std::vector<std::unique_ptr<FaultProxy>> m_storeLinks; //!< One per daemon.
-    std::vector<std::unique_ptr<DaemonProcess>> m_processes;
+    std::vector<Daemon> m_daemons;
     std::vector<ScheduledEnd> m_scheduledEnds;
+    std::vector<ScheduledSignal> m_scheduledSignals;
     uint64_t m_configuration = 1;
     model::TimePoint m_now;
     model::TimePoint m_trafficStart;
