Fault soak: requests with a part that crashes upstreams

Change: each fifth seed from 1000 on sends two requests a second with one part more in their prompt, no two alike, to any daemon. A stand-in closes all its connections after the first event of such an answer, refuses connections for 3 s and comes back under its id with a later start. Promises: at most three such requests reach upstreams later than 3 s after the fifth crash; from 6 s after it, sound requests of the route are served at the first attempt at least half as often as before.

--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -12,6 +12,10 @@
 //! only for daemons that had no disruption for some seconds.
 constexpr uint64_t mildInterval = 3;
 constexpr uint64_t firstPlannedSeed = 1000;
+constexpr uint64_t deadlyInterval = 5;
+constexpr uint64_t deadlyStopsInterval = 3;
+//! Requests before a deadly part comes are compared with those after its quarantine.
+constexpr model::Duration deadlyPartFrom = model::seconds(6);
 //! Interval between faults that take several steps.
 constexpr model::Duration minStepsGap = model::milliseconds(500);
 constexpr model::Duration stepsGapRange = model::milliseconds(2000);
@@ -44,6 +48,11 @@
     case PlanKind::PlannedWork:
         return {FaultKind::StopDaemon, FaultKind::HangUp, FaultKind::ReplicaLeaves,
                 FaultKind::ConfigurationChanges};
+    case PlanKind::DeadlyPart:
+        return {FaultKind::HangUp, FaultKind::ConfigurationChanges};
+    case PlanKind::DeadlyPartAndStops:
+        return {FaultKind::HangUp, FaultKind::ConfigurationChanges, FaultKind::ConfigurationChanges,
+                FaultKind::ConfigurationChanges, FaultKind::StopDaemon};
     }
     return {};
 }
@@ -57,8 +66,9 @@
                 FaultKind::StageSlow, FaultKind::StageSlow};
     case PlanKind::Mild:
         return {FaultKind::StageSlow};
+    default:
+        return {};
     }
-    return {};
 }
 
 } // namespace
@@ -68,7 +78,10 @@
     if (seed < firstPlannedSeed) {
         return seed % mildInterval == 0 ? PlanKind::Mild : PlanKind::Mixed;
     }
-    return PlanKind::PlannedWork;
+    if (seed % deadlyInterval != 0) {
+        return PlanKind::PlannedWork;
+    }
+    return seed % deadlyStopsInterval == 0 ? PlanKind::DeadlyPartAndStops : PlanKind::DeadlyPart;
 }
 
 std::string_view toString(FaultKind kind)
@@ -112,6 +125,8 @@
         return "hang-up-in-stop";
     case FaultKind::StageSlow:
         return "stage-slow";
+    case FaultKind::DeadlyPart:
+        return "deadly-part";
     }
     return "unknown";
 }
@@ -152,10 +167,19 @@
 std::vector<PlannedFault> planFaults(uint64_t seed, model::Duration length)
 {
     const PlanKind kind = planKindOf(seed);
+    const bool isDeadly = kind == PlanKind::DeadlyPart || kind == PlanKind::DeadlyPartAndStops;
+    const model::Duration end = isDeadly ? std::max(length, minDeadlyPlan) : length;
     std::vector<PlannedFault> plan;
-    addFaults(plan, kindsOf(kind), model::Random(seed), {minGap, gapRange}, length);
+    addFaults(plan, kindsOf(kind), model::Random(seed), {minGap, gapRange}, end);
     addFaults(plan, kindsWithStepsOf(kind), model::Random(seed ^ stepsStream),
-              {minStepsGap, stepsGapRange}, length);
+              {minStepsGap, stepsGapRange}, end);
+    if (isDeadly) {
+        model::Random random(seed ^ stepsStream);
+        plan.push_back({.at = deadlyPartFrom,
+                        .duration = end - deadlyPartFrom,
+                        .kind = FaultKind::DeadlyPart,
+                        .target = random.below(1U << 16U)});
+    }
     std::stable_sort(
         plan.begin(), plan.end(),
         [](const PlannedFault &left, const PlannedFault &right) { return left.at < right.at; });
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -32,18 +32,23 @@
     StopTwice, //!< SIGTERM and a second one during the drain.
     HangUpInStop, //!< SIGTERM, then SIGHUP with other drain settings.
     StageSlow, //!< All replicas of a stage take many times as long.
+    DeadlyPart, //!< Requests with one prompt part crash each upstream that answers them.
 };
 
 //! Which faults a seed gets.
 enum class PlanKind {
-    Mixed, //!< All kinds.
+    Mixed, //!< All kinds but DeadlyPart.
     Mild, //!< Upstreams and configurations only: bounds for undisturbed daemons are checked.
     PlannedWork, //!< Stops, changes of settings and configuration, leaving upstreams, slow stages.
+    DeadlyPart, //!< A deadly part beside changes of settings and configuration.
+    DeadlyPartAndStops,
 };
 
-//! Seeds from 1000 on get plans of planned work only.
+//! Seeds from 1000 on get plans of planned work only, each fifth with a deadly part.
 PlanKind planKindOf(uint64_t seed);
 
+constexpr model::Duration minDeadlyPlan = model::seconds(28);
+
 std::string_view toString(FaultKind kind);
 
 struct PlannedFault {
@@ -56,7 +61,8 @@
     friend bool operator==(const PlannedFault &, const PlannedFault &) = default;
 };
 
-//! Returns the faults of one run, ordered by start; faults overlap.
+//! Returns the faults of one run, ordered by start; faults overlap. Plans with a deadly part are at
+//! least minDeadlyPlan long.
 std::vector<PlannedFault> planFaults(uint64_t seed, model::Duration length);
 
 } // namespace citronpick::soak
--- a/tests/soak/faultplantest.cpp
+++ b/tests/soak/faultplantest.cpp
@@ -42,13 +42,16 @@
 TEST_CASE("Plans from seed 1000 on have no unplanned disruption")
 {
     for (uint64_t seed = 1000; seed < 1010; ++seed) {
+        size_t deadlyParts = 0;
         for (const PlannedFault &fault : planFaults(seed, model::seconds(300))) {
             const bool isPlanned = fault.kind == FaultKind::StopDaemon
                                    || fault.kind == FaultKind::HangUp
                                    || fault.kind == FaultKind::ReplicaLeaves
                                    || fault.kind >= FaultKind::ConfigurationChanges;
             CHECK(isPlanned);
+            deadlyParts += fault.kind == FaultKind::DeadlyPart ? 1 : 0;
         }
+        CHECK(deadlyParts == (seed % 5 == 0 ? 1 : 0));
     }
 }
 
--- a/tests/soak/promisetest.cpp
+++ b/tests/soak/promisetest.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "soak/deadlypartpromise.h"
 #include "soak/stoppromise.h"
 
 using namespace citronpick;
@@ -38,6 +39,23 @@
     return call;
 }
 
+//! Sound requests at 10 a second, and crashes 1 s apart from 10 s on.
+platform::standin::Ledger ledgerWithCrashes(int64_t count, bool isServedAfterwards)
+{
+    platform::standin::Ledger ledger;
+    for (int64_t ms = 0; ms < 40000; ms += 100) {
+        ledger.recordFirstAttempt(
+            {.route = "plan", .sentAt = at(ms), .isServed = ms < 10000 || isServedAfterwards});
+    }
+    for (int64_t i = 0; i < count; ++i) {
+        ledger.recordDeadlyArrival(at(10000 + i * 1000));
+        ledger.recordCrash(at(10000 + i * 1000));
+    }
+    return ledger;
+}
+
+const DeadlyPart deadlyPart {.route = "plan", .from = at(10000), .until = at(40000)};
+
 } // namespace
 
 // Guards against a soak that misses requests which wait in their stages when a planned stop ends.
@@ -89,3 +107,21 @@
     CHECK(checkLostCall(lostCall(12000, 12500), atRepeat, life));
     CHECK(checkLostCall(lostCall(12000, 12600), {}, life));
 }
+
+TEST_CASE("More than three deadly requests later than 3 s after the fifth crash break the promise")
+{
+    CHECK(checkDeadlyPart(deadlyPart, ledgerWithCrashes(11, true), start).empty());
+    CHECK(checkDeadlyPart(deadlyPart, ledgerWithCrashes(12, true), start).size() == 1);
+}
+
+// Guards against a quarantine that refuses what shares the other parts of a prompt.
+TEST_CASE("Sound requests that are served less than half as often break the promise")
+{
+    CHECK(checkDeadlyPart(deadlyPart, ledgerWithCrashes(5, false), start).size() == 1);
+    CHECK(checkDeadlyPart(deadlyPart, ledgerWithCrashes(2, false), start).size() == 1);
+}
+
+TEST_CASE("A run in which no upstream crashed does not pass as one that kept the promise")
+{
+    CHECK(checkDeadlyPart(deadlyPart, ledgerWithCrashes(0, true), start).size() == 1);
+}
--- a/tests/soak/soakfaults.cpp
+++ b/tests/soak/soakfaults.cpp
@@ -249,11 +249,31 @@
     case FaultKind::StageSlow:
         setStageSlowness(fault, minSlowness + fault.variant % slownessRange);
         break;
+    case FaultKind::DeadlyPart:
+        beginDeadlyPart(fault);
+        break;
     default:
         break;
     }
 }
 
+void SoakRun::beginDeadlyPart(const PlannedFault &fault)
+{
+    std::vector<const platform::standin::RouteSpec *> routes;
+    for (const platform::standin::RouteSpec &route : m_spec.routes) {
+        if (route.promptTokens > 0) {
+            routes.push_back(&route);
+        }
+    }
+    const platform::standin::RouteSpec &route = *routes[fault.target % routes.size()];
+    const std::string part = absl::StrCat("dead", absl::Hex(m_options.seed));
+    for (Replica &replica : m_replicas) {
+        replica.standIn->setDeadlyPart(part);
+    }
+    m_deadlyPart = {.route = route.name, .from = m_now, .until = m_now + fault.duration};
+    m_callers->sendDeadlyRequests(route, part, m_deadlyPart->until);
+}
+
 void SoakRun::endFault(const PlannedFault &fault)
 {
     logFault(fault, "ends");
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -157,6 +157,10 @@
     for (Replica &replica : m_replicas) {
         replica.proxy->run(m_now);
         replica.standIn->run(m_now);
+        if (replica.standIn->takeRestarted()) {
+            m_store.put(absl::StrCat(platform::names::upstreamKeyPrefix, replica.standIn->id()),
+                        replica.standIn->registryEntry(replica.isLeaving));
+        }
         checkLeaving(replica);
     }
     runDaemons();
@@ -206,6 +210,11 @@
         runIteration();
     }
     checkStops();
+    if (m_deadlyPart) {
+        for (const std::string &broken : checkDeadlyPart(*m_deadlyPart, m_ledger, m_trafficStart)) {
+            m_ledger.recordViolation(broken);
+        }
+    }
     return report(before);
 }
 
@@ -243,10 +252,11 @@
     for (const Daemon &daemon : m_daemons) {
         stops += daemon.stoppedLives.size();
     }
-    std::cout << "seed " << m_options.seed << ": stops " << stops << ", sent " << m_ledger.sent()
-              << ", served " << last.served << ", refused " << last.refused << ", failed "
-              << last.failed << "; after the faults " << served << " of " << all
-              << " served; promises broken " << m_ledger.violations().size() << '\n';
+    std::cout << "seed " << m_options.seed << ": stops " << stops << ", crashes "
+              << m_ledger.crashes().size() << ", sent " << m_ledger.sent() << ", served "
+              << last.served << ", refused " << last.refused << ", failed " << last.failed
+              << "; after the faults " << served << " of " << all << " served; promises broken "
+              << m_ledger.violations().size() << '\n';
     for (const std::string &violation : m_ledger.violations()) {
         std::cout << "  " << violation << '\n';
     }
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -2,6 +2,7 @@
 #define CITRONPICK_SOAK_SOAKRUN_H
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,7 @@
 #include "platform/standin/registrystandin.h"
 #include "platform/standin/replicastandin.h"
 #include "soak/daemonprocess.h"
+#include "soak/deadlypartpromise.h"
 #include "soak/faultplan.h"
 #include "soak/faultproxy.h"
 
@@ -91,6 +93,7 @@
     bool beginStopSteps(const PlannedFault &fault);
     bool beginStoreFault(const PlannedFault &fault);
     void beginReplicaFault(const PlannedFault &fault);
+    void beginDeadlyPart(const PlannedFault &fault);
     void endFault(const PlannedFault &fault);
     void setLinkFault(Replica &replica, LinkFault fault);
     void setStageSlowness(const PlannedFault &fault, int64_t factor);
@@ -113,6 +116,7 @@
     std::vector<Daemon> m_daemons;
     std::vector<ScheduledEnd> m_scheduledEnds;
     std::vector<ScheduledSignal> m_scheduledSignals;
+    std::optional<DeadlyPart> m_deadlyPart;
     uint64_t m_configuration = 1;
     model::TimePoint m_now;
     model::TimePoint m_trafficStart;
