Fault soak: a factor for upstreams and requests

A run with many daemons sent each of them under one request a second, so that few requests were open when one stopped.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -12,6 +12,7 @@
 ABSL_FLAG(std::string, deployment, "", "Path of the deployment description (JSON).");
 ABSL_FLAG(std::string, folder, ".", "Folder for the daemons' settings and logs.");
 ABSL_FLAG(uint32_t, daemons, 3, "Number of daemons.");
+ABSL_FLAG(uint32_t, scale, 1, "Multiplies the deployment's upstreams and requests.");
 ABSL_FLAG(uint32_t, base_port, 24000, "First of six ports that the daemons use.");
 ABSL_FLAG(uint32_t, seconds, 12, "Time in seconds during which faults are injected.");
 ABSL_FLAG(uint64_t, seed, 1, "Seed of the fault plan and of the callers' requests.");
@@ -32,6 +33,13 @@
         std::cerr << "citronpick-soak: " << spec.status().message() << '\n';
         return exitUsage;
     }
+    const uint32_t scale = absl::GetFlag(FLAGS_scale);
+    for (platform::standin::PoolSpec &pool : spec->pools) {
+        pool.replicas *= scale;
+    }
+    for (platform::standin::RouteSpec &route : spec->routes) {
+        route.requestsPerSecond *= scale;
+    }
     soak::SoakRun run({.program = absl::GetFlag(FLAGS_daemon),
                        .folder = absl::GetFlag(FLAGS_folder),
                        .daemons = absl::GetFlag(FLAGS_daemons),
