Daemon: a stream that ends inside an event has been broken off

Callers saw a stream end as complete before its last event, if its upstream sent neither a length nor chunks and closed its connection within an event. A resumable stream was not resumed, and the partial event was forwarded as its last one.

Cause: ExchangeRunner::onEnd took the end of the connection for the end of the answer, whatever had been sent. A crash looks the same: the system closes the connections of the process in order.

Change: MessageHead says whether an answer ends with its connection. For such a stream, an end that is not right behind an event is reported as a lost connection: it counts as a crash report, is resumed where the route allows it, and aborted otherwise. A stream without any event counts as broken off too, as nothing shows that it is whole. An answer that is complete by its length or chunks is forwarded byte for byte as before, also bytes behind its last event: its upstream has said where it ends.

Held before and after: "A complete stream reaches its caller byte for byte", "An answer without a length is complete after a close but not after a reset", wireformattest "An answer that is cut anywhere is not decoded".

--- a/src/daemon/internal/eventdetector.cpp
+++ b/src/daemon/internal/eventdetector.cpp
@@ -18,6 +18,7 @@
             m_hasField = m_hasField || character != ':';
         }
     }
+    m_hadEvent = m_hadEvent || hasEvent;
     return hasEvent;
 }
 
--- a/src/daemon/internal/exchangerunner.cpp
+++ b/src/daemon/internal/exchangerunner.cpp
@@ -1,5 +1,6 @@
 #include "daemon/internal/exchangerunner.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 
@@ -65,6 +66,12 @@
     return 502;
 }
 
+bool isEventStream(const net::MessageHead &head)
+{
+    return absl::StartsWithIgnoreCase(net::headerValue(head.headers, "content-type"),
+                                      "text/event-stream");
+}
+
 // Covers only what stays the same when a caller repeats a request: host, target, account key and
 // body, but not the request identifier or the time.
 model::Fingerprint computeFingerprint(const relay::ArrivedRequest &arrived,
@@ -249,10 +256,24 @@
     }
 }
 
+// The system closes the connections of a process that crashes as if it had closed them itself, so
+// the end of a connection alone does not show that a stream is complete.
+bool ExchangeRunner::wasCutOff(const Attempt &attempt)
+{
+    const bool hasEvents = attempt.forwardsWholeEvents || isEventStream(attempt.head);
+    return attempt.isRelaying && attempt.head.endsWithConnection && hasEvents
+           && !attempt.events.isBehindEvent();
+}
+
 void ExchangeRunner::onEnd(uint64_t call)
 {
     model::AttemptId id;
-    if (!attemptOf(call, id)) {
+    const Attempt *attempt = attemptOf(call, id);
+    if (!attempt) {
+        return;
+    }
+    if (wasCutOff(*attempt)) {
+        onFailure(call, net::CallFailure::ConnectionLost);
         return;
     }
     m_system.onAttemptEnd(id, net::EventLoop::now());
--- a/src/daemon/internal/exchangerunner.h
+++ b/src/daemon/internal/exchangerunner.h
@@ -66,6 +66,8 @@
 
     Attempt *find(model::AttemptId attempt);
     Attempt *attemptOf(uint64_t call, model::AttemptId &id);
+    //! True for a stream of events that ended with its connection, but not behind an event.
+    static bool wasCutOff(const Attempt &attempt);
     void write(Attempt &attempt, std::string_view bytes);
     void setPaused(model::AttemptId id, const Attempt &attempt, bool isPaused);
     void failMalformed(model::AttemptId id, const Attempt &attempt);
--- a/src/daemon/tests/codectest.cpp
+++ b/src/daemon/tests/codectest.cpp
@@ -58,6 +58,31 @@
     CHECK(detector.feed("\n"));
 }
 
+// Guards against streams that end within an event and are taken for complete ones.
+TEST_CASE("EventDetector tells whether a stream has ended behind an event")
+{
+    const std::vector<std::pair<std::string, bool>> streams {
+        {"", false},
+        {"\n", false},
+        {": comment\n\n", false},
+        {"id: 1\ndata: a\n", false},
+        {"id: 1\ndata: a\n\n", true},
+        {"id: 1\r\ndata: a\r\n\r\n", true},
+        {"id: 1\ndata: a\n\n\n: comment\n", true},
+        {"id: 1\ndata: a\n\n: comm", false},
+        {"id: 1\ndata: a\n\ni", false},
+        {"id: 1\ndata: a\n\nid: 2\n", false},
+    };
+    for (const auto &[text, isBehindEvent] : streams) {
+        CAPTURE(text);
+        EventDetector detector;
+        for (const char character : text) {
+            detector.feed({&character, 1});
+        }
+        CHECK(detector.isBehindEvent() == isBehindEvent);
+    }
+}
+
 TEST_CASE("Names of requests that are not valid text do not stop the encoding of stage jobs")
 {
     const model::TimePoint now(model::seconds(1));
--- a/src/net/internal/messageparser.cpp
+++ b/src/net/internal/messageparser.cpp
@@ -169,6 +169,7 @@
             impl.m_head.contentLength = parser->content_length;
         }
         impl.m_head.isKeepAlive = http_should_keep_alive(parser) != 0;
+        impl.m_head.endsWithConnection = impl.endsWithConnection();
         const bool isInterim = impl.m_kind == Kind::Response && parser->status_code < 200;
         if (!isInterim) {
             impl.m_isHeadComplete = true;
@@ -179,6 +180,15 @@
         return impl.m_expectsNoBody ? hasNoBody : 0;
     }
 
+    bool endsWithConnection() const
+    {
+        constexpr uint16_t noContent = 204;
+        constexpr uint16_t notModified = 304;
+        const bool hasBody = m_kind == Kind::Response && !m_expectsNoBody
+                             && m_head.status != noContent && m_head.status != notModified;
+        return hasBody && !m_head.isChunked && !m_head.contentLength;
+    }
+
     static int onBody(http_parser *parser, const char *at, size_t length)
     {
         self(parser).m_sink.onBody({at, length});
--- a/src/net/messageparser.h
+++ b/src/net/messageparser.h
@@ -20,6 +20,7 @@
     std::optional<uint64_t> contentLength;
     bool isChunked = false;
     bool isKeepAlive = false; //!< The connection may carry further messages.
+    bool endsWithConnection = false; //!< Responses only: the body has no length and no chunks.
 
     friend bool operator==(const MessageHead &, const MessageHead &) = default;
 };
