Net: an answer that comes before its request has been sent ends the call

A caller with a long body got 502 or 504, or its answer late, if the upstream answered before it had read the body: with a refusal, for instance, which promises that the request has not run.

Cause: UpstreamClient held a complete answer back until the request had been sent. Unread bytes end a connection after 3 s (TCP_USER_TIMEOUT), and a close by the upstream fails the write; both were reported as a lost connection, and the answer was dropped. A lost connection also counts as a crash report.

Change: a complete answer ends its call at once. The connection is closed, so the rest of the request is not followed by anything else.

The tests of UpstreamClient now share their fixture in a header.

--- a/src/net/internal/upstreamclient.cpp
+++ b/src/net/internal/upstreamclient.cpp
@@ -269,10 +269,6 @@
             return;
         }
         connection.requestBytes.clear();
-        // The response may have been received before the request was sent completely.
-        if (connection.parser.isComplete()) {
-            connection.owner.complete(connection);
-        }
     }
 
     static void onRead(h2o_socket_t *socket, const char *error)
@@ -292,10 +288,8 @@
             return;
         }
         if (connection.parser.isComplete()) {
-            // While the request is still being sent, further bytes would accumulate unread.
-            if (!connection.isWriting || connection.socket->input->size != 0) {
-                complete(connection);
-            }
+            // An upstream that answers early may read the rest of the request late or never.
+            complete(connection);
             return;
         }
         if (error) {
--- a/src/net/tests/upstreamclienttest.cpp
+++ b/src/net/tests/upstreamclienttest.cpp
@@ -1,89 +1,16 @@
-#include <catch2/catch.hpp>
-
-#include "net/tests/rawpeer.h"
-#include "net/upstreamclient.h"
+#include "net/tests/upstreamfixture.h"
 
 using namespace citronpick;
 using namespace citronpick::net;
 using net::testing::RawListener;
 using net::testing::RawPeer;
 using net::testing::runUntil;
+using net::testing::validResponse;
+using Fixture = net::testing::UpstreamFixture;
 
 namespace
 {
 
-struct Handler : IUpstreamHandler {
-    void onHead(uint64_t, const MessageHead &value) override
-    {
-        head = value;
-        ++heads;
-    }
-    void onBody(uint64_t, std::string_view bytes) override
-    {
-        body.append(bytes);
-    }
-    void onEnd(uint64_t) override
-    {
-        ++ends;
-    }
-    void onFailure(uint64_t, CallFailure value) override
-    {
-        failure = value;
-    }
-
-    MessageHead head;
-    std::string body;
-    int heads = 0;
-    int ends = 0;
-    std::optional<CallFailure> failure;
-};
-
-struct Fixture {
-    Fixture()
-        : client(loop)
-    {
-    }
-
-    uint64_t start(bool needsFreshConnection = false)
-    {
-        UpstreamCall request = call();
-        request.needsFreshConnection = needsFreshConnection;
-        return client.start(std::move(request), handler);
-    }
-    UpstreamCall call() const
-    {
-        return {.to = {.host = "127.0.0.1", .port = listener.port()},
-                .method = "GET",
-                .target = "/x",
-                .headers = {{.name = "x-id", .value = "7"}},
-                .correlationHeader = "x-id",
-                .correlationValue = "7"};
-    }
-    RawPeer accept()
-    {
-        RawPeer peer;
-        const bool isAccepted = runUntil(loop, [&] { return listener.accept(peer); });
-        REQUIRE(isAccepted);
-        waitForRequest(peer);
-        return peer;
-    }
-    void waitForRequest(RawPeer &peer)
-    {
-        REQUIRE(
-            runUntil(loop, [&] { return peer.received().find("\r\n\r\n") != std::string::npos; }));
-        peer.clear();
-    }
-    bool waitForEnd()
-    {
-        return runUntil(loop, [&] { return handler.ends > 0 || handler.failure; });
-    }
-
-    EventLoop loop;
-    RawListener listener;
-    Handler handler;
-    UpstreamClient client;
-};
-
 //! Sends \a head and then \a filler until the call ends or \a limit bytes were sent. Returns the
 //! number of bytes sent.
 size_t sendUntilEnd(Fixture &fixture, RawPeer &peer, std::string_view head, std::string_view filler,
@@ -106,9 +33,6 @@
     return sent;
 }
 
-constexpr std::string_view validResponse
-    = "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 4\r\n\r\ngood";
-
 } // namespace
 
 TEST_CASE("A connection is reused unless a fresh one is required")
