Net: HttpClient does not take a cut answer for a complete one

A daemon with pipelines of its own, a reader of the configuration service and citronpickctl could take the first part of an answer for the whole: one without a length after a reset, and a chunked one whose connection was closed between two chunks. Callers of such a daemon got the cut body as a success, unless it was a stream, which has a final record.

Cause: H2O's client reports each end of the connection as the end of a body without a length, and a close between two chunks as the end of a chunked body.

Change: if the body ended with its connection, a chunked one has been cut, and one without a length has been if the connection was reset (its TCP state tells, as H2O's error does not reach the callback). Messages between daemons carry a code and were not affected.

--- a/src/net/internal/httpclient.cpp
+++ b/src/net/internal/httpclient.cpp
@@ -11,6 +11,7 @@
 
 #include "model/abslview.h"
 #include "net/internal/iovec.h"
+#include "net/internal/socketoptions.h"
 
 namespace citronpick::net
 {
@@ -85,6 +86,7 @@
 
     static void handleHead(Call &call, int status, const h2o_header_t *headers, size_t count);
     static bool handleBody(Call &call, h2o_socket_t *socket);
+    static bool wasCutOff(const Call &call, h2o_socket_t *socket);
     static void resumeReading(Call &call);
     static bool exceedsHeadLimit(const Call &call);
     std::vector<uint64_t> callsWithOversizedHead() const;
@@ -244,6 +246,11 @@
         owner.fail(call, HttpError::TooLarge);
         return closeConnection;
     }
+    if (isEnd && wasCutOff(call, client->sock)) {
+        call.client = nullptr;
+        owner.fail(call, HttpError::ConnectionLost);
+        return closeConnection;
+    }
     if (isEnd) {
         call.client = nullptr;
         owner.finish(call);
@@ -287,6 +294,15 @@
     return true;
 }
 
+// H2O reports the end of the connection as the end of the body, also after a reset and between two
+// chunks. No bytes were read then.
+bool HttpClient::Impl::wasCutOff(const Call &call, h2o_socket_t *socket)
+{
+    const bool endsWithConnection = socket->bytes_read == 0;
+    const bool isChunked = !headerValue(call.answer.headers, "transfer-encoding").empty();
+    return endsWithConnection && (isChunked || internal::wasReset(socket));
+}
+
 std::unique_ptr<HttpClient::Impl::Call> HttpClient::Impl::detach(uint64_t number)
 {
     const auto it = m_calls.find(number);
--- a/src/net/internal/socketoptions.cpp
+++ b/src/net/internal/socketoptions.cpp
@@ -25,4 +25,12 @@
                sizeof(probeIntervalSeconds));
 }
 
+bool wasReset(h2o_socket_t *socket)
+{
+    tcp_info info {};
+    socklen_t size = sizeof(info);
+    const int result = getsockopt(h2o_socket_get_fd(socket), IPPROTO_TCP, TCP_INFO, &info, &size);
+    return result == 0 && info.tcpi_state == TCP_CLOSE;
+}
+
 } // namespace citronpick::net::internal
--- a/src/net/internal/socketoptions.h
+++ b/src/net/internal/socketoptions.h
@@ -12,6 +12,9 @@
 //! no room for more data.
 void setSocketOptions(h2o_socket_t *socket, model::Duration unacknowledgedTimeout);
 
+//! Whether the peer reset the connection instead of closing it.
+bool wasReset(h2o_socket_t *socket);
+
 } // namespace citronpick::net::internal
 
 #endif // CITRONPICK_NET_INTERNAL_SOCKETOPTIONS_H
--- a/src/net/tests/httpclienttest.cpp
+++ b/src/net/tests/httpclienttest.cpp
@@ -93,3 +93,42 @@
     REQUIRE(runUntil(fixture.loop, [&] { return fixture.response || fixture.error; }));
     CHECK(fixture.error.has_value());
 }
+
+// Guards against truncated responses that are taken for complete ones: the end of the connection
+// was the end of every response without a length, and of a chunked one between two chunks.
+TEST_CASE("A response that ends with its connection is complete only if nothing is missing")
+{
+    struct Ending {
+        std::string bytes;
+        bool isReset;
+        bool isComplete;
+    };
+    const std::string chunked = "transfer-encoding: chunked\r\n\r\n";
+    const std::vector<Ending> endings {
+        {"\r\npart", false, true},
+        {"\r\npart", true, false},
+        {chunked + "4\r\npart\r\n", false, false},
+        {chunked + "4\r\npart\r\n", true, false},
+        {chunked + "4\r\npart\r\n0\r\n", false, false},
+        {chunked + "4\r\npart\r\n8\r\nmore", false, false},
+        {chunked + "4\r\npart\r\n0\r\n\r\n", false, true},
+        {"content-length: 9\r\n\r\npart", true, false},
+    };
+    for (const bool arrivesWithEnd : {false, true}) {
+        for (const Ending &ending : endings) {
+            CAPTURE(ending.bytes, ending.isReset, arrivesWithEnd);
+            Fixture fixture;
+            RawPeer peer = fixture.startAndAccept();
+            // Closing a connection that holds unread bytes would reset it.
+            REQUIRE(runUntil(fixture.loop, [&] { return peer.received().ends_with("\r\n\r\n"); }));
+            peer.send("HTTP/1.1 200 OK\r\n" + ending.bytes);
+            constexpr int iterations = 20; // More than the response needs to arrive.
+            for (int i = 0; !arrivesWithEnd && i < iterations; ++i) {
+                fixture.loop.runOnce(model::milliseconds(1));
+            }
+            ending.isReset ? peer.reset() : peer.close();
+            REQUIRE(runUntil(fixture.loop, [&] { return fixture.response || fixture.error; }));
+            CHECK(fixture.response.has_value() == ending.isComplete);
+        }
+    }
+}
