Relay: an upstream's failure doesn't clear the parts of its request

Requests with a part that crashes upstreams could reach upstreams again after its quarantine (BUDGET), and the quarantine could come later than it should.

Cause: any forwarded answer cleared the fingerprint and the parts of its request, also an upstream's own 500 or 504. A request that spends its deadline in an upstream's queue gets a 504 before anything begins to write an answer on it, which says nothing about its parts; it was reported as an objection.

Change: only answers below 500 clear them.

--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -165,7 +165,9 @@
         return;
     }
     m_directory.noteSuccess(attempt.upstream);
-    addAnswer(exchange, now);
+    if (facts.status < firstServerError) {
+        addAnswer(exchange, now);
+    }
     ++m_counters.answersForwarded;
     m_counters.answers.add(now - exchange.arrived.startedAt);
     record(EventCode::AnswerPassed, exchange, attempt.upstream.text(),
