Relay: count each crash of an upstream that returns under the same id

Cause: crashes are counted by upstream id, but the id says which registration crashed, not which start of it.

Change: reports name the upstream with its incarnation in the platform's list, which changes with each start. Without incarnations nothing changes.

--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -61,6 +61,7 @@
     upstream.inFlightTokens += exchange.arrived.promptTokens;
     m_attempts[attempt] = {.request = id,
                            .upstream = upstream.listing.id,
+                           .incarnation = upstream.listing.incarnation,
                            .tokens = exchange.arrived.promptTokens,
                            .startedAt = now,
                            .lastProgressAt = now};
--- a/src/relay/internal/relayquarantine.cpp
+++ b/src/relay/internal/relayquarantine.cpp
@@ -50,11 +50,14 @@
     if (exchange.arrived.fingerprint.value() == 0) {
         return false;
     }
+    // An upstream can return under the same id; each of its crashes counts.
+    const model::UpstreamId crashed(
+        absl::StrCat(attempt.upstream.text(), "/", attempt.incarnation));
     const pipeline::CrashReport report {.fingerprint = exchange.arrived.fingerprint,
-                                        .upstream = attempt.upstream};
+                                        .upstream = crashed};
     const bool mayBeCause = !attempt.beganAt || now - *attempt.beganAt <= crashDelay;
     const PartCrash partCrash {.parts = mayBeCause ? exchange.sharedParts : PartFingerprints(),
-                               .upstream = attempt.upstream};
+                               .upstream = crashed};
     record(EventCode::RequestStruck, exchange, attempt.upstream.text(),
            absl::StrCat("fingerprint=", absl::Hex(report.fingerprint.value()),
                         " parts=", partNames(exchange.arrived.promptParts),
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -171,6 +171,7 @@
     struct Attempt {
         model::RequestId request;
         model::UpstreamId upstream;
+        uint64_t incarnation = 0; //!< Incarnation of the upstream in the platform's list.
         uint64_t tokens = 0;
         model::TimePoint startedAt;
         model::TimePoint lastProgressAt; //!< When the last event of the answer was received.
--- a/src/relay/tests/partquarantinetest.cpp
+++ b/src/relay/tests/partquarantinetest.cpp
@@ -78,3 +78,22 @@
     fixture.advanceTime(model::seconds(2));
     CHECK(fixture.isRefused({"deadly"}));
 }
+
+// Guards against a deadly part that is never found in a small pool whose upstreams keep their names
+// when they return.
+TEST_CASE("Each crash of an upstream that returned in between counts")
+{
+    ReportingFixture fixture;
+    for (int i = 0; i < 12; ++i) {
+        fixture.system.upstreams().remove(model::UpstreamId(absl::StrCat("e", i)));
+    }
+    for (uint64_t start = 1; start <= 3; ++start) {
+        fixture.system.upstreams().apply(
+            {.id = model::UpstreamId("e0"), .pool = enginePool, .slots = 4, .incarnation = start});
+        fixture.crash({"deadly"});
+        fixture.advanceTime(model::seconds(4));
+    }
+    fixture.advanceTime(milliseconds(100));
+    fixture.advanceTime(model::seconds(2));
+    CHECK(fixture.isRefused({"deadly"}));
+}
