Relay: keep the last answers of parts that are in use

Sound requests could be refused in a deployment with many sessions: no daemon objected to the suspicion of a part that it had just answered.

Cause: the times of the last answers are bounded to 8192 parts and were removed in the order of the first answers, so 8192 newer parts, such as those of sessions, displaced a part that most requests share.

Change: a part that was answered again since it was queued is queued anew.

Test: relay_test, "The last answer of a part in use is kept while many other parts are answered"; on the code before, it failed.

--- a/src/relay/internal/partquarantine.cpp
+++ b/src/relay/internal/partquarantine.cpp
@@ -235,10 +235,17 @@
     if (!isNew) {
         return;
     }
-    m_answerOrder.push_back(part);
-    if (m_answerOrder.size() > maxAnsweredParts) {
-        m_answeredAt.erase(m_answerOrder.front());
+    m_answerOrder.emplace_back(part, at);
+    while (m_answerOrder.size() > maxAnsweredParts) {
+        const auto [oldest, queuedAt] = m_answerOrder.front();
         m_answerOrder.pop_front();
+        // A part that was answered again since then takes its place by its last answer.
+        const auto row = m_answeredAt.find(oldest);
+        if (row->second > queuedAt) {
+            m_answerOrder.emplace_back(oldest, row->second);
+        } else {
+            m_answeredAt.erase(row);
+        }
     }
 }
 
--- a/src/relay/partquarantine.h
+++ b/src/relay/partquarantine.h
@@ -119,7 +119,8 @@
     absl::flat_hash_map<model::Fingerprint, model::TimePoint> m_peerSuspectedAt;
     //! When a request with the part was last answered completely, here or at another daemon.
     absl::flat_hash_map<model::Fingerprint, model::TimePoint> m_answeredAt;
-    std::deque<model::Fingerprint> m_answerOrder;
+    //! When each of these parts was added to the queue, the oldest first.
+    std::deque<std::pair<model::Fingerprint, model::TimePoint>> m_answerOrder;
     std::optional<model::TimePoint> m_nextRun;
 };
 
--- a/src/relay/tests/partquarantinetest.cpp
+++ b/src/relay/tests/partquarantinetest.cpp
@@ -97,3 +97,24 @@
     fixture.advanceTime(model::seconds(2));
     CHECK(fixture.isRefused({"deadly"}));
 }
+
+// Guards against sound parts that are refused in a deployment with many sessions: the time of the
+// last answer was forgotten in the order of the first answers.
+TEST_CASE("The last answer of a part in use is kept while many other parts are answered")
+{
+    PartQuarantine quarantine;
+    const model::Fingerprint used(1);
+    model::TimePoint now {model::seconds(100)};
+    uint64_t other = 100;
+    const auto answerOthers = [&](int count) {
+        for (int i = 0; i < count; ++i) {
+            now += milliseconds(1);
+            quarantine.addAnswer({model::Fingerprint(++other)}, now);
+        }
+    };
+    quarantine.addAnswer({used}, now);
+    answerOthers(8000);
+    quarantine.addAnswer({used}, now);
+    answerOthers(500);
+    CHECK(quarantine.addPeerSuspicion(used, now - model::seconds(1), now));
+}
