--- a/src/daemon/internal/registryreader.cpp
+++ b/src/daemon/internal/registryreader.cpp
@@ -1,5 +1,8 @@
 #include "daemon/internal/registryreader.h"
 
+#include <absl/strings/str_cat.h>
+
+#include "model/abslview.h"
 #include "model/overloaded.h"
 
 namespace citronpick::daemon
@@ -8,9 +11,9 @@
 namespace
 {
 
-//! The registry normally answers within milliseconds; without an answer after this timeout it
-//! counts as unreachable.
-constexpr model::Duration readTimeout = model::milliseconds(900);
+//! Ends a call whose answer keeps arriving but never completes. The follower abandons a call that
+//! is not answered long before.
+constexpr model::Duration maxCallTime = model::seconds(10);
 constexpr model::Duration connectTimeout = model::milliseconds(400);
 //! Exceeds a page of the listing and many changes of the configuration.
 constexpr uint64_t maxBodyBytes = 16U << 20U;
@@ -22,7 +25,7 @@
 RegistryReader::RegistryReader(net::UpstreamClient &client, const IWireFormat &format,
                                config::Endpoint registry, registry::FollowerOptions options,
                                uint64_t seed, UpdateHandler handler,
-                               PeerWatchStarter startPeerWatch)
+                               PeerWatchStarter startPeerWatch, IEventSink &sink)
     : m_client(client)
     , m_format(format)
     , m_registry(std::move(registry))
@@ -30,11 +33,13 @@
     , m_follower(std::move(options), seed)
     , m_handler(std::move(handler))
     , m_startPeerWatch(std::move(startPeerWatch))
+    , m_sink(sink)
 {
 }
 
 void RegistryReader::run(model::TimePoint now)
 {
+    abandonOverdueCall(now);
     for (const registry::FollowerUpdate &update : m_follower.takeUpdates(now)) {
         m_handler(update);
     }
@@ -44,17 +49,13 @@
     }
     std::visit(model::Overloaded {
                    [this](const registry::ReadPage &page) {
-                       net::UpstreamCall read = m_format.encodeRead(m_registry, m_prefix, page);
-                       read.timeout = readTimeout;
                        m_isWatch = false;
-                       startCall(std::move(read));
+                       startCall(m_format.encodeRead(m_registry, m_prefix, page));
                    },
                    [this](const registry::WatchChanges &watch) {
-                       net::UpstreamCall wait = m_format.encodeWatch(
-                           m_registry, m_prefix, watch.afterRevision, watch.timeout);
-                       wait.timeout = watch.timeout + readTimeout;
                        m_isWatch = true;
-                       startCall(std::move(wait));
+                       startCall(m_format.encodeWatch(m_registry, m_prefix, watch.afterRevision,
+                                                      watch.timeout));
                    },
                    [this](const registry::WatchPeer &watch) { m_startPeerWatch(watch); },
                },
@@ -66,10 +67,51 @@
     m_status = 0;
     m_body.clear();
     call.connectTimeout = connectTimeout;
+    call.timeout = maxCallTime;
     call.maxBodyBytes = maxBodyBytes;
     m_call = m_client.start(std::move(call), *this);
 }
 
+void RegistryReader::abandonOverdueCall(model::TimePoint now)
+{
+    const std::optional<model::TimePoint> deadline = m_follower.callDeadline();
+    if (m_call == 0 || !deadline || now < *deadline) {
+        return;
+    }
+    m_client.cancel(std::exchange(m_call, 0));
+    failCall(registry::CallError::TimedOut, net::toString(net::CallFailure::TimedOut), now);
+}
+
+void RegistryReader::failCall(registry::CallError error, std::string_view why, model::TimePoint now)
+{
+    // Another connection may have gone silent at the same moment as this one.
+    m_client.closeIdleConnections(m_registry);
+    const std::string call
+        = absl::StrCat("call=", m_isWatch ? "watch" : "read", " why=", model::toAbsl(why),
+                       " hold_ms=", model::toMilliseconds(m_follower.callTimeout()),
+                       " age_ms=", model::toMilliseconds(m_follower.callAge(now)),
+                       " silent_ms=", model::toMilliseconds(m_follower.silence(now)));
+    m_follower.onError(error, now);
+    m_sink.record({.code = observability::EventCode::RegistryCallFailed,
+                   .request = {},
+                   .subject = config::toText(m_registry),
+                   .detail = absl::StrCat(call, " failures=", m_follower.failures(),
+                                          " revision=", m_follower.revision())});
+}
+
+void RegistryReader::recordReturn(model::TimePoint now)
+{
+    if (m_follower.failures() == 0) {
+        return;
+    }
+    m_sink.record({.code = observability::EventCode::RegistryAnswersAgain,
+                   .request = {},
+                   .subject = config::toText(m_registry),
+                   .detail = absl::StrCat("call=", m_isWatch ? "watch" : "read", " silent_ms=",
+                                          model::toMilliseconds(m_follower.silence(now)),
+                                          " failures=", m_follower.failures())});
+}
+
 void RegistryReader::onPeerChanges(const registry::PeerChanges &changes, model::TimePoint now)
 {
     m_follower.onPeerChanges(changes, now);
@@ -82,7 +124,7 @@
     run(now);
 }
 
-void RegistryReader::applyPeerListing(const registry::RegistryPage &listing, model::TimePoint now)
+void RegistryReader::applyPeerListing(const registry::PeerListing &listing, model::TimePoint now)
 {
     m_follower.onPeerListing(listing, now);
     run(now);
@@ -92,6 +134,7 @@
 {
     if (call == m_call) {
         m_status = head.status;
+        m_follower.onProgress(net::EventLoop::now());
     }
 }
 
@@ -99,6 +142,7 @@
 {
     if (call == m_call) {
         m_body.append(bytes);
+        m_follower.onProgress(net::EventLoop::now());
     }
 }
 
@@ -112,9 +156,9 @@
     if (m_status == success) {
         handleAnswer(now);
     } else {
-        m_follower.onError(m_status == compacted ? registry::CallError::Compacted
-                                                 : registry::CallError::Refused,
-                           now);
+        failCall(m_status == compacted ? registry::CallError::Compacted
+                                       : registry::CallError::Refused,
+                 absl::StrCat("status-", m_status), now);
     }
     run(now);
 }
@@ -124,27 +168,29 @@
     if (m_isWatch) {
         const auto changes = m_format.decodeChanges(m_body);
         if (changes.ok()) {
+            recordReturn(now);
             m_follower.onChanges(*changes, now);
             return;
         }
     } else {
         const auto page = m_format.decodePage(m_body);
         if (page.ok()) {
+            recordReturn(now);
             m_follower.onPage(*page, now);
             return;
         }
     }
-    m_follower.onError(registry::CallError::Unreachable, now);
+    failCall(registry::CallError::Unreachable, "undecodable", now);
 }
 
-void RegistryReader::onFailure(uint64_t call, net::CallFailure)
+void RegistryReader::onFailure(uint64_t call, net::CallFailure failure)
 {
     if (call != m_call) {
         return;
     }
     m_call = 0;
     const model::TimePoint now = net::EventLoop::now();
-    m_follower.onError(registry::CallError::Unreachable, now);
+    failCall(registry::CallError::Unreachable, net::toString(failure), now);
     run(now);
 }
 
--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -132,12 +132,12 @@
     m_registry = std::make_unique<RegistryReader>(
         m_client, m_format, m_settings.registry,
         registry::FollowerOptions {.prefix = m_format.registryPrefix(),
-                                   .watchTimeout = m_settings.registryWatch,
+                                   .maxSilence = m_settings.registrySilence,
                                    .allowsStaleStart = true,
                                    .source
                                    = {.daemon = m_settings.daemon, .zone = m_settings.zone}},
         seed, [this](const registry::FollowerUpdate &update) { onRegistryUpdate(update); },
-        [this](const registry::WatchPeer &watch) { startPeerWatch(watch); });
+        [this](const registry::WatchPeer &watch) { startPeerWatch(watch); }, *this);
     m_watchers = std::make_unique<PeerWatchers>(*m_fleetApi, m_registry->follower());
 }
 
--- a/src/net/tests/exchangeservertest.cpp
+++ b/src/net/tests/exchangeservertest.cpp
@@ -198,3 +198,78 @@
         return !fixture.server.hasUnsentResponses();
     }));
 }
+
+// Guards against bytes that the caller takes for the next response: a response to HEAD, and one
+// with a status that has no body, was followed by a body or by the end of a chunked one.
+TEST_CASE("A response that has no body is followed by nothing but the next response")
+{
+    for (const auto &[method, status] :
+         {std::pair("HEAD", 200), {"HEAD", 404}, {"GET", 204}, {"GET", 304}}) {
+        for (const bool isStream : {false, true}) {
+            CAPTURE(method, status, isStream);
+            Fixture fixture;
+            RawPeer peer
+                = fixture.sendRequest(std::string(method) + " /x HTTP/1.1\r\nHost: a\r\n\r\n");
+            REQUIRE(fixture.handler.exchanges.size() == 1);
+            const uint64_t exchange = fixture.handler.exchanges[0];
+            const auto code = static_cast<uint16_t>(status);
+            if (isStream) {
+                fixture.server.begin(exchange, code, {}, std::nullopt);
+                fixture.server.write(exchange, "body");
+                fixture.server.end(exchange);
+            } else {
+                fixture.server.respond(exchange, code, {}, "body");
+            }
+            peer.send(simpleRequest);
+            REQUIRE(runUntil(fixture.loop, [&] { return fixture.handler.exchanges.size() == 2; }));
+            fixture.server.respond(fixture.handler.exchanges[1], 200, {}, "next");
+            REQUIRE(fixture.waitFor(peer, "next"));
+            const std::string &received = peer.received();
+            const size_t end = received.find("\r\n\r\n");
+            CHECK(received.substr(end + 4).starts_with("HTTP/1.1 200"));
+            CHECK(received.substr(0, end).find("chunked") == std::string::npos);
+        }
+    }
+}
+
+// Guards against proper requests that are refused with 431: open connections kept the limits in
+// force when they were accepted.
+TEST_CASE("New limits hold for the next request on an open connection")
+{
+    constexpr size_t headBytes = 8U << 10U;
+    Fixture fixture({.maxHeadBytes = headBytes / 2});
+    RawPeer peer = fixture.sendRequest(simpleRequest);
+    REQUIRE(fixture.handler.exchanges.size() == 1);
+    fixture.server.respond(fixture.handler.exchanges[0], 200, {}, "first");
+    REQUIRE(fixture.waitFor(peer, "first"));
+    fixture.server.setLimits({.maxHeadBytes = 2 * headBytes});
+    peer.send("GET /x HTTP/1.1\r\nHost: a\r\nX-A: " + std::string(headBytes, 'a'));
+    constexpr int iterations = 20; // The first part of the head is read before the rest arrives.
+    for (int i = 0; i < iterations; ++i) {
+        fixture.loop.runOnce(model::milliseconds(1));
+    }
+    peer.send("\r\n\r\n");
+    REQUIRE(runUntil(fixture.loop, [&] {
+        return fixture.handler.exchanges.size() == 2
+               || peer.received().find("431") != std::string::npos;
+    }));
+    CHECK(fixture.handler.exchanges.size() == 2);
+}
+
+// Guards against requests that end without an answer: lower limits of a new configuration must not
+// close a connection while a request on it is waiting for its answer.
+TEST_CASE("Lower limits do not end a request that was accepted before")
+{
+    Fixture fixture;
+    RawPeer peer = fixture.sendRequest(simpleRequest);
+    REQUIRE(fixture.handler.exchanges.size() == 1);
+    fixture.server.setLimits({.maxHeadBytes = 1,
+                              .maxBodyBytes = 0,
+                              .headTimeout = {},
+                              .idleTimeout = {},
+                              .maxConnections = 0});
+    fixture.server.sweep(EventLoop::now() + model::seconds(100));
+    CHECK(fixture.handler.disconnected.empty());
+    fixture.server.respond(fixture.handler.exchanges[0], 200, {}, "body");
+    CHECK(fixture.waitFor(peer, "\r\n\r\nbody"));
+}
--- a/src/registry/internal/registryfollower.cpp
+++ b/src/registry/internal/registryfollower.cpp
@@ -59,42 +59,75 @@
     }
     if (m_isListing) {
         return take(ReadPage {.afterKey = m_afterKey, .allowsStale = m_isListingStale},
-                    model::Duration::zero(), now);
+                    model::Duration::zero(), m_options.readTimeout, now);
     }
     if (now < m_watchDueAt) {
         return std::nullopt;
     }
     if (m_isConfirming) {
-        constexpr model::Duration shortest = model::milliseconds(1);
-        return isRegistryDue ? std::optional(take(
-                   WatchChanges {.afterRevision = m_revision, .timeout = shortest}, shortest, now))
-                             : std::nullopt;
+        return isRegistryDue ? std::optional(probeRegistry(now)) : std::nullopt;
     }
     if (const std::optional<ReaderCandidate> reader = m_source.choose(now, isRegistryDue)) {
         setSource(reader->id);
-        return take(WatchPeer {.reader = reader->id,
-                               .afterRevision = m_revision,
-                               .timeout = m_options.sharedWatchTimeout},
-                    m_options.sharedWatchTimeout, now);
+        const FollowerCall call = take(WatchPeer {.reader = reader->id,
+                                                  .afterRevision = m_revision,
+                                                  .timeout = m_options.sharedWatchTimeout},
+                                       m_options.sharedWatchTimeout, model::Duration::zero(), now);
+        // The sender of the call knows when a reader is lost.
+        m_callDeadline.reset();
+        return call;
     }
     if (!isRegistryDue) {
         return std::nullopt;
     }
     setSource({});
+    // A registry that has failed is asked for an immediate answer: a long poll that is lost before
+    // the registry returns would hide its return.
+    return m_failures > 0 ? probeRegistry(now) : watchRegistry(now);
+}
+
+FollowerCall RegistryFollower::watchRegistry(model::TimePoint now)
+{
+    // One margin to notice that the watch was lost, one for the answer of the call that follows.
     const model::Duration timeout
-        = m_source.isReader() ? m_options.sharedWatchTimeout : m_options.watchTimeout;
-    return take(WatchChanges {.afterRevision = m_revision, .timeout = timeout}, timeout, now);
+        = m_source.isReader() || m_source.hasReaders()
+              ? m_options.sharedWatchTimeout
+              : std::max(m_options.maxSilence - 2 * m_options.answerMargin, m_options.answerMargin);
+    return take(WatchChanges {.afterRevision = m_revision, .timeout = timeout}, timeout,
+                m_options.answerMargin, now);
+}
+
+FollowerCall RegistryFollower::probeRegistry(model::TimePoint now)
+{
+    constexpr model::Duration shortest = model::milliseconds(1);
+    return take(WatchChanges {.afterRevision = m_revision, .timeout = shortest}, shortest,
+                m_options.readTimeout, now);
 }
 
 FollowerCall RegistryFollower::take(FollowerCall call, model::Duration timeout,
-                                    model::TimePoint now)
+                                    model::Duration margin, model::TimePoint now)
 {
     m_isCallPending = true;
     m_callStartedAt = now;
     m_callTimeout = timeout;
+    m_callDeadline = now + timeout + margin;
+    m_answeredAt = m_answeredAt.value_or(now);
     return call;
 }
 
+void RegistryFollower::endCall()
+{
+    m_isCallPending = false;
+    m_callDeadline.reset();
+}
+
+void RegistryFollower::onProgress(model::TimePoint now)
+{
+    if (m_callDeadline) {
+        m_callDeadline = std::max(*m_callDeadline, now + m_options.readTimeout);
+    }
+}
+
 void RegistryFollower::setSource(const model::DaemonId &reader)
 {
     if (reader != m_reader) {
@@ -105,7 +138,7 @@
 
 std::optional<model::TimePoint> RegistryFollower::nextRun() const
 {
-    std::optional<model::TimePoint> next;
+    std::optional<model::TimePoint> next = m_callDeadline;
     if (!m_isCallPending) {
         const bool asksReader
             = !m_isListing && !m_isConfirming && m_source.choose(m_watchDueAt, false);
@@ -121,7 +154,7 @@
 
 void RegistryFollower::recordAnswer(model::TimePoint now)
 {
-    m_isCallPending = false;
+    endCall();
     m_registryDueAt = now;
     m_source.onRegistryCallEnded();
     recordReachable(now);
@@ -132,12 +165,15 @@
     const bool isOutageOver = m_failures >= outageFailureCount
                               || (m_failures > 0 && now - m_lostSince >= m_options.minOutage);
     if (isOutageOver) {
-        m_graceEndsAt = now + m_options.recoveryGracePeriod;
+        const model::Duration longest
+            = m_source.hasReaders() ? m_options.maxSharedRecoveryGrace : m_options.maxRecoveryGrace;
+        m_graceEndsAt = std::min(now + m_options.recoveryGracePeriod, m_mayAnswerSince + longest);
     }
     if (m_failures >= outageFailureCount) {
         m_notifications.emplace_back(ReachabilityChanged {.isReachable = true});
     }
     m_failures = 0;
+    m_answeredAt = now;
 }
 
 void RegistryFollower::onPage(const RegistryPage &page, model::TimePoint now)
@@ -194,20 +230,24 @@
 // A daemon that starts while the registry is unreachable or refuses its calls gets the listing from
 // another daemon. Comparing registry revisions prevents an older listing from replacing a newer
 // one.
-void RegistryFollower::onPeerListing(const RegistryPage &listing, model::TimePoint now)
+void RegistryFollower::onPeerListing(const PeerListing &listing, model::TimePoint now)
 {
-    if (listing.revision <= m_revision) {
+    if (listing.page.revision <= m_revision) {
         return;
     }
+    m_graceEndsAt = std::max(m_graceEndsAt, now + listing.graceLeft);
     m_listedKeys.clear();
-    for (const RegistryItem &item : listing.items) {
+    for (const RegistryItem &item : listing.page.items) {
         m_listedKeys.insert(item.key);
         applyItem(item, now);
     }
-    removeUnlisted(listing.revision, now);
-    m_isSynchronized ? m_history.skip(m_revision, listing.revision)
-                     : m_history.start(listing.revision);
-    m_revision = listing.revision;
+    removeUnlisted(listing.page.revision, now);
+    for (const std::string &key : listing.missingKeys) {
+        removeKey(key, listing.page.revision, now);
+    }
+    m_isSynchronized ? m_history.skip(m_revision, listing.page.revision)
+                     : m_history.start(listing.page.revision);
+    m_revision = listing.page.revision;
     m_isPendingPageObsolete = m_isCallPending && m_isListing;
     m_isListingStale = false;
     m_isConfirming = false;
@@ -232,7 +272,7 @@
 
 void RegistryFollower::onPeerChanges(const PeerChanges &changes, model::TimePoint now)
 {
-    m_isCallPending = false;
+    endCall();
     m_source.onPeerAnswered();
     // The content is current although this daemon itself may not reach the registry.
     recordReachable(now);
@@ -243,29 +283,41 @@
 
 void RegistryFollower::onPeerError(PeerError error, model::TimePoint now)
 {
-    m_isCallPending = false;
+    endCall();
     m_source.onPeerFailed(m_reader, error, now);
 }
 
 void RegistryFollower::onError(CallError error, model::TimePoint now)
 {
-    m_isCallPending = false;
+    endCall();
     m_source.onRegistryCallEnded();
     const bool wasPageObsolete = std::exchange(m_isPendingPageObsolete, false);
     if (error == CallError::Compacted && !wasPageObsolete) {
         restartListing(now);
         return;
     }
+    // A call that outlasted its timeout got no answer from its start on, and the registry may have
+    // returned at any time after that.
+    const bool wasSilent = now - m_callStartedAt > m_callTimeout;
+    m_mayAnswerSince = wasSilent ? m_callStartedAt : now;
     if (m_failures == 0) {
-        // A call that outlasted its timeout got no answer from its start on.
-        const bool wasSilent = now - m_callStartedAt > m_callTimeout;
-        m_lostSince = wasSilent ? m_callStartedAt : now;
+        m_lostSince = m_mayAnswerSince;
     }
     ++m_failures;
     if (m_failures == outageFailureCount) {
         m_notifications.emplace_back(ReachabilityChanged {.isReachable = false});
     }
+    scheduleRetry(error, now);
+}
+
+void RegistryFollower::scheduleRetry(CallError error, model::TimePoint now)
+{
     const bool hasReaders = m_source.hasReaders();
+    if (error == CallError::TimedOut && m_failures == 1 && !hasReaders) {
+        // The lost call has lasted longer than any backoff.
+        m_registryDueAt = now;
+        return;
+    }
     const model::Duration initial
         = hasReaders ? m_options.initialSharedBackoff : m_options.initialBackoff;
     const model::Duration backoff
