--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -61,6 +61,7 @@
     upstream.inFlightTokens += exchange.arrived.promptTokens;
     m_attempts[attempt] = {.request = id,
                            .upstream = upstream.listing.id,
+                           .incarnation = upstream.listing.incarnation,
                            .tokens = exchange.arrived.promptTokens,
                            .startedAt = now,
                            .lastProgressAt = now};
@@ -165,7 +166,9 @@
         return;
     }
     m_directory.noteSuccess(attempt.upstream);
-    addAnswer(exchange, now);
+    if (facts.status < firstServerError) {
+        addAnswer(exchange, now);
+    }
     ++m_counters.answersForwarded;
     m_counters.answers.add(now - exchange.arrived.startedAt);
     record(EventCode::AnswerPassed, exchange, attempt.upstream.text(),
