--- a/src/registry/tests/outagetest.cpp
+++ b/src/registry/tests/outagetest.cpp
@@ -12,13 +12,13 @@
     constexpr model::Duration contactTime = model::seconds(3);
     constexpr model::Duration leavingBound = model::seconds(2);
     Fixture fixture;
-    fixture.follower = RegistryFollower({.prefix = "u/", .watchTimeout = model::seconds(3)}, 1);
+    fixture.follower = RegistryFollower({.prefix = "u/", .maxSilence = contactTime}, 1);
     fixture.list({item("u/a", "1", 3)}, 5);
     fixture.changes();
     // The registry is silent for an instant and loses this watch.
     fixture.call();
     const model::TimePoint removedAt = fixture.now + contactTime;
-    fixture.now += milliseconds(3900);
+    fixture.now = *fixture.follower.nextRun();
     fixture.follower.onError(CallError::Unreachable, fixture.now);
     fixture.now = *fixture.follower.nextRun();
     fixture.watch({removal("u/a", 6)}, 6);
