Relay: a finding is announced by each daemon that announced its suspicion

Cause: two daemons that suspected the part within 1 ms heard of each other's suspicion, and each left the announcement of the finding to the other. Daemons without enough reports of their own, and those that started later, never heard of it.

Change: who announced the suspicion announces the finding; any other daemon that concludes the same does so a second later unless a finding has arrived.

--- a/bench/relaycapacitybench.cpp
+++ b/bench/relaycapacitybench.cpp
@@ -200,7 +200,7 @@
             {.key = absl::StrCat("servers/i-", i), .value = std::string(250, 'x'), .revision = i});
     }
     const double start = cpuMicroseconds();
-    const std::string encoded = daemon::encodeListing(page);
+    const std::string encoded = daemon::encodeListing({.page = page});
     static_cast<void>(daemon::decodeListing(encoded));
     return {.bytes = static_cast<double>(encoded.size()),
             .microseconds = cpuMicroseconds() - start};
--- a/src/relay/internal/partquarantine.cpp
+++ b/src/relay/internal/partquarantine.cpp
@@ -19,6 +19,8 @@
 //! From the suspicion to the quarantine: time for the reports of other requests that were lost in
 //! the same crashes, and for answers at other daemons that disprove the suspicion.
 constexpr model::Duration objectionTime = model::milliseconds(1500);
+//! Time for the finding of another daemon to arrive.
+constexpr model::Duration announcementDelay = model::seconds(1);
 //! Reports about an upstream within this time belong to the same crash; a restart takes longer.
 constexpr model::Duration crashWindow = model::seconds(2);
 constexpr model::Duration crashLifetime = model::seconds(60);
@@ -74,7 +76,8 @@
     for (const model::Fingerprint part : parts) {
         noteAnswer(part, now);
         const bool wasQuarantined = m_quarantinedAt.erase(part) > 0;
-        const bool wasSuspected = m_suspectedAt.erase(part) + m_peerSuspectedAt.erase(part) > 0;
+        m_announceAt.erase(part);
+        const bool wasSuspected = m_suspicions.erase(part) + m_peerSuspectedAt.erase(part) > 0;
         if (wasQuarantined || wasSuspected) {
             disproved.push_back(part);
         }
@@ -85,7 +88,8 @@
 bool PartQuarantine::addPeerAnswer(model::Fingerprint part, model::TimePoint at)
 {
     noteAnswer(part, at);
-    m_suspectedAt.erase(part);
+    m_announceAt.erase(part);
+    m_suspicions.erase(part);
     m_peerSuspectedAt.erase(part);
     const auto quarantined = m_quarantinedAt.find(part);
     if (quarantined == m_quarantinedAt.end() || at < quarantined->second) {
@@ -112,6 +116,7 @@
         return FindingResult::Disproved;
     }
     const bool isKnown = isQuarantined(part, now);
+    m_announceAt.erase(part);
     quarantine(part, at);
     return isKnown ? FindingResult::Known : FindingResult::Applied;
 }
@@ -124,6 +129,13 @@
     }
     m_nextRun.reset();
     forgetExpired(now);
+    judge(verdicts, now);
+    verdicts.findings = takeFindings(now);
+    return verdicts;
+}
+
+void PartQuarantine::judge(PartVerdicts &verdicts, model::TimePoint now)
+{
     for (std::vector<Candidate> rows = candidates(); !rows.empty(); rows = candidates()) {
         suspect(rows, verdicts, now);
         // A part that many requests share is in most crashes. A more specific one in as many
@@ -133,19 +145,36 @@
                   return std::tuple(left.position, left.upstreams.size(), left.part)
                          < std::tuple(right.position, right.upstreams.size(), right.part);
               });
-        const model::TimePoint due = m_suspectedAt[best->part] + objectionTime;
+        const Suspicion suspicion = m_suspicions[best->part];
+        const model::TimePoint due = suspicion.since + objectionTime;
         if (now < due) {
             m_nextRun = due;
-            return verdicts;
+            return;
         }
         quarantine(best->part, now);
         verdicts.quarantined.push_back(best->part);
-        if (!m_peerSuspectedAt.contains(best->part)) {
-            verdicts.findings.push_back(best->part);
+        m_announceAt[best->part] = suspicion.isAnnounced ? now : now + announcementDelay;
+    }
+    m_suspicions.clear();
+}
+
+// The daemons that announced the suspicion tell the others of the finding. The others do so only if
+// they hear of none, as the daemon that had to may have stopped.
+PartFingerprints PartQuarantine::takeFindings(model::TimePoint now)
+{
+    PartFingerprints findings;
+    for (const auto &[part, at] : m_announceAt) {
+        if (at <= now) {
+            findings.push_back(part);
+        } else {
+            m_nextRun = m_nextRun ? std::min(*m_nextRun, at) : at;
         }
     }
-    m_suspectedAt.clear();
-    return verdicts;
+    for (const model::Fingerprint part : findings) {
+        m_announceAt.erase(part);
+    }
+    std::sort(findings.begin(), findings.end());
+    return findings;
 }
 
 // Counts only crashes that no quarantined part explains and that no answer followed.
@@ -190,8 +219,12 @@
                              model::TimePoint now)
 {
     for (const Candidate &candidate : candidates) {
-        const bool isNew = m_suspectedAt.try_emplace(candidate.part, now).second;
-        if (isNew && !m_peerSuspectedAt.contains(candidate.part)) {
+        const bool isAnnounced = !m_peerSuspectedAt.contains(candidate.part);
+        const bool isNew
+            = m_suspicions
+                  .try_emplace(candidate.part, Suspicion {.since = now, .isAnnounced = isAnnounced})
+                  .second;
+        if (isNew && isAnnounced) {
             verdicts.suspicions.push_back(
                 {.part = candidate.part, .sinceFirstCrash = now - candidate.firstAt});
         }
@@ -203,7 +236,7 @@
 {
     model::TimePoint &since = m_quarantinedAt[part];
     since = std::max(since, at);
-    m_suspectedAt.erase(part);
+    m_suspicions.erase(part);
     for (Crash &crash : m_crashes) {
         crash.isExplained = crash.isExplained || crash.parts.contains(part);
     }
--- a/src/relay/partquarantine.h
+++ b/src/relay/partquarantine.h
@@ -93,6 +93,10 @@
         absl::flat_hash_map<model::Fingerprint, size_t> parts;
         bool isExplained = false; //!< One of the parts is in quarantine.
     };
+    struct Suspicion {
+        model::TimePoint since;
+        bool isAnnounced = false; //!< By this daemon.
+    };
     //! Crashes that count against a part.
     struct Candidate {
         model::Fingerprint part;
@@ -104,9 +108,11 @@
 
     std::vector<Candidate> candidates() const;
     static bool isEnough(const Candidate &candidate);
+    void judge(PartVerdicts &verdicts, model::TimePoint now);
     void suspect(const std::vector<Candidate> &candidates, PartVerdicts &verdicts,
                  model::TimePoint now);
     void quarantine(model::Fingerprint part, model::TimePoint at);
+    PartFingerprints takeFindings(model::TimePoint now);
     bool isQuarantined(model::Fingerprint part, model::TimePoint now) const;
     model::TimePoint answeredAt(model::Fingerprint part) const;
     void noteAnswer(model::Fingerprint part, model::TimePoint at);
@@ -114,13 +120,15 @@
 
     std::deque<Crash> m_crashes; //!< Oldest first.
     absl::flat_hash_map<model::Fingerprint, model::TimePoint> m_quarantinedAt;
-    absl::flat_hash_map<model::Fingerprint, model::TimePoint> m_suspectedAt;
+    absl::flat_hash_map<model::Fingerprint, Suspicion> m_suspicions;
     //! When another daemon announced its suspicion of the part.
     absl::flat_hash_map<model::Fingerprint, model::TimePoint> m_peerSuspectedAt;
     //! When a request with the part was last answered completely, here or at another daemon.
     absl::flat_hash_map<model::Fingerprint, model::TimePoint> m_answeredAt;
     //! When each of these parts was added to the queue, the oldest first.
     std::deque<std::pair<model::Fingerprint, model::TimePoint>> m_answerOrder;
+    //! When other daemons are told of an own conclusion unless one of them does so before.
+    absl::flat_hash_map<model::Fingerprint, model::TimePoint> m_announceAt;
     std::optional<model::TimePoint> m_nextRun;
 };
 
--- a/src/relay/tests/quarantinetest.cpp
+++ b/src/relay/tests/quarantinetest.cpp
@@ -134,6 +134,42 @@
     CHECK(fixture.take<PublishDeadlyPart>().part == suspected.suspicion.part);
 }
 
+// Guards against a daemon that starts later and is never told of a finding: two daemons that
+// suspected a part at the same moment left it to each other to announce it.
+TEST_CASE("A finding is announced by each daemon that announced its suspicion, else by any other")
+{
+    PromptFixture fixture;
+    const model::Fingerprint part = PromptFixture::fingerprint("deadly");
+    SECTION("when another daemon suspects the part too")
+    {
+        fixture.reportCrashes({"deadly"});
+        fixture.system.onPeerSuspectedPart({.part = part, .sinceFirstCrash = model::seconds(1)},
+                                           fixture.now);
+        fixture.passObjectionTime();
+        CHECK(fixture.count<PublishDeadlyPart>() == 1);
+    }
+    SECTION("when the daemon that announced it is silent")
+    {
+        fixture.system.onPeerSuspectedPart({.part = part, .sinceFirstCrash = model::seconds(1)},
+                                           fixture.now);
+        fixture.reportCrashes({"deadly"});
+        fixture.passObjectionTime();
+        CHECK(fixture.count<PublishDeadlyPart>() == 0);
+        fixture.advanceTime(model::seconds(1));
+        CHECK(fixture.count<PublishDeadlyPart>() == 1);
+    }
+    SECTION("but not twice")
+    {
+        fixture.system.onPeerSuspectedPart({.part = part, .sinceFirstCrash = model::seconds(1)},
+                                           fixture.now);
+        fixture.reportCrashes({"deadly"});
+        fixture.passObjectionTime();
+        fixture.system.onPeerDeadlyPart(part, {}, fixture.now);
+        fixture.advanceTime(model::seconds(1));
+        CHECK(fixture.count<PublishDeadlyPart>() == 0);
+    }
+}
+
 // Guards against crashes by requests that were accepted before their part was found out.
 TEST_CASE("Requests that wait in their stages or for an answer end when a part is quarantined")
 {
