--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -240,12 +240,12 @@
                                               .sinceFirstCrash = publish.suspicion.sinceFirstCrash},
                     net::EventLoop::now());
             },
-            [this](const relay::PublishDeadlyPart &publish) {
-                m_fleet->publish(fleet::DeadlyPartFact {.part = publish.part},
+            [this](const relay::PublishQuarantinedPart &publish) {
+                m_fleet->publish(fleet::QuarantinedPartFact {.part = publish.part},
                                  net::EventLoop::now());
             },
-            [this](const relay::PublishSoundPart &publish) {
-                m_fleet->publish(fleet::SoundPartFact {.part = publish.part},
+            [this](const relay::PublishClearedPart &publish) {
+                m_fleet->publish(fleet::ClearedPartFact {.part = publish.part},
                                  net::EventLoop::now());
             },
             [this](const relay::ReleaseResults &release) {
--- a/src/daemon/internal/relayfleet.cpp
+++ b/src/daemon/internal/relayfleet.cpp
@@ -55,11 +55,11 @@
         m_relay->onPeerSuspectedPart(
             {.part = suspected.part, .sinceFirstCrash = suspected.sinceFirstCrash + age}, now);
     }
-    for (const auto &[deadly, age] : updates.deadlyParts) {
-        m_relay->onPeerDeadlyPart(deadly.part, age, now);
+    for (const auto &[quarantined, age] : updates.quarantinedParts) {
+        m_relay->onPeerQuarantinedPart(quarantined.part, age, now);
     }
-    for (const auto &[sound, age] : updates.soundParts) {
-        m_relay->onPeerSoundPart(sound.part, age, now);
+    for (const auto &[cleared, age] : updates.clearedParts) {
+        m_relay->onPeerClearedPart(cleared.part, age, now);
     }
 }
 
--- a/src/fleet/fact.h
+++ b/src/fleet/fact.h
@@ -58,17 +58,17 @@
 };
 
 //! Requests with this part of a prompt crash upstreams.
-struct DeadlyPartFact {
+struct QuarantinedPartFact {
     model::Fingerprint part;
 
-    friend auto operator<=>(const DeadlyPartFact &, const DeadlyPartFact &) = default;
+    friend auto operator<=>(const QuarantinedPartFact &, const QuarantinedPartFact &) = default;
 };
 
 //! A request with this part of a prompt, which had been suspected, was answered completely.
-struct SoundPartFact {
+struct ClearedPartFact {
     model::Fingerprint part;
 
-    friend auto operator<=>(const SoundPartFact &, const SoundPartFact &) = default;
+    friend auto operator<=>(const ClearedPartFact &, const ClearedPartFact &) = default;
 };
 
 //! Requests with this part of a prompt may crash upstreams; the first one did so \a sinceFirstCrash
@@ -81,7 +81,7 @@
 };
 
 using FactBody = std::variant<CrashFact, ReturnFact, DemandFact, LoadFact, LeavingFact,
-                              DeadlyPartFact, SoundPartFact, SuspectedPartFact>;
+                              QuarantinedPartFact, ClearedPartFact, SuspectedPartFact>;
 
 //! Identifies the subject of a fact; a newer fact replaces an older one with the same key.
 struct FactKey {
--- a/src/fleet/fleetsystem.h
+++ b/src/fleet/fleetsystem.h
@@ -39,8 +39,8 @@
 //! Information received since the last call of FleetSystem::takeUpdates().
 struct FleetUpdates {
     std::vector<Received<CrashFact>> crashes;
-    std::vector<Received<DeadlyPartFact>> deadlyParts;
-    std::vector<Received<SoundPartFact>> soundParts;
+    std::vector<Received<QuarantinedPartFact>> quarantinedParts;
+    std::vector<Received<ClearedPartFact>> clearedParts;
     std::vector<Received<SuspectedPartFact>> suspectedParts;
     std::vector<LeavingFact> leavingUpstreams;
     std::vector<NewerConfiguration> newerConfigurations;
--- a/src/fleet/internal/fact.cpp
+++ b/src/fleet/internal/fact.cpp
@@ -12,7 +12,7 @@
 constexpr model::Duration returnLifetime = model::seconds(30);
 constexpr model::Duration leavingLifetime = model::seconds(60);
 //! As long as a quarantine, so that daemons that start meanwhile know of it and of its end.
-constexpr model::Duration deadlyPartLifetime = model::seconds(600);
+constexpr model::Duration quarantineLifetime = model::seconds(600);
 constexpr model::Duration demandAndLoadLifetime = model::seconds(15);
 
 std::string subjectOf(const FactBody &body)
@@ -26,8 +26,10 @@
             [](const DemandFact &demand) { return demand.account.text(); },
             [](const LoadFact &) { return std::string(); },
             [](const LeavingFact &leaving) { return leaving.upstream.text(); },
-            [](const DeadlyPartFact &deadly) { return std::to_string(deadly.part.value()); },
-            [](const SoundPartFact &sound) { return std::to_string(sound.part.value()); },
+            [](const QuarantinedPartFact &quarantined) {
+                return std::to_string(quarantined.part.value());
+            },
+            [](const ClearedPartFact &cleared) { return std::to_string(cleared.part.value()); },
             [](const SuspectedPartFact &suspected) {
                 return std::to_string(suspected.part.value());
             },
@@ -50,8 +52,8 @@
 
 bool isVerdict(const Fact &fact)
 {
-    return std::holds_alternative<DeadlyPartFact>(fact.body)
-           || std::holds_alternative<SoundPartFact>(fact.body)
+    return std::holds_alternative<QuarantinedPartFact>(fact.body)
+           || std::holds_alternative<ClearedPartFact>(fact.body)
            || std::holds_alternative<SuspectedPartFact>(fact.body);
 }
 
@@ -63,8 +65,8 @@
                           [](const DemandFact &) { return demandAndLoadLifetime; },
                           [](const LoadFact &) { return demandAndLoadLifetime; },
                           [](const LeavingFact &) { return leavingLifetime; },
-                          [](const DeadlyPartFact &) { return deadlyPartLifetime; },
-                          [](const SoundPartFact &) { return deadlyPartLifetime; },
+                          [](const QuarantinedPartFact &) { return quarantineLifetime; },
+                          [](const ClearedPartFact &) { return quarantineLifetime; },
                           [](const SuspectedPartFact &) { return crashReportLifetime; },
                       },
                       fact.body);
--- a/src/fleet/internal/fleetsystem.cpp
+++ b/src/fleet/internal/fleetsystem.cpp
@@ -331,11 +331,11 @@
     if (const auto *crash = std::get_if<CrashFact>(&fact.body)) {
         m_updates.crashes.push_back({.body = *crash, .age = fact.age});
     }
-    if (const auto *deadly = std::get_if<DeadlyPartFact>(&fact.body)) {
-        m_updates.deadlyParts.push_back({.body = *deadly, .age = fact.age});
+    if (const auto *quarantined = std::get_if<QuarantinedPartFact>(&fact.body)) {
+        m_updates.quarantinedParts.push_back({.body = *quarantined, .age = fact.age});
     }
-    if (const auto *sound = std::get_if<SoundPartFact>(&fact.body)) {
-        m_updates.soundParts.push_back({.body = *sound, .age = fact.age});
+    if (const auto *cleared = std::get_if<ClearedPartFact>(&fact.body)) {
+        m_updates.clearedParts.push_back({.body = *cleared, .age = fact.age});
     }
     if (const auto *suspected = std::get_if<SuspectedPartFact>(&fact.body)) {
         m_updates.suspectedParts.push_back({.body = *suspected, .age = fact.age});
--- a/src/fleet/tests/factspreadtest.cpp
+++ b/src/fleet/tests/factspreadtest.cpp
@@ -54,9 +54,9 @@
                                               .upstream = model::UpstreamId("u")},
                                    m_now);
     }
-    void publishDeadlyPart(size_t daemon, uint64_t part)
+    void publishQuarantinedPart(size_t daemon, uint64_t part)
     {
-        m_daemons[daemon]->publish(DeadlyPartFact {.part = model::Fingerprint(part)}, m_now);
+        m_daemons[daemon]->publish(QuarantinedPartFact {.part = model::Fingerprint(part)}, m_now);
     }
 
     void publishSuspectedPart(size_t daemon, uint64_t part)
@@ -99,9 +99,9 @@
             m_received[i].suspectedParts.insert(m_received[i].suspectedParts.end(),
                                                 updates.suspectedParts.begin(),
                                                 updates.suspectedParts.end());
-            m_received[i].deadlyParts.insert(m_received[i].deadlyParts.end(),
-                                             updates.deadlyParts.begin(),
-                                             updates.deadlyParts.end());
+            m_received[i].quarantinedParts.insert(m_received[i].quarantinedParts.end(),
+                                                  updates.quarantinedParts.begin(),
+                                                  updates.quarantinedParts.end());
         }
     }
 
@@ -149,10 +149,10 @@
         }
         fleet.run(model::milliseconds(500));
     }
-    fleet.publishDeadlyPart(0, 7);
+    fleet.publishQuarantinedPart(0, 7);
     fleet.run(model::milliseconds(700));
     for (uint16_t daemon = 1; daemon < count; ++daemon) {
-        CHECK(fleet.received(daemon).deadlyParts.size() == 1);
+        CHECK(fleet.received(daemon).quarantinedParts.size() == 1);
     }
 }
 
@@ -171,11 +171,11 @@
         }
         fleet.run(model::milliseconds(400));
     }
-    fleet.publishDeadlyPart(0, 7);
+    fleet.publishQuarantinedPart(0, 7);
     fleet.run(model::seconds(1));
     size_t informed = 0;
     for (uint16_t daemon = 1; daemon < count; ++daemon) {
-        informed += fleet.received(daemon).deadlyParts.size();
+        informed += fleet.received(daemon).quarantinedParts.size();
     }
     CHECK(informed == count - 1);
 }
--- a/src/net/internal/fleetcodec.cpp
+++ b/src/net/internal/fleetcodec.cpp
@@ -171,11 +171,11 @@
                        value.append(leaving.upstream.text());
                        value.append(Json::UInt64(leaving.incarnation));
                    },
-                   [&](const fleet::DeadlyPartFact &deadly) {
-                       value.append(Json::UInt64(deadly.part.value()));
+                   [&](const fleet::QuarantinedPartFact &quarantined) {
+                       value.append(Json::UInt64(quarantined.part.value()));
                    },
-                   [&](const fleet::SoundPartFact &sound) {
-                       value.append(Json::UInt64(sound.part.value()));
+                   [&](const fleet::ClearedPartFact &cleared) {
+                       value.append(Json::UInt64(cleared.part.value()));
                    },
                    [&](const fleet::SuspectedPartFact &suspected) {
                        value.append(Json::UInt64(suspected.part.value()));
@@ -220,9 +220,9 @@
         return fleet::LeavingFact {.upstream = model::UpstreamId(reader.text(value[0])),
                                    .incarnation = reader.number(value[1])};
     case 5:
-        return fleet::DeadlyPartFact {.part = model::Fingerprint(reader.number(value[0]))};
+        return fleet::QuarantinedPartFact {.part = model::Fingerprint(reader.number(value[0]))};
     case 6:
-        return fleet::SoundPartFact {.part = model::Fingerprint(reader.number(value[0]))};
+        return fleet::ClearedPartFact {.part = model::Fingerprint(reader.number(value[0]))};
     case 7:
         return fleet::SuspectedPartFact {
             .part = model::Fingerprint(reader.number(value[0])),
--- a/src/relay/internal/partquarantine.cpp
+++ b/src/relay/internal/partquarantine.cpp
@@ -44,22 +44,28 @@
     return fingerprints;
 }
 
-void PartQuarantine::addCrash(const PartCrash &crash, model::TimePoint now)
+PartQuarantine::Crash &PartQuarantine::crashOf(const model::UpstreamId &upstream,
+                                               model::TimePoint now)
 {
-    if (crash.parts.empty()) {
-        return;
-    }
     const auto known
         = std::find_if(m_crashes.rbegin(), m_crashes.rend(), [&](const Crash &earlier) {
-              return earlier.upstream == crash.upstream && now - earlier.at <= crashWindow;
+              return earlier.upstream == upstream && now - earlier.at <= crashWindow;
           });
-    if (known == m_crashes.rend()) {
-        m_crashes.push_back({.upstream = crash.upstream, .at = now, .parts = {}});
-        if (m_crashes.size() > maxCrashes) {
-            m_crashes.pop_front();
-        }
+    if (known != m_crashes.rend()) {
+        return *known;
+    }
+    if (m_crashes.size() >= maxCrashes) {
+        m_crashes.pop_front();
+    }
+    return m_crashes.emplace_back(Crash {.upstream = upstream, .at = now, .parts = {}});
+}
+
+void PartQuarantine::addCrash(const PartCrash &crash, model::TimePoint now)
+{
+    if (crash.parts.empty()) {
+        return;
     }
-    Crash &row = known == m_crashes.rend() ? m_crashes.back() : *known;
+    Crash &row = crashOf(crash.upstream, now);
     for (size_t position = 0; position < crash.parts.size(); ++position) {
         size_t &last = row.parts[crash.parts[position]];
         last = std::max(last, position);
--- a/src/relay/internal/relayquarantine.cpp
+++ b/src/relay/internal/relayquarantine.cpp
@@ -77,15 +77,15 @@
 {
     m_quarantine.clear(exchange.arrived.fingerprint);
     for (const model::Fingerprint part : m_partQuarantine.addAnswer(exchange.sharedParts, now)) {
-        publishSound(part);
+        publishCleared(part);
     }
 }
 
-void RelaySystem::publishSound(model::Fingerprint part)
+void RelaySystem::publishCleared(model::Fingerprint part)
 {
     ++m_counters.releasedParts;
     recordPart(EventCode::QuarantineEnded, part, "source=own");
-    m_commands.emplace_back(PublishSoundPart {.part = part});
+    m_commands.emplace_back(PublishClearedPart {.part = part});
 }
 
 void RelaySystem::runQuarantine(model::TimePoint now)
@@ -101,7 +101,7 @@
         recordPart(EventCode::RequestQuarantined, part, "source=reports");
     }
     for (const model::Fingerprint part : verdicts.findings) {
-        m_commands.emplace_back(PublishDeadlyPart {.part = part});
+        m_commands.emplace_back(PublishQuarantinedPart {.part = part});
     }
     if (!verdicts.quarantined.empty()) {
         refuseQuarantined(now);
@@ -132,12 +132,12 @@
 void RelaySystem::onPeerSuspectedPart(const PartSuspicion &suspicion, model::TimePoint now)
 {
     if (m_partQuarantine.addPeerSuspicion(suspicion.part, now - suspicion.sinceFirstCrash, now)) {
-        publishSound(suspicion.part);
+        publishCleared(suspicion.part);
     }
 }
 
-void RelaySystem::onPeerDeadlyPart(model::Fingerprint part, model::Duration age,
-                                   model::TimePoint now)
+void RelaySystem::onPeerQuarantinedPart(model::Fingerprint part, model::Duration age,
+                                        model::TimePoint now)
 {
     switch (m_partQuarantine.addFinding(part, now - age, now)) {
     case PartQuarantine::FindingResult::Applied:
@@ -147,15 +147,15 @@
         refuseQuarantined(now);
         return;
     case PartQuarantine::FindingResult::Disproved:
-        publishSound(part);
+        publishCleared(part);
         return;
     case PartQuarantine::FindingResult::Known:
         return;
     }
 }
 
-void RelaySystem::onPeerSoundPart(model::Fingerprint part, model::Duration age,
-                                  model::TimePoint now)
+void RelaySystem::onPeerClearedPart(model::Fingerprint part, model::Duration age,
+                                    model::TimePoint now)
 {
     if (m_partQuarantine.addPeerAnswer(part, now - age)) {
         ++m_counters.releasedParts;
--- a/src/relay/partquarantine.h
+++ b/src/relay/partquarantine.h
@@ -106,6 +106,8 @@
         model::TimePoint lastAt;
     };
 
+    //! The crash of the upstream that is under way; a new one if there is none.
+    Crash &crashOf(const model::UpstreamId &upstream, model::TimePoint now);
     std::vector<Candidate> candidates() const;
     static bool isEnough(const Candidate &candidate);
     void judge(PartVerdicts &verdicts, model::TimePoint now);
--- a/src/relay/relaycommands.h
+++ b/src/relay/relaycommands.h
@@ -125,20 +125,20 @@
 };
 
 //! Tell the other daemons that requests with this part of a prompt crash upstreams.
-struct PublishDeadlyPart {
+struct PublishQuarantinedPart {
     model::Fingerprint part;
 };
 
 //! Tell the other daemons that a request with this part, which had been suspected, was answered.
-struct PublishSoundPart {
+struct PublishClearedPart {
     model::Fingerprint part;
 };
 
-using RelayCommand
-    = std::variant<StartAttempt, CancelAttempt, StartStream, ResumeStream, FinishStream,
-                   ForwardAnswer, AbortAnswer, RefuseRequest, RunBatch, CancelBatch, ForwardJob,
-                   CancelForwardedJob, AnswerPeer, ReleaseResults, PublishCrashReport,
-                   PublishSuspectedPart, PublishDeadlyPart, PublishSoundPart, observability::Event>;
+using RelayCommand = std::variant<StartAttempt, CancelAttempt, StartStream, ResumeStream,
+                                  FinishStream, ForwardAnswer, AbortAnswer, RefuseRequest, RunBatch,
+                                  CancelBatch, ForwardJob, CancelForwardedJob, AnswerPeer,
+                                  ReleaseResults, PublishCrashReport, PublishSuspectedPart,
+                                  PublishQuarantinedPart, PublishClearedPart, observability::Event>;
 
 } // namespace citronpick::relay
 
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -118,9 +118,9 @@
     //! Another daemon suspects a part of prompts.
     void onPeerSuspectedPart(const PartSuspicion &suspicion, model::TimePoint now);
     //! Another daemon found \a age ago that a part of prompts crashes upstreams.
-    void onPeerDeadlyPart(model::Fingerprint part, model::Duration age, model::TimePoint now);
+    void onPeerQuarantinedPart(model::Fingerprint part, model::Duration age, model::TimePoint now);
     //! Another daemon passed on an answer \a age ago to a request with a suspected part.
-    void onPeerSoundPart(model::Fingerprint part, model::Duration age, model::TimePoint now);
+    void onPeerClearedPart(model::Fingerprint part, model::Duration age, model::TimePoint now);
 
     //! Handles expired timeouts, runs the batch scheduler and checks the peers.
     void run(model::TimePoint now);
@@ -279,7 +279,7 @@
     void addAnswer(const Exchange &exchange, model::TimePoint now);
     void runQuarantine(model::TimePoint now);
     void recordPart(observability::EventCode code, model::Fingerprint part, std::string detail);
-    void publishSound(model::Fingerprint part);
+    void publishCleared(model::Fingerprint part);
     void refuseQuarantined(model::TimePoint now);
     void refuseAfterCrash(Exchange &exchange);
 
--- a/src/relay/tests/quarantinetest.cpp
+++ b/src/relay/tests/quarantinetest.cpp
@@ -129,9 +129,9 @@
     const auto suspected = fixture.take<PublishSuspectedPart>();
     CHECK(suspected.suspicion.part == PromptFixture::fingerprint("deadly"));
     CHECK(suspected.suspicion.sinceFirstCrash == milliseconds(1200));
-    CHECK(fixture.count<PublishDeadlyPart>() == 0);
+    CHECK(fixture.count<PublishQuarantinedPart>() == 0);
     fixture.passObjectionTime();
-    CHECK(fixture.take<PublishDeadlyPart>().part == suspected.suspicion.part);
+    CHECK(fixture.take<PublishQuarantinedPart>().part == suspected.suspicion.part);
 }
 
 // Guards against a daemon that starts later and is never told of a finding: two daemons that
@@ -146,7 +146,7 @@
         fixture.system.onPeerSuspectedPart({.part = part, .sinceFirstCrash = model::seconds(1)},
                                            fixture.now);
         fixture.passObjectionTime();
-        CHECK(fixture.count<PublishDeadlyPart>() == 1);
+        CHECK(fixture.count<PublishQuarantinedPart>() == 1);
     }
     SECTION("when the daemon that announced it is silent")
     {
@@ -154,9 +154,9 @@
                                            fixture.now);
         fixture.reportCrashes({"deadly"});
         fixture.passObjectionTime();
-        CHECK(fixture.count<PublishDeadlyPart>() == 0);
+        CHECK(fixture.count<PublishQuarantinedPart>() == 0);
         fixture.advanceTime(model::seconds(1));
-        CHECK(fixture.count<PublishDeadlyPart>() == 1);
+        CHECK(fixture.count<PublishQuarantinedPart>() == 1);
     }
     SECTION("but not twice")
     {
@@ -164,9 +164,9 @@
                                            fixture.now);
         fixture.reportCrashes({"deadly"});
         fixture.passObjectionTime();
-        fixture.system.onPeerDeadlyPart(part, {}, fixture.now);
+        fixture.system.onPeerQuarantinedPart(part, {}, fixture.now);
         fixture.advanceTime(model::seconds(1));
-        CHECK(fixture.count<PublishDeadlyPart>() == 0);
+        CHECK(fixture.count<PublishQuarantinedPart>() == 0);
     }
 }
 
@@ -194,7 +194,7 @@
     fixture.prompt({"deadly"}, "/resume/x");
     const auto attempt = fixture.take<StartAttempt>();
     fixture.head(attempt.attempt, RelayFixture::success());
-    fixture.system.onPeerDeadlyPart(PromptFixture::fingerprint("deadly"), {}, fixture.now);
+    fixture.system.onPeerQuarantinedPart(PromptFixture::fingerprint("deadly"), {}, fixture.now);
     fixture.fail(attempt.attempt, AttemptFailure::Broken, "1");
     CHECK(fixture.count<StartAttempt>() == 0);
     CHECK(fixture.count<AbortAnswer>() == 1);
@@ -261,7 +261,7 @@
     {
         fixture.reportCrashes({"common"});
         fixture.serve({"common"});
-        CHECK(fixture.take<PublishSoundPart>().part == PromptFixture::fingerprint("common"));
+        CHECK(fixture.take<PublishClearedPart>().part == PromptFixture::fingerprint("common"));
         fixture.passObjectionTime();
     }
     SECTION("at another daemon, after the quarantine")
@@ -269,7 +269,7 @@
         fixture.reportCrashes({"common"});
         fixture.passObjectionTime();
         REQUIRE(fixture.isRefused({"common"}));
-        fixture.system.onPeerSoundPart(PromptFixture::fingerprint("common"), {}, fixture.now);
+        fixture.system.onPeerClearedPart(PromptFixture::fingerprint("common"), {}, fixture.now);
     }
     CHECK_FALSE(fixture.isRefused({"common"}));
 }
@@ -284,14 +284,14 @@
     fixture.system.onPeerSuspectedPart({.part = part, .sinceFirstCrash = milliseconds(900)},
                                        fixture.now);
     fixture.collect();
-    CHECK(fixture.count<PublishSoundPart>() == 0);
+    CHECK(fixture.count<PublishClearedPart>() == 0);
     fixture.system.onPeerSuspectedPart({.part = part, .sinceFirstCrash = milliseconds(1100)},
                                        fixture.now);
     fixture.collect();
-    CHECK(fixture.take<PublishSoundPart>().part == part);
-    fixture.system.onPeerDeadlyPart(part, {}, fixture.now);
+    CHECK(fixture.take<PublishClearedPart>().part == part);
+    fixture.system.onPeerQuarantinedPart(part, {}, fixture.now);
     fixture.collect();
-    CHECK(fixture.take<PublishSoundPart>().part == part);
+    CHECK(fixture.take<PublishClearedPart>().part == part);
     CHECK_FALSE(fixture.isRefused({"common"}));
 }
 
@@ -300,11 +300,11 @@
 {
     PromptFixture fixture;
     const model::Fingerprint part = PromptFixture::fingerprint("deadly");
-    fixture.system.onPeerDeadlyPart(part, model::seconds(20), fixture.now);
+    fixture.system.onPeerQuarantinedPart(part, model::seconds(20), fixture.now);
     CHECK(fixture.isRefused({"deadly"}));
-    fixture.system.onPeerSoundPart(part, model::seconds(30), fixture.now);
+    fixture.system.onPeerClearedPart(part, model::seconds(30), fixture.now);
     CHECK(fixture.isRefused({"deadly"}));
-    fixture.system.onPeerSoundPart(part, model::seconds(10), fixture.now);
+    fixture.system.onPeerClearedPart(part, model::seconds(10), fixture.now);
     CHECK_FALSE(fixture.isRefused({"deadly"}));
 }
 
