--- a/src/fleet/fact.h
+++ b/src/fleet/fact.h
@@ -106,7 +106,7 @@
 FactKey keyOf(const Fact &fact);
 
 //! Whether the origin publishes the fact again before it expires, as long as it holds. Other facts
-//! tell of a single event.
+//! describe a single event.
 bool isRefreshed(const Fact &fact);
 
 //! Whether the fact is about a suspected part of prompts. Such facts are few.
--- a/src/relay/internal/upstreamdirectory.cpp
+++ b/src/relay/internal/upstreamdirectory.cpp
@@ -18,7 +18,7 @@
 constexpr uint32_t maxDoublings = 3;
 
 // An upstream that has begun to leave takes new requests only after a restart, so a listing of the
-// same or an earlier start that says otherwise was written late or by somebody else.
+// same or an earlier start that says otherwise was written late or by another writer.
 bool isOutdated(const UpstreamListing &known, const UpstreamListing &listing)
 {
     return known.isLeaving && !listing.isLeaving && known.incarnation != 0
--- a/src/relay/tests/unansweredtest.cpp
+++ b/src/relay/tests/unansweredtest.cpp
@@ -43,7 +43,7 @@
     }
 }
 
-// Guards against answers that end without a log line, so that nobody can say why.
+// Guards against answers that end without a log line, so that their cause stays unknown.
 TEST_CASE("A stream that ends because no upstream is left to resume it is logged as broken")
 {
     RelayFixture fixture(1);
