Relay: the part that explains the most crashes is quarantined

Cause: of the suspected parts the most specific one was taken first, whatever the number of crashes that it was in. A session that each crash of a small pool hits reaches three crashes too, and no upstream is left to answer it.

Change: the part in the most crashes is taken first, the more specific one of two that are in as many. What the other parts were suspected for is then explained. A part that many requests share may be in more crashes, but answers at some daemon clear it before.

--- a/src/relay/internal/partquarantine.cpp
+++ b/src/relay/internal/partquarantine.cpp
@@ -144,12 +144,13 @@
 {
     for (std::vector<Candidate> rows = candidates(); !rows.empty(); rows = candidates()) {
         suspect(rows, verdicts, now);
-        // A part that many requests share is in most crashes. A more specific one in as many
-        // crashes is the better explanation, and refusing it does less harm.
+        // The part that causes crashes is in all of them. So may be a part that many requests
+        // share: of two that explain as many crashes, refusing the more specific one does less
+        // harm.
         const auto best
             = std::max_element(rows.begin(), rows.end(), [](const auto &left, const auto &right) {
-                  return std::tuple(left.position, left.upstreams.size(), left.part)
-                         < std::tuple(right.position, right.upstreams.size(), right.part);
+                  return std::tuple(left.crashes, left.position, left.part)
+                         < std::tuple(right.crashes, right.position, right.part);
               });
         const Suspicion suspicion = m_suspicions[best->part];
         const model::TimePoint due = suspicion.since + objectionTime;
@@ -200,6 +201,7 @@
             Candidate &row = it->second;
             row.position = std::max(row.position, position);
             row.lastAt = crash.at;
+            ++row.crashes;
             if (std::find(row.upstreams.begin(), row.upstreams.end(), crash.upstream)
                 == row.upstreams.end()) {
                 row.upstreams.push_back(crash.upstream);
--- a/src/relay/partquarantine.h
+++ b/src/relay/partquarantine.h
@@ -101,6 +101,7 @@
     struct Candidate {
         model::Fingerprint part;
         size_t position = 0;
+        size_t crashes = 0;
         std::vector<model::UpstreamId> upstreams;
         model::TimePoint firstAt;
         model::TimePoint lastAt;
--- a/src/relay/tests/quarantinetest.cpp
+++ b/src/relay/tests/quarantinetest.cpp
@@ -146,6 +146,22 @@
     CHECK_FALSE(fixture.isRefused({"frequent"}));
 }
 
+// Guards against sessions that are refused for minutes because each crash of a small pool hit them:
+// the part that is in all crashes explains them, not a more specific one that is in some.
+TEST_CASE("The part that explains the most crashes is quarantined, not one that was beside it")
+{
+    PromptFixture fixture;
+    fixture.reportCrash({"common", "deadly"}, "a");
+    for (const char *upstream : {"b", "c", "d"}) {
+        fixture.advanceTime(milliseconds(600));
+        fixture.reportCrash({"common", "kind", "session"}, upstream);
+        fixture.reportCrash({"common", "deadly"}, upstream);
+    }
+    fixture.passObjectionTime();
+    CHECK(fixture.isRefused({"deadly"}));
+    CHECK_FALSE(fixture.isRefused({"common", "kind", "session"}));
+}
+
 // Guards against sound requests that stay refused: an answer proves that their part is sound.
 TEST_CASE("An answer clears the parts of its request, here and at the other daemons")
 {
