--- a/src/fleet/fleetsystem.h
+++ b/src/fleet/fleetsystem.h
@@ -127,7 +127,6 @@
                        model::TimePoint now);
     void contactSeeds(model::TimePoint now);
     void startIndirectProbes(const model::DaemonId &suspected, model::TimePoint now);
-    bool sendsToAllPeers() const;
     void sendUrgentUpdates(model::TimePoint now);
     const Member *nextPeer();
     std::vector<Member> peersInZone(bool isOwnZone) const;
--- a/src/fleet/internal/fleetexchange.cpp
+++ b/src/fleet/internal/fleetexchange.cpp
@@ -121,29 +121,24 @@
     }
 }
 
-// In a small fleet an update is sent to every peer; in a large one the receivers forward it.
-bool FleetSystem::sendsToAllPeers() const
-{
-    return m_members.usableCount() <= m_options.directFanout + 1;
-}
-
 void FleetSystem::sendUrgentUpdates(model::TimePoint now)
 {
-    const bool sendsToAll = sendsToAllPeers();
-    const std::vector<Member> peers
-        = randomPeers(sendsToAll ? m_options.directFanout : m_options.urgentFanout, m_self.id);
-    // Peers that are left out would wait for a periodic exchange.
-    const double needed
-        = std::min(static_cast<double>(peers.size()), m_options.urgentExchangesPerSecond);
-    if (m_urgentTokens < needed) {
+    if (m_urgentTokens < 1.0) {
         return;
     }
     m_hasUrgentUpdates = false;
-    for (const Member &peer : peers) {
+    // In a small fleet an update is sent to every peer; in a large one the receivers forward it.
+    const size_t others = m_members.usableCount();
+    const size_t fanout
+        = others <= m_options.directFanout + 1 ? m_options.directFanout : m_options.urgentFanout;
+    for (const Member &peer : randomPeers(fanout, m_self.id)) {
+        if (m_urgentTokens < 1.0) {
+            return;
+        }
         m_urgentTokens -= 1.0;
-        // In a large fleet, urgent sends may all reach the same few peers, so they do not reduce
-        // the number of periodic sends.
-        startExchange(peer, 0, sendsToAll, now);
+        // Urgent sends may all reach the same few peers, so they do not reduce the number of
+        // periodic sends.
+        startExchange(peer, 0, false, now);
     }
 }
 
--- a/src/fleet/internal/fleetsystem.cpp
+++ b/src/fleet/internal/fleetsystem.cpp
@@ -326,8 +326,7 @@
         return;
     }
     queueFact(fact);
-    // Where the origin sends to all peers, forwarding would only use up the budget for other facts.
-    m_hasUrgentUpdates = m_hasUrgentUpdates || (isUrgent(fact) && !sendsToAllPeers());
+    m_hasUrgentUpdates = m_hasUrgentUpdates || isUrgent(fact);
     if (const auto *crash = std::get_if<CrashFact>(&fact.body)) {
         m_updates.crashes.push_back({.body = *crash, .age = fact.age});
     }
