Review case 3: a deadly part before more than 32 shared parts is never found

Cause: crashes are counted against the last 32 shared parts of a prompt only. Daemons of a script end with it, and records are not kept.

--- a/review/support/engines.h
+++ b/review/support/engines.h
@@ -15,18 +15,24 @@
     void add(const std::string &request)
     {
         const std::lock_guard lock(m_mutex);
-        ++m_runs[request];
+        m_runs[request].push_back(nowMs());
     }
     int of(const std::string &request)
     {
         const std::lock_guard lock(m_mutex);
         const auto it = m_runs.find(request);
-        return it == m_runs.end() ? 0 : it->second;
+        return it == m_runs.end() ? 0 : static_cast<int>(it->second.size());
+    }
+    //! When replicas began to run the request, in milliseconds since the start.
+    std::vector<int64_t> timesOf(const std::string &request)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_runs[request];
     }
 
 private:
     std::mutex m_mutex;
-    std::map<std::string, int> m_runs;
+    std::map<std::string, std::vector<int64_t>> m_runs;
 };
 
 struct EngineSpec {
--- a/review/support/harness.h
+++ b/review/support/harness.h
@@ -31,6 +31,7 @@
 #include <set>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -610,6 +611,8 @@
         const std::string log = m_folder + "/" + m_name + ".log";
         m_process = fork();
         if (m_process == 0) {
+            // Ends with this process, also if it is killed.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int output = ::open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
             dup2(output, 1);
             dup2(output, 2);
