Relay: a part that was answered is not quarantined for a deadly part beside it

Cause: the deadly part and a part that all requests of the route share are in the same crashes. Only a complete answer counted as proof that a part is sound. Streams last seconds, so while upstreams crash none gets to its end; both parts then explain as many crashes, and the one that stands later in the prompt was taken, whatever had been answered before.

Ruled out: an objection that came too late (no daemon had a complete answer to object with), a finding that was lost (it is on all daemons within 0.1 s).

Change: a stream that has events for longer after the first one than a deadly part lets it clears its parts, as a complete answer does. Of two parts that explain as many crashes, one that was answered before them is not taken. A resumed stream no longer reports progress without an event.

--- a/src/daemon/internal/exchangerunner.cpp
+++ b/src/daemon/internal/exchangerunner.cpp
@@ -317,10 +317,12 @@
     attempt->isRelaying = true;
     m_relayedAttempts[command.request] = command.attempt;
     const std::string held = std::exchange(attempt->unsentBody, {});
-    attempt->events.feed(held);
+    const bool hasEvents = attempt->events.feed(held);
     write(*attempt, held);
-    m_system.onAttemptProgress(command.attempt, attempt->splitter.lastEventId(),
-                               net::EventLoop::now());
+    if (hasEvents) {
+        m_system.onAttemptProgress(command.attempt, attempt->splitter.lastEventId(),
+                                   net::EventLoop::now());
+    }
 }
 
 void ExchangeRunner::finishStream(const relay::FinishStream &command)
--- a/src/relay/internal/partquarantine.cpp
+++ b/src/relay/internal/partquarantine.cpp
@@ -74,8 +74,8 @@
     m_nextRun = now;
 }
 
-// A part that crashes each upstream is never answered completely, so one answer clears its parts,
-// also those in quarantine.
+// A part that crashes each upstream is never answered, so one answer clears its parts, also those
+// in quarantine.
 PartFingerprints PartQuarantine::addAnswer(const PartFingerprints &parts, model::TimePoint now)
 {
     PartFingerprints disproved;
@@ -140,17 +140,22 @@
     return verdicts;
 }
 
+// The part that causes crashes is in all of them. So may be a part that many requests share. Of two
+// that explain as many crashes, the one that was never answered is more likely to be the cause;
+// else refusing the more specific one does less harm.
+std::tuple<size_t, bool, size_t, model::Fingerprint>
+PartQuarantine::rankOf(const Candidate &candidate)
+{
+    return {candidate.crashes, !candidate.wasAnswered, candidate.position, candidate.part};
+}
+
 void PartQuarantine::judge(PartVerdicts &verdicts, model::TimePoint now)
 {
     for (std::vector<Candidate> rows = candidates(); !rows.empty(); rows = candidates()) {
         suspect(rows, verdicts, now);
-        // The part that causes crashes is in all of them. So may be a part that many requests
-        // share: of two that explain as many crashes, refusing the more specific one does less
-        // harm.
         const auto best
             = std::max_element(rows.begin(), rows.end(), [](const auto &left, const auto &right) {
-                  return std::tuple(left.crashes, left.position, left.part)
-                         < std::tuple(right.crashes, right.position, right.part);
+                  return rankOf(left) < rankOf(right);
               });
         const Suspicion suspicion = m_suspicions[best->part];
         const model::TimePoint due = suspicion.since + objectionTime;
@@ -211,6 +216,7 @@
     std::vector<Candidate> enough;
     for (auto &[part, row] : rows) {
         if (isEnough(row)) {
+            row.wasAnswered = m_answeredAt.contains(part);
             enough.push_back(std::move(row));
         }
     }
--- a/src/relay/internal/relayanswers.cpp
+++ b/src/relay/internal/relayanswers.cpp
@@ -71,9 +71,11 @@
         return;
     }
     it->second.lastProgressAt = now;
+    Exchange &exchange = *find(it->second.request);
     if (!lastEvent.empty()) {
-        find(it->second.request)->lastEvent = lastEvent;
+        exchange.lastEvent = lastEvent;
     }
+    noteEvents(it->second, exchange, now);
 }
 
 // A stream that another upstream can resume times out early. For any other stream, an earlier
--- a/src/relay/internal/relayquarantine.cpp
+++ b/src/relay/internal/relayquarantine.cpp
@@ -76,6 +76,26 @@
 void RelaySystem::addAnswer(const Exchange &exchange, model::TimePoint now)
 {
     m_quarantine.clear(exchange.arrived.fingerprint);
+    clearParts(exchange, now);
+}
+
+// Streams take seconds to their end, and no sound one may get that far while upstreams crash. A
+// part that crashes its upstream does so with the first event, so a later event proves the parts
+// sound.
+void RelaySystem::noteEvents(Attempt &attempt, const Exchange &exchange, model::TimePoint now)
+{
+    if (!attempt.firstEventAt) {
+        attempt.firstEventAt = now;
+        return;
+    }
+    if (!attempt.hasOutlivedCrashes && now - *attempt.firstEventAt > crashDelay) {
+        attempt.hasOutlivedCrashes = true;
+        clearParts(exchange, now);
+    }
+}
+
+void RelaySystem::clearParts(const Exchange &exchange, model::TimePoint now)
+{
     for (const model::Fingerprint part : m_partQuarantine.addAnswer(exchange.sharedParts, now)) {
         publishCleared(part);
     }
--- a/src/relay/partquarantine.h
+++ b/src/relay/partquarantine.h
@@ -4,6 +4,7 @@
 #include <compare>
 #include <deque>
 #include <optional>
+#include <tuple>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
@@ -49,8 +50,8 @@
  * parts from reaching further upstreams.
  *
  * The requests beside the one that crashes an upstream are lost as well. Their parts are told apart
- * by complete answers, which all daemons report for suspected parts, and by crashes that another
- * part explains.
+ * by answers, which all daemons report for suspected parts, and by crashes that another part
+ * explains.
  */
 class PartQuarantine
 {
@@ -59,8 +60,9 @@
     //! belong to the same crash.
     void addCrash(const PartCrash &crash, model::TimePoint now);
 
-    //! A request with these parts was answered completely here. Returns the parts that are
-    //! suspected or in quarantine; they no longer are.
+    //! A request with these parts was answered here, completely or for longer than a part that
+    //! crashes upstreams lets them run. Returns the parts that are suspected or in quarantine; they
+    //! no longer are.
     PartFingerprints addAnswer(const PartFingerprints &parts, model::TimePoint now);
     //! The same at another daemon at \a at. Returns whether that ends a quarantine.
     bool addPeerAnswer(model::Fingerprint part, model::TimePoint at);
@@ -102,6 +104,7 @@
         model::Fingerprint part;
         size_t position = 0;
         size_t crashes = 0;
+        bool wasAnswered = false; //!< Before the crashes.
         std::vector<model::UpstreamId> upstreams;
         model::TimePoint firstAt;
         model::TimePoint lastAt;
@@ -111,6 +114,8 @@
     Crash &crashOf(const model::UpstreamId &upstream, model::TimePoint now);
     std::vector<Candidate> candidates() const;
     static bool isEnough(const Candidate &candidate);
+    //! The highest one is the most likely cause.
+    static std::tuple<size_t, bool, size_t, model::Fingerprint> rankOf(const Candidate &candidate);
     void judge(PartVerdicts &verdicts, model::TimePoint now);
     void suspect(const std::vector<Candidate> &candidates, PartVerdicts &verdicts,
                  model::TimePoint now);
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -177,6 +177,8 @@
         model::TimePoint lastProgressAt; //!< When the last event of the answer was received.
         bool isPaused = false; //!< Not read, because the caller reads slowly.
         std::optional<model::TimePoint> beganAt; //!< When the head of the answer was received.
+        std::optional<model::TimePoint> firstEventAt; //!< When events of a stream first arrived.
+        bool hasOutlivedCrashes = false; //!< The stream goes on, so the request crashes nothing.
         std::optional<AnswerFacts> facts;
     };
     //! Identifies the local request and stage for which a job runs.
@@ -277,6 +279,9 @@
     //! Returns whether the report puts something into quarantine.
     bool addCrashReport(const Exchange &exchange, const Attempt &attempt, model::TimePoint now);
     void addAnswer(const Exchange &exchange, model::TimePoint now);
+    //! More events of the attempt's stream arrived.
+    void noteEvents(Attempt &attempt, const Exchange &exchange, model::TimePoint now);
+    void clearParts(const Exchange &exchange, model::TimePoint now);
     void runQuarantine(model::TimePoint now);
     void recordPart(observability::EventCode code, model::Fingerprint part, std::string detail);
     void publishCleared(model::Fingerprint part);
--- a/src/relay/tests/promptfixture.h
+++ b/src/relay/tests/promptfixture.h
@@ -50,6 +50,24 @@
         fail(attempt.attempt, AttemptFailure::Broken);
     }
 
+    //! Sends a request whose answer goes on for a while after its first event.
+    model::AttemptId streamFor(const std::vector<std::string> &shared, model::Duration time)
+    {
+        prompt(shared);
+        const auto attempt = take<StartAttempt>();
+        head(attempt.attempt, success());
+        progress(attempt.attempt);
+        advanceTime(time);
+        progress(attempt.attempt);
+        return attempt.attempt;
+    }
+
+    void progress(model::AttemptId attempt)
+    {
+        system.onAttemptProgress(attempt, {}, now);
+        collect();
+    }
+
     //! Sends a request that is answered.
     void serve(const std::vector<std::string> &shared, AnswerFacts facts = success())
     {
--- /dev/null
+++ b/src/relay/tests/sharedparttest.cpp
@@ -0,0 +1,49 @@
+#include "relay/tests/promptfixture.h"
+
+using namespace citronpick;
+using namespace citronpick::relay;
+using namespace citronpick::relay::testing;
+
+// Guards against refusing all requests of a route (LOST): the part that they share stands behind
+// the deadly one, and while upstreams crash no answer is complete that would clear it.
+TEST_CASE("Of parts in the same crashes, one that was answered before them is not quarantined")
+{
+    PromptFixture fixture;
+    fixture.serve({"first", "shared"});
+    fixture.advanceTime(model::seconds(10));
+    fixture.reportCrashes({"deadly", "shared"});
+    fixture.passObjectionTime();
+    CHECK(fixture.isRefused({"deadly", "shared"}));
+    CHECK_FALSE(fixture.isRefused({"first", "shared"}));
+}
+
+// Guards against the same at a daemon that has just started: streams take seconds to their end, but
+// a deadly part crashes its upstream at the first event.
+TEST_CASE("A stream that goes on clears the parts of its request before it is complete")
+{
+    PromptFixture fixture;
+    fixture.reportCrashes({"deadly", "shared"});
+    fixture.streamFor({"first", "shared"}, milliseconds(1100));
+    CHECK(fixture.take<PublishClearedPart>().part == PromptFixture::fingerprint("shared"));
+    fixture.passObjectionTime();
+    CHECK(fixture.isRefused({"deadly", "shared"}));
+    CHECK_FALSE(fixture.isRefused({"first", "shared"}));
+}
+
+// Guards against a deadly part that is cleared by its own request: the upstream crashes at the
+// first event, however late that is.
+TEST_CASE("A stream clears nothing until an event follows the first one after a while")
+{
+    PromptFixture fixture;
+    fixture.reportCrashes({"deadly"});
+    fixture.prompt({"deadly"});
+    const auto attempt = fixture.take<StartAttempt>();
+    fixture.head(attempt.attempt, RelayFixture::success());
+    fixture.advanceTime(milliseconds(1200));
+    fixture.progress(attempt.attempt);
+    fixture.advanceTime(milliseconds(200));
+    fixture.progress(attempt.attempt);
+    fixture.advanceTime(milliseconds(100));
+    CHECK(fixture.count<PublishClearedPart>() == 0);
+    CHECK(fixture.isRefused({"deadly"}));
+}
