Relay: crashes count again when the part that explained them is cleared

Cause: a crash was marked as explained for good when one of its parts was quarantined. When that part turned out to be sound the mark stayed, so the deadly part was counted from zero, and its suspicion, which had been open to objections all the while, began anew.

Change: whether a crash is explained follows from the parts that are in quarantine now; a suspicion lasts as long as crashes count against the part. The test failed before: the deadly part was let through after the other one had been cleared.

--- a/src/relay/internal/partquarantine.cpp
+++ b/src/relay/internal/partquarantine.cpp
@@ -70,7 +70,6 @@
         size_t &last = row.parts[crash.parts[position]];
         last = std::max(last, position);
     }
-    row.isExplained = row.isExplained || isQuarantined(crash.parts, now);
     m_nextRun = now;
 }
 
@@ -87,11 +86,15 @@
         if (wasQuarantined || wasSuspected) {
             disproved.push_back(part);
         }
+        if (wasQuarantined) {
+            m_nextRun = now;
+        }
     }
     return disproved;
 }
 
-bool PartQuarantine::addPeerAnswer(model::Fingerprint part, model::TimePoint at)
+bool PartQuarantine::addPeerAnswer(model::Fingerprint part, model::TimePoint at,
+                                   model::TimePoint now)
 {
     noteAnswer(part, at);
     m_announceAt.erase(part);
@@ -102,6 +105,7 @@
         return false;
     }
     m_quarantinedAt.erase(quarantined);
+    m_nextRun = now;
     return true;
 }
 
@@ -151,7 +155,9 @@
 
 void PartQuarantine::judge(PartVerdicts &verdicts, model::TimePoint now)
 {
-    for (std::vector<Candidate> rows = candidates(); !rows.empty(); rows = candidates()) {
+    dropSuspicions();
+    for (std::vector<Candidate> rows = candidates(Counted::Unexplained); !rows.empty();
+         rows = candidates(Counted::Unexplained)) {
         suspect(rows, verdicts, now);
         const auto best
             = std::max_element(rows.begin(), rows.end(), [](const auto &left, const auto &right) {
@@ -167,7 +173,17 @@
         verdicts.quarantined.push_back(best->part);
         m_announceAt[best->part] = suspicion.isAnnounced ? now : now + announcementDelay;
     }
-    m_suspicions.clear();
+}
+
+// A suspicion is kept while a quarantined part explains the crashes. If that one turns out to be
+// sound, there has been enough time for objections already.
+void PartQuarantine::dropSuspicions()
+{
+    const std::vector<Candidate> rows = candidates(Counted::All);
+    absl::erase_if(m_suspicions, [&](const auto &entry) {
+        return std::none_of(rows.begin(), rows.end(),
+                            [&](const Candidate &row) { return row.part == entry.first; });
+    });
 }
 
 // The daemons that announced the suspicion tell the others of the finding. The others do so only if
@@ -189,12 +205,18 @@
     return findings;
 }
 
-// Counts only crashes that no quarantined part explains and that no answer followed.
-std::vector<PartQuarantine::Candidate> PartQuarantine::candidates() const
+bool PartQuarantine::isExplained(const Crash &crash) const
+{
+    return std::any_of(m_quarantinedAt.begin(), m_quarantinedAt.end(),
+                       [&](const auto &entry) { return crash.parts.contains(entry.first); });
+}
+
+// Counts only crashes that no answer followed.
+std::vector<PartQuarantine::Candidate> PartQuarantine::candidates(Counted counted) const
 {
     absl::flat_hash_map<model::Fingerprint, Candidate> rows;
     for (const Crash &crash : m_crashes) {
-        if (crash.isExplained) {
+        if (counted == Counted::Unexplained && isExplained(crash)) {
             continue;
         }
         for (const auto &[part, position] : crash.parts) {
@@ -251,9 +273,6 @@
     model::TimePoint &since = m_quarantinedAt[part];
     since = std::max(since, at);
     m_suspicions.erase(part);
-    for (Crash &crash : m_crashes) {
-        crash.isExplained = crash.isExplained || crash.parts.contains(part);
-    }
 }
 
 bool PartQuarantine::isQuarantined(model::Fingerprint part, model::TimePoint now) const
--- a/src/relay/internal/relayquarantine.cpp
+++ b/src/relay/internal/relayquarantine.cpp
@@ -177,7 +177,7 @@
 void RelaySystem::onPeerClearedPart(model::Fingerprint part, model::Duration age,
                                     model::TimePoint now)
 {
-    if (m_partQuarantine.addPeerAnswer(part, now - age)) {
+    if (m_partQuarantine.addPeerAnswer(part, now - age, now)) {
         ++m_counters.releasedParts;
         recordPart(EventCode::QuarantineEnded, part,
                    absl::StrCat("source=peer ageMs=", model::toMilliseconds(age)));
--- a/src/relay/partquarantine.h
+++ b/src/relay/partquarantine.h
@@ -65,7 +65,7 @@
     //! no longer are.
     PartFingerprints addAnswer(const PartFingerprints &parts, model::TimePoint now);
     //! The same at another daemon at \a at. Returns whether that ends a quarantine.
-    bool addPeerAnswer(model::Fingerprint part, model::TimePoint at);
+    bool addPeerAnswer(model::Fingerprint part, model::TimePoint at, model::TimePoint now);
 
     //! Another daemon suspects the part. Returns true if an answer since \a since disproves that.
     bool addPeerSuspicion(model::Fingerprint part, model::TimePoint since, model::TimePoint now);
@@ -93,7 +93,6 @@
         model::TimePoint at;
         //! Parts of the lost requests, with their position in the prompt.
         absl::flat_hash_map<model::Fingerprint, size_t> parts;
-        bool isExplained = false; //!< One of the parts is in quarantine.
     };
     struct Suspicion {
         model::TimePoint since;
@@ -112,7 +111,13 @@
 
     //! The crash of the upstream that is under way; a new one if there is none.
     Crash &crashOf(const model::UpstreamId &upstream, model::TimePoint now);
-    std::vector<Candidate> candidates() const;
+    enum class Counted {
+        Unexplained, //!< Crashes in which no part is in quarantine.
+        All,
+    };
+    bool isExplained(const Crash &crash) const;
+    std::vector<Candidate> candidates(Counted counted) const;
+    void dropSuspicions();
     static bool isEnough(const Candidate &candidate);
     //! The highest one is the most likely cause.
     static std::tuple<size_t, bool, size_t, model::Fingerprint> rankOf(const Candidate &candidate);
--- a/src/relay/tests/sharedparttest.cpp
+++ b/src/relay/tests/sharedparttest.cpp
@@ -47,3 +47,17 @@
     CHECK(fixture.count<PublishClearedPart>() == 0);
     CHECK(fixture.isRefused({"deadly"}));
 }
+
+// Guards against a deadly part that is counted from zero, and crashes more upstreams, each time
+// that a sound part which had been taken for the cause is cleared.
+TEST_CASE("A part is quarantined for the crashes of a part that is cleared")
+{
+    PromptFixture fixture;
+    fixture.reportCrashes({"deadly", "shared"});
+    fixture.passObjectionTime();
+    REQUIRE(fixture.isRefused({"first", "shared"}));
+    fixture.system.onPeerClearedPart(PromptFixture::fingerprint("shared"), {}, fixture.now);
+    fixture.advanceTime({});
+    CHECK(fixture.isRefused({"deadly", "shared"}));
+    CHECK_FALSE(fixture.isRefused({"first", "shared"}));
+}
