Relay: answers can end the quarantine of a sound part

Cause: once a part is in quarantine no request with it reaches an upstream on any daemon, so no answer can show that it is sound. Only an answer that was already under way could.

Change: the quarantine of a part keeps the other parts that explain the same crashes as well. Two seconds later, requests without one of these are let through: if they are answered, the part is cleared and the other one is quarantined for its crashes; if the upstream crashes, they are refused again for 30 s, then for twice as long each time, and are not retried. Requests with all of the parts stay refused, so the crashes have ended. If no other part explains the crashes, nothing is let through.

Ruled out: trials of any request with the part.

Both tests failed before: no request with the part was sent.

--- a/src/relay/internal/partquarantine.cpp
+++ b/src/relay/internal/partquarantine.cpp
@@ -25,6 +25,13 @@
 constexpr model::Duration crashWindow = model::seconds(2);
 constexpr model::Duration crashLifetime = model::seconds(60);
 constexpr model::Duration quarantineLifetime = model::seconds(600);
+//! Time for answers that are under way to clear a part before requests with it are let through.
+constexpr model::Duration firstTrialDelay = model::seconds(2);
+//! Doubles with each trial that crashed an upstream.
+constexpr model::Duration trialInterval = model::seconds(30);
+constexpr uint32_t maxTrialDoublings = 5; //!< Beyond the lifetime of a quarantine.
+//! More would add little: a request is let through if it is without one of them.
+constexpr size_t maxAlternatives = 8;
 constexpr size_t maxCrashes = 256; //!< The oldest are removed beyond this.
 constexpr size_t maxAnsweredParts = 8192; //!< The oldest are removed beyond this.
 //! The last parts are the most specific ones. Bounds what one request adds to fleet messages.
@@ -70,6 +77,7 @@
         size_t &last = row.parts[crash.parts[position]];
         last = std::max(last, position);
     }
+    noteTrialCrash(crash.parts, now);
     m_nextRun = now;
 }
 
@@ -80,7 +88,7 @@
     PartFingerprints disproved;
     for (const model::Fingerprint part : parts) {
         noteAnswer(part, now);
-        const bool wasQuarantined = m_quarantinedAt.erase(part) > 0;
+        const bool wasQuarantined = m_quarantines.erase(part) > 0;
         m_announceAt.erase(part);
         const bool wasSuspected = m_suspicions.erase(part) + m_peerSuspectedAt.erase(part) > 0;
         if (wasQuarantined || wasSuspected) {
@@ -100,11 +108,11 @@
     m_announceAt.erase(part);
     m_suspicions.erase(part);
     m_peerSuspectedAt.erase(part);
-    const auto quarantined = m_quarantinedAt.find(part);
-    if (quarantined == m_quarantinedAt.end() || at < quarantined->second) {
+    const auto quarantined = m_quarantines.find(part);
+    if (quarantined == m_quarantines.end() || at < quarantined->second.at) {
         return false;
     }
-    m_quarantinedAt.erase(quarantined);
+    m_quarantines.erase(quarantined);
     m_nextRun = now;
     return true;
 }
@@ -207,7 +215,7 @@
 
 bool PartQuarantine::isExplained(const Crash &crash) const
 {
-    return std::any_of(m_quarantinedAt.begin(), m_quarantinedAt.end(),
+    return std::any_of(m_quarantines.begin(), m_quarantines.end(),
                        [&](const auto &entry) { return crash.parts.contains(entry.first); });
 }
 
@@ -270,22 +278,91 @@
 
 void PartQuarantine::quarantine(model::Fingerprint part, model::TimePoint at)
 {
-    model::TimePoint &since = m_quarantinedAt[part];
-    since = std::max(since, at);
     m_suspicions.erase(part);
+    if (isQuarantined(part, at)) {
+        model::TimePoint &since = m_quarantines[part].at;
+        since = std::max(since, at);
+        return;
+    }
+    m_quarantines[part]
+        = {.at = at, .alternatives = alternativesTo(part), .trialsFrom = at + firstTrialDelay};
+}
+
+bool PartQuarantine::countsAgainst(const Crash &crash, model::Fingerprint part) const
+{
+    return crash.parts.contains(part) && answeredAt(part) < crash.at;
+}
+
+// If only one of two parts was answered before the crashes, the other one is the likely cause.
+PartFingerprints PartQuarantine::alternativesTo(model::Fingerprint part) const
+{
+    std::vector<const Crash *> crashes;
+    for (const Crash &crash : m_crashes) {
+        if (countsAgainst(crash, part)) {
+            crashes.push_back(&crash);
+        }
+    }
+    PartFingerprints alternatives;
+    if (crashes.empty()) {
+        return alternatives;
+    }
+    for (const auto &[other, position] : crashes.front()->parts) {
+        const bool isLessLikely = m_answeredAt.contains(other) && !m_answeredAt.contains(part);
+        const bool explainsAll
+            = std::all_of(crashes.begin(), crashes.end(), [&, other = other](const Crash *crash) {
+                  return countsAgainst(*crash, other);
+              });
+        if (other != part && !isLessLikely && explainsAll) {
+            alternatives.push_back(other);
+        }
+    }
+    std::sort(alternatives.begin(), alternatives.end());
+    alternatives.resize(std::min(alternatives.size(), maxAlternatives));
+    return alternatives;
+}
+
+bool PartQuarantine::containsAll(const PartFingerprints &parts, const PartFingerprints &wanted)
+{
+    return std::all_of(wanted.begin(), wanted.end(), [&](model::Fingerprint part) {
+        return std::find(parts.begin(), parts.end(), part) != parts.end();
+    });
+}
+
+void PartQuarantine::noteTrialCrash(const PartFingerprints &parts, model::TimePoint now)
+{
+    for (const model::Fingerprint part : parts) {
+        const auto it = m_quarantines.find(part);
+        if (it == m_quarantines.end()) {
+            continue;
+        }
+        Quarantine &quarantine = it->second;
+        if (now >= quarantine.trialsFrom && !containsAll(parts, quarantine.alternatives)) {
+            quarantine.trialsFrom = now + trialInterval * (1U << quarantine.failedTrials);
+            quarantine.failedTrials = std::min(quarantine.failedTrials + 1, maxTrialDoublings);
+        }
+    }
 }
 
 bool PartQuarantine::isQuarantined(model::Fingerprint part, model::TimePoint now) const
 {
-    const auto it = m_quarantinedAt.find(part);
-    return it != m_quarantinedAt.end() && now - it->second < quarantineLifetime;
+    const auto it = m_quarantines.find(part);
+    return it != m_quarantines.end() && now - it->second.at < quarantineLifetime;
 }
 
+// A sound part that is refused always could never be cleared. Requests without one of the parts
+// that may be the cause instead are let through, as their answers prove which it is.
 bool PartQuarantine::isQuarantined(const PartFingerprints &parts, model::TimePoint now) const
 {
-    return !m_quarantinedAt.empty()
-           && std::any_of(parts.begin(), parts.end(),
-                          [&](model::Fingerprint part) { return isQuarantined(part, now); });
+    if (m_quarantines.empty()) {
+        return false;
+    }
+    return std::any_of(parts.begin(), parts.end(), [&](model::Fingerprint part) {
+        if (!isQuarantined(part, now)) {
+            return false;
+        }
+        const Quarantine &quarantine = m_quarantines.at(part);
+        return now < quarantine.trialsFrom || containsAll(parts, quarantine.alternatives);
+    });
 }
 
 model::TimePoint PartQuarantine::answeredAt(model::Fingerprint part) const
@@ -298,6 +375,9 @@
 {
     const auto [it, isNew] = m_answeredAt.try_emplace(part, at);
     it->second = std::max(it->second, at);
+    for (auto &[quarantined, quarantine] : m_quarantines) {
+        std::erase(quarantine.alternatives, part);
+    }
     if (!isNew) {
         return;
     }
@@ -320,8 +400,8 @@
     while (!m_crashes.empty() && now - m_crashes.front().at > crashLifetime) {
         m_crashes.pop_front();
     }
-    absl::erase_if(m_quarantinedAt,
-                   [&](const auto &entry) { return now - entry.second >= quarantineLifetime; });
+    absl::erase_if(m_quarantines,
+                   [&](const auto &entry) { return now - entry.second.at >= quarantineLifetime; });
     absl::erase_if(m_peerSuspectedAt,
                    [&](const auto &entry) { return now - entry.second > crashLifetime; });
 }
--- a/src/relay/partquarantine.h
+++ b/src/relay/partquarantine.h
@@ -85,6 +85,7 @@
         return m_nextRun;
     }
 
+    //! Whether requests with these parts must reach no upstream.
     bool isQuarantined(const PartFingerprints &parts, model::TimePoint now) const;
 
 private:
@@ -94,6 +95,14 @@
         //! Parts of the lost requests, with their position in the prompt.
         absl::flat_hash_map<model::Fingerprint, size_t> parts;
     };
+    struct Quarantine {
+        model::TimePoint at;
+        //! Parts that explain the same crashes as well as this one. A request without one of them
+        //! can tell which it is.
+        PartFingerprints alternatives;
+        model::TimePoint trialsFrom; //!< When such requests are let through.
+        uint32_t failedTrials = 0;
+    };
     struct Suspicion {
         model::TimePoint since;
         bool isAnnounced = false; //!< By this daemon.
@@ -125,14 +134,19 @@
     void suspect(const std::vector<Candidate> &candidates, PartVerdicts &verdicts,
                  model::TimePoint now);
     void quarantine(model::Fingerprint part, model::TimePoint at);
+    PartFingerprints alternativesTo(model::Fingerprint part) const;
+    static bool containsAll(const PartFingerprints &parts, const PartFingerprints &wanted);
+    //! Ends the trials of parts in quarantine that are in the crash.
+    void noteTrialCrash(const PartFingerprints &parts, model::TimePoint now);
     PartFingerprints takeFindings(model::TimePoint now);
     bool isQuarantined(model::Fingerprint part, model::TimePoint now) const;
+    bool countsAgainst(const Crash &crash, model::Fingerprint part) const;
     model::TimePoint answeredAt(model::Fingerprint part) const;
     void noteAnswer(model::Fingerprint part, model::TimePoint at);
     void forgetExpired(model::TimePoint now);
 
     std::deque<Crash> m_crashes; //!< Oldest first.
-    absl::flat_hash_map<model::Fingerprint, model::TimePoint> m_quarantinedAt;
+    absl::flat_hash_map<model::Fingerprint, Quarantine> m_quarantines;
     absl::flat_hash_map<model::Fingerprint, Suspicion> m_suspicions;
     //! When another daemon announced its suspicion of the part.
     absl::flat_hash_map<model::Fingerprint, model::TimePoint> m_peerSuspectedAt;
--- a/src/relay/tests/sharedparttest.cpp
+++ b/src/relay/tests/sharedparttest.cpp
@@ -61,3 +61,51 @@
     CHECK(fixture.isRefused({"deadly", "shared"}));
     CHECK_FALSE(fixture.isRefused({"first", "shared"}));
 }
+
+namespace
+{
+
+//! A daemon that knows of no answers has quarantined the part that sound requests share.
+struct WrongQuarantine : PromptFixture {
+    WrongQuarantine()
+    {
+        reportCrashes({"deadly", "shared"});
+        passObjectionTime();
+        REQUIRE(isRefused({"first", "shared"}));
+        advanceTime(model::seconds(2));
+    }
+};
+
+} // namespace
+
+// Guards against a sound part that is refused for ten minutes (LOST): as no request with it reached
+// an upstream any more, no answer could clear it.
+TEST_CASE("Requests without another part that may be the cause end a wrong quarantine")
+{
+    WrongQuarantine fixture;
+    CHECK(fixture.isRefused({"deadly", "shared"}));
+    fixture.streamFor({"first", "shared"}, milliseconds(1100));
+    CHECK(fixture.take<PublishClearedPart>().part == PromptFixture::fingerprint("shared"));
+    fixture.advanceTime({});
+    CHECK(fixture.isRefused({"deadly", "shared"}));
+    CHECK(fixture.isRefused({"deadly"}));
+    CHECK_FALSE(fixture.isRefused({"first", "shared"}));
+}
+
+// Guards against trials that crash upstream after upstream (BUDGET).
+TEST_CASE("A trial that crashes an upstream is not retried, and the next one follows much later")
+{
+    WrongQuarantine fixture;
+    fixture.prompt({"first", "shared"}, "/resume/x");
+    const auto trial = fixture.take<StartAttempt>();
+    fixture.fail(trial.attempt, AttemptFailure::Broken);
+    CHECK(fixture.count<StartAttempt>() == 0);
+    CHECK(fixture.isRefused({"first", "shared"}));
+    fixture.advanceTime(model::seconds(29));
+    CHECK(fixture.isRefused({"first", "shared"}));
+    fixture.advanceTime(model::seconds(1));
+    CHECK_FALSE(fixture.isRefused({"first", "shared"}));
+    fixture.reportCrash({"first", "shared"}, "x");
+    fixture.advanceTime(model::seconds(59));
+    CHECK(fixture.isRefused({"first", "shared"}));
+}
