Relay: crashes count against all parts of a prompt, however many there are

Cause: crash reports held the last 32 shared parts of a prompt, also those that a daemon counts for itself, so nothing was ever counted against a part before them. A bound on what is sent had become a bound on what is known.

Ruled out: reports that peers reject (their limit is 64 parts), reports that come too late (there is no suspicion at all), parts that differ by spelling.

Change: a daemon counts all parts of the requests that it lost itself. The other daemons get the parts of a short prompt as before, and a Bloom filter of a longer one: 32 bits for each part, 1 KiB at most. A part that one report lists is looked up in the filters of the others; those that would be found by chance are left out, so very long prompts take more crashes instead of naming the wrong part. The crashes move to PartCrashTable, which bounds their parts. Log lines name at most 32 parts.

A larger constant was not taken: it would have moved the number of parts from which on a deadly one hides, and grown the messages with it.

--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -231,7 +231,8 @@
             [this](const relay::PublishCrashReport &publish) {
                 m_fleet->publish(fleet::CrashFact {.fingerprint = publish.report.fingerprint,
                                                    .upstream = publish.report.upstream,
-                                                   .parts = publish.parts},
+                                                   .parts = publish.parts,
+                                                   .partSketch = publish.partSketch.words()},
                                  net::EventLoop::now());
             },
             [this](const relay::PublishSuspectedPart &publish) {
--- a/src/daemon/internal/relayfleet.cpp
+++ b/src/daemon/internal/relayfleet.cpp
@@ -48,7 +48,10 @@
                                    now);
         // The answers that cleared the parts since then are not known.
         if (age <= maxPartCrashAge) {
-            m_relay->onPeerPartCrash({.parts = crash.parts, .upstream = crash.upstream}, now);
+            m_relay->onPeerPartCrash({.parts = crash.parts,
+                                      .sketch = relay::PartSketch(crash.partSketch),
+                                      .upstream = crash.upstream},
+                                     now);
         }
     }
     for (const auto &[suspected, age] : updates.suspectedParts) {
--- a/src/fleet/fact.h
+++ b/src/fleet/fact.h
@@ -20,6 +20,8 @@
     model::UpstreamId upstream;
     //! Fingerprints of the prompt parts that may have caused it; empty if none is suspected.
     std::vector<model::Fingerprint> parts;
+    //! Bloom filter of the parts of a long prompt, which are not listed then.
+    std::vector<uint64_t> partSketch;
 
     friend auto operator<=>(const CrashFact &, const CrashFact &) = default;
 };
--- a/src/fleet/internal/fleetmessages.cpp
+++ b/src/fleet/internal/fleetmessages.cpp
@@ -12,7 +12,7 @@
 
 //! Estimated encoded size of one fact in a message.
 constexpr double factBytes = 60.0;
-//! Estimated encoded size of one prompt part of a crash report.
+//! Estimated encoded size of one prompt part, or one word of a sketch, of a crash report.
 constexpr double partBytes = 21.0;
 //! Estimated encoded size of a message without members and facts.
 constexpr double messageBytes = 500.0;
@@ -98,8 +98,8 @@
     if (row != m_facts.rows().end()) {
         const auto *crash = std::get_if<CrashFact>(&row->second.fact.body);
         message.facts.push_back(agedFact(row->second));
-        chargeBudget(factBytes
-                     + (crash ? partBytes * static_cast<double>(crash->parts.size()) : 0.0));
+        const size_t parts = crash ? crash->parts.size() + crash->partSketch.size() : 0;
+        chargeBudget(factBytes + partBytes * static_cast<double>(parts));
     }
     countSend(pending, key, countsAsSend || row == m_facts.rows().end());
 }
--- a/src/net/internal/fleetcodec.cpp
+++ b/src/net/internal/fleetcodec.cpp
@@ -16,6 +16,7 @@
 constexpr Json::ArrayIndex maxMembers = 5000;
 constexpr Json::ArrayIndex maxFacts = 5000;
 constexpr Json::ArrayIndex maxCrashParts = 64;
+constexpr Json::ArrayIndex maxSketchWords = 128;
 constexpr size_t maxNameLength = 128;
 
 //! Reads typed values and records whether all of them were present and valid.
@@ -155,6 +156,14 @@
                            parts.append(Json::UInt64(part.value()));
                        }
                        value.append(std::move(parts));
+                       // Left out of most reports, so that daemons of the version before read them.
+                       if (!crash.partSketch.empty()) {
+                           Json::Value sketch(Json::arrayValue);
+                           for (const uint64_t word : crash.partSketch) {
+                               sketch.append(Json::UInt64(word));
+                           }
+                           value.append(std::move(sketch));
+                       }
                    },
                    [&](const fleet::ReturnFact &upstream) {
                        value.append(upstream.upstream.text());
@@ -187,6 +196,8 @@
     return value;
 }
 
+constexpr Json::ArrayIndex crashFieldsWithSketch = 4;
+
 fleet::CrashFact decodeCrash(const Json::Value &value, FieldReader &reader)
 {
     fleet::CrashFact crash {.fingerprint = model::Fingerprint(reader.number(value[0])),
@@ -194,13 +205,20 @@
     for (const Json::Value &part : reader.list(value[2], maxCrashParts)) {
         crash.parts.emplace_back(reader.number(part));
     }
+    if (value.size() == crashFieldsWithSketch) {
+        for (const Json::Value &word : reader.list(value[3], maxSketchWords)) {
+            crash.partSketch.push_back(reader.number(word));
+        }
+    }
     return crash;
 }
 
 fleet::FactBody decodeBody(uint32_t kind, const Json::Value &input, FieldReader &reader)
 {
     constexpr std::array<Json::ArrayIndex, 8> fieldCounts = {3, 4, 2, 1, 2, 1, 1, 2};
-    const Json::Value &value = reader.fields(input, fieldCounts[kind]);
+    const bool hasSketch = kind == 0 && input.size() == crashFieldsWithSketch;
+    const Json::Value &value
+        = reader.fields(input, hasSketch ? crashFieldsWithSketch : fieldCounts[kind]);
     if (value.empty()) {
         return fleet::LoadFact {};
     }
--- /dev/null
+++ b/src/relay/internal/partcrashtable.cpp
@@ -0,0 +1,133 @@
+#include "relay/partcrashtable.h"
+
+#include <algorithm>
+
+#include "model/hash.h"
+
+namespace citronpick::relay
+{
+
+namespace
+{
+
+//! Reports about an upstream within this time belong to the same crash; a restart takes longer.
+constexpr model::Duration crashWindow = model::seconds(2);
+constexpr model::Duration crashLifetime = model::seconds(60);
+constexpr size_t maxCrashes = 256; //!< The oldest are removed beyond this.
+constexpr size_t maxParts = 200000; //!< Of all crashes together; the oldest crashes are removed.
+//! Longer prompts are reported as a sketch, which is no larger.
+constexpr size_t maxReportedParts = 32;
+//! Keeps fingerprints of parts apart from other hashes of the same text.
+constexpr uint64_t partSeed = 0x70617274;
+
+} // namespace
+
+PartFingerprints sharedParts(const std::vector<PromptPart> &parts)
+{
+    PartFingerprints fingerprints;
+    for (size_t i = 0; i + 1 < parts.size(); ++i) {
+        fingerprints.emplace_back(model::hash64(parts[i].id, partSeed));
+    }
+    return fingerprints;
+}
+
+PartCrash crashReportOf(const PartFingerprints &parts, const model::UpstreamId &upstream)
+{
+    if (parts.size() <= maxReportedParts) {
+        return {.parts = parts, .sketch = {}, .upstream = upstream};
+    }
+    return {.parts = {}, .sketch = PartSketch(parts), .upstream = upstream};
+}
+
+bool PartCrashTable::Crash::mayContain(model::Fingerprint part) const
+{
+    return parts.contains(part)
+           || std::any_of(sketches.begin(), sketches.end(),
+                          [&](const PartSketch &sketch) { return sketch.mayContain(part); });
+}
+
+double PartCrashTable::Crash::errorRate() const
+{
+    double allCorrect = 1.0;
+    for (const PartSketch &sketch : sketches) {
+        allCorrect *= 1.0 - sketch.errorRate();
+    }
+    return 1.0 - allCorrect;
+}
+
+PartCrashTable::Crash &PartCrashTable::crashOf(const model::UpstreamId &upstream,
+                                               model::TimePoint now)
+{
+    const auto known
+        = std::find_if(m_crashes.rbegin(), m_crashes.rend(), [&](const Crash &earlier) {
+              return earlier.upstream == upstream && now - earlier.at <= crashWindow;
+          });
+    if (known != m_crashes.rend()) {
+        return *known;
+    }
+    if (m_crashes.size() >= maxCrashes) {
+        m_crashes.pop_front();
+    }
+    return m_crashes.emplace_back(
+        Crash {.upstream = upstream, .at = now, .parts = {}, .sketches = {}});
+}
+
+void PartCrashTable::add(const PartCrash &report, model::TimePoint now)
+{
+    Crash &crash = crashOf(report.upstream, now);
+    addListed(crash, report.parts);
+    if (!report.sketch.isEmpty()) {
+        addSketch(crash, report.sketch);
+    }
+    limitSize();
+}
+
+void PartCrashTable::addListed(Crash &crash, const PartFingerprints &parts)
+{
+    for (size_t position = 0; position < parts.size(); ++position) {
+        Occurrence &own = crash.parts[parts[position]];
+        own.position = std::max(own.position, position);
+        own.isListed = true;
+        for (Crash &other : m_crashes) {
+            if (!other.sketches.empty() && other.mayContain(parts[position])) {
+                other.parts.try_emplace(parts[position], Occurrence {.position = position});
+            }
+        }
+    }
+}
+
+void PartCrashTable::addSketch(Crash &crash, const PartSketch &sketch)
+{
+    crash.sketches.push_back(sketch);
+    for (const Crash &other : m_crashes) {
+        if (&other == &crash) {
+            continue;
+        }
+        for (const auto &[part, occurrence] : other.parts) {
+            if (occurrence.isListed && sketch.mayContain(part)) {
+                crash.parts.try_emplace(part, Occurrence {.position = occurrence.position});
+            }
+        }
+    }
+}
+
+void PartCrashTable::limitSize()
+{
+    size_t parts = 0;
+    for (const Crash &crash : m_crashes) {
+        parts += crash.parts.size();
+    }
+    while (parts > maxParts && m_crashes.size() > 1) {
+        parts -= m_crashes.front().parts.size();
+        m_crashes.pop_front();
+    }
+}
+
+void PartCrashTable::forgetExpired(model::TimePoint now)
+{
+    while (!m_crashes.empty() && now - m_crashes.front().at > crashLifetime) {
+        m_crashes.pop_front();
+    }
+}
+
+} // namespace citronpick::relay
--- a/src/relay/internal/partquarantine.cpp
+++ b/src/relay/internal/partquarantine.cpp
@@ -1,9 +1,7 @@
 #include "relay/partquarantine.h"
 
 #include <algorithm>
-#include <tuple>
-
-#include "model/hash.h"
+#include <numeric>
 
 namespace citronpick::relay
 {
@@ -21,9 +19,9 @@
 constexpr model::Duration objectionTime = model::milliseconds(1500);
 //! Time for the finding of another daemon to arrive.
 constexpr model::Duration announcementDelay = model::seconds(1);
-//! Reports about an upstream within this time belong to the same crash; a restart takes longer.
-constexpr model::Duration crashWindow = model::seconds(2);
-constexpr model::Duration crashLifetime = model::seconds(60);
+constexpr model::Duration peerSuspicionLifetime = model::seconds(60);
+//! Parts that may be suspected because they were found in sketches by chance, on average.
+constexpr double maxChanceFinds = 0.01;
 constexpr model::Duration quarantineLifetime = model::seconds(600);
 //! Time for answers that are under way to clear a part before requests with it are let through.
 constexpr model::Duration firstTrialDelay = model::seconds(2);
@@ -32,52 +30,17 @@
 constexpr uint32_t maxTrialDoublings = 5; //!< Beyond the lifetime of a quarantine.
 //! More would add little: a request is let through if it is without one of them.
 constexpr size_t maxAlternatives = 8;
-constexpr size_t maxCrashes = 256; //!< The oldest are removed beyond this.
 constexpr size_t maxAnsweredParts = 8192; //!< The oldest are removed beyond this.
-//! The last parts are the most specific ones. Bounds what one request adds to fleet messages.
-constexpr size_t maxParts = 32;
-//! Keeps fingerprints of parts apart from other hashes of the same text.
-constexpr uint64_t partSeed = 0x70617274;
 
 } // namespace
 
-PartFingerprints sharedParts(const std::vector<PromptPart> &parts)
-{
-    PartFingerprints fingerprints;
-    const size_t shared = parts.empty() ? 0 : parts.size() - 1;
-    for (size_t i = shared - std::min(shared, maxParts); i < shared; ++i) {
-        fingerprints.emplace_back(model::hash64(parts[i].id, partSeed));
-    }
-    return fingerprints;
-}
-
-PartQuarantine::Crash &PartQuarantine::crashOf(const model::UpstreamId &upstream,
-                                               model::TimePoint now)
-{
-    const auto known
-        = std::find_if(m_crashes.rbegin(), m_crashes.rend(), [&](const Crash &earlier) {
-              return earlier.upstream == upstream && now - earlier.at <= crashWindow;
-          });
-    if (known != m_crashes.rend()) {
-        return *known;
-    }
-    if (m_crashes.size() >= maxCrashes) {
-        m_crashes.pop_front();
-    }
-    return m_crashes.emplace_back(Crash {.upstream = upstream, .at = now, .parts = {}});
-}
-
 void PartQuarantine::addCrash(const PartCrash &crash, model::TimePoint now)
 {
-    if (crash.parts.empty()) {
+    if (crash.parts.empty() && crash.sketch.isEmpty()) {
         return;
     }
-    Crash &row = crashOf(crash.upstream, now);
-    for (size_t position = 0; position < crash.parts.size(); ++position) {
-        size_t &last = row.parts[crash.parts[position]];
-        last = std::max(last, position);
-    }
-    noteTrialCrash(crash.parts, now);
+    m_crashes.add(crash, now);
+    noteTrialCrash(crash, now);
     m_nextRun = now;
 }
 
@@ -216,38 +179,58 @@
 bool PartQuarantine::isExplained(const Crash &crash) const
 {
     return std::any_of(m_quarantines.begin(), m_quarantines.end(),
-                       [&](const auto &entry) { return crash.parts.contains(entry.first); });
+                       [&](const auto &entry) { return crash.mayContain(entry.first); });
 }
 
 // Counts only crashes that no answer followed.
-std::vector<PartQuarantine::Candidate> PartQuarantine::candidates(Counted counted) const
+absl::flat_hash_map<model::Fingerprint, PartQuarantine::Candidate>
+PartQuarantine::countCrashes(Counted counted) const
 {
     absl::flat_hash_map<model::Fingerprint, Candidate> rows;
-    for (const Crash &crash : m_crashes) {
+    for (const Crash &crash : m_crashes.crashes()) {
         if (counted == Counted::Unexplained && isExplained(crash)) {
             continue;
         }
-        for (const auto &[part, position] : crash.parts) {
+        const double errorRate = crash.errorRate();
+        for (const auto &[part, occurrence] : crash.parts) {
             if (answeredAt(part) >= crash.at) {
                 continue;
             }
             const auto [it, isNew]
                 = rows.try_emplace(part, Candidate {.part = part, .firstAt = crash.at});
             Candidate &row = it->second;
-            row.position = std::max(row.position, position);
+            row.position = std::max(row.position, occurrence.position);
             row.lastAt = crash.at;
             ++row.crashes;
+            row.listedIn += occurrence.isListed ? 1 : 0;
+            row.errorRate *= occurrence.isListed ? 1.0 : errorRate;
             if (std::find(row.upstreams.begin(), row.upstreams.end(), crash.upstream)
                 == row.upstreams.end()) {
                 row.upstreams.push_back(crash.upstream);
             }
         }
     }
+    return rows;
+}
+
+std::vector<PartQuarantine::Candidate> PartQuarantine::candidates(Counted counted) const
+{
+    const auto rows = countCrashes(counted);
+    //! How many parts are listed in at least so many crashes.
+    std::vector<size_t> listed(m_crashes.crashes().size() + 1);
+    for (const auto &[part, row] : rows) {
+        ++listed[row.listedIn];
+    }
+    std::partial_sum(listed.rbegin(), listed.rend(), listed.rbegin());
     std::vector<Candidate> enough;
-    for (auto &[part, row] : rows) {
-        if (isEnough(row)) {
-            row.wasAnswered = m_answeredAt.contains(part);
-            enough.push_back(std::move(row));
+    for (const auto &[part, row] : rows) {
+        // The more parts are looked up in sketches, the more are found there by chance.
+        const bool isFoundByChance
+            = row.listedIn < row.crashes
+              && row.errorRate * static_cast<double>(listed[row.listedIn]) > maxChanceFinds;
+        if (isEnough(row) && !isFoundByChance) {
+            enough.push_back(row);
+            enough.back().wasAnswered = m_answeredAt.contains(part);
         }
     }
     return enough;
@@ -297,7 +280,7 @@
 PartFingerprints PartQuarantine::alternativesTo(model::Fingerprint part) const
 {
     std::vector<const Crash *> crashes;
-    for (const Crash &crash : m_crashes) {
+    for (const Crash &crash : m_crashes.crashes()) {
         if (countsAgainst(crash, part)) {
             crashes.push_back(&crash);
         }
@@ -328,15 +311,17 @@
     });
 }
 
-void PartQuarantine::noteTrialCrash(const PartFingerprints &parts, model::TimePoint now)
+void PartQuarantine::noteTrialCrash(const PartCrash &crash, model::TimePoint now)
 {
-    for (const model::Fingerprint part : parts) {
-        const auto it = m_quarantines.find(part);
-        if (it == m_quarantines.end()) {
-            continue;
-        }
-        Quarantine &quarantine = it->second;
-        if (now >= quarantine.trialsFrom && !containsAll(parts, quarantine.alternatives)) {
+    const auto contains = [&](model::Fingerprint part) {
+        return crash.sketch.mayContain(part)
+               || std::find(crash.parts.begin(), crash.parts.end(), part) != crash.parts.end();
+    };
+    for (auto &[part, quarantine] : m_quarantines) {
+        const bool isTrial = now >= quarantine.trialsFrom && contains(part)
+                             && !std::all_of(quarantine.alternatives.begin(),
+                                             quarantine.alternatives.end(), contains);
+        if (isTrial) {
             quarantine.trialsFrom = now + trialInterval * (1U << quarantine.failedTrials);
             quarantine.failedTrials = std::min(quarantine.failedTrials + 1, maxTrialDoublings);
         }
@@ -397,13 +382,11 @@
 
 void PartQuarantine::forgetExpired(model::TimePoint now)
 {
-    while (!m_crashes.empty() && now - m_crashes.front().at > crashLifetime) {
-        m_crashes.pop_front();
-    }
+    m_crashes.forgetExpired(now);
     absl::erase_if(m_quarantines,
                    [&](const auto &entry) { return now - entry.second.at >= quarantineLifetime; });
     absl::erase_if(m_peerSuspectedAt,
-                   [&](const auto &entry) { return now - entry.second > crashLifetime; });
+                   [&](const auto &entry) { return now - entry.second > peerSuspicionLifetime; });
 }
 
 } // namespace citronpick::relay
--- a/src/relay/internal/relayquarantine.cpp
+++ b/src/relay/internal/relayquarantine.cpp
@@ -20,17 +20,30 @@
 //! answer began earlier than this before the crash is not its cause.
 constexpr model::Duration crashDelay = model::seconds(1);
 
+//! Parts beyond this are left out of log lines.
+constexpr size_t maxLoggedParts = 32;
+
+template<typename Part, typename Format>
+std::string joinParts(const std::vector<Part> &parts, Format format)
+{
+    const size_t count = std::min(parts.size(), maxLoggedParts);
+    std::string text = absl::StrJoin(
+        parts.begin(), parts.begin() + static_cast<ptrdiff_t>(count), ",",
+        [&](std::string *joined, const Part &part) { absl::StrAppend(joined, format(part)); });
+    if (count < parts.size()) {
+        absl::StrAppend(&text, ",+", parts.size() - count);
+    }
+    return text;
+}
+
 std::string partNames(const std::vector<PromptPart> &parts)
 {
-    return absl::StrJoin(parts, ",",
-                         [](std::string *text, const PromptPart &part) { text->append(part.id); });
+    return joinParts(parts, [](const PromptPart &part) { return part.id; });
 }
 
 std::string hexNames(const PartFingerprints &parts)
 {
-    return absl::StrJoin(parts, ",", [](std::string *text, model::Fingerprint part) {
-        absl::StrAppend(text, absl::Hex(part.value()));
-    });
+    return joinParts(parts, [](model::Fingerprint part) { return absl::Hex(part.value()); });
 }
 
 } // namespace
@@ -57,13 +70,16 @@
                                         .upstream = crashed};
     const bool mayBeCause = !attempt.beganAt || now - *attempt.beganAt <= crashDelay;
     const PartCrash partCrash {.parts = mayBeCause ? exchange.sharedParts : PartFingerprints(),
+                               .sketch = {},
                                .upstream = crashed};
     record(EventCode::RequestStruck, exchange, attempt.upstream.text(),
            absl::StrCat("fingerprint=", absl::Hex(report.fingerprint.value()),
                         " parts=", partNames(exchange.arrived.promptParts),
                         " hashes=", hexNames(partCrash.parts), " beganMs=",
                         attempt.beganAt ? model::toMilliseconds(now - *attempt.beganAt) : -1));
-    m_commands.emplace_back(PublishCrashReport {.report = report, .parts = partCrash.parts});
+    const PartCrash published = crashReportOf(partCrash.parts, crashed);
+    m_commands.emplace_back(PublishCrashReport {
+        .report = report, .parts = published.parts, .partSketch = published.sketch});
     const bool isRequestQuarantined = m_quarantine.addCrashReport(report, now);
     if (isRequestQuarantined) {
         record(EventCode::RequestQuarantined, exchange, attempt.upstream.text(),
--- a/src/relay/partquarantine.h
+++ b/src/relay/partquarantine.h
@@ -11,25 +11,11 @@
 
 #include "model/ids.h"
 #include "model/time.h"
-#include "relay/relayevents.h"
+#include "relay/partcrashtable.h"
 
 namespace citronpick::relay
 {
 
-using PartFingerprints = std::vector<model::Fingerprint>;
-
-//! Fingerprints of the parts of a prompt that other requests may share: all but the last one. The
-//! most specific one comes last.
-PartFingerprints sharedParts(const std::vector<PromptPart> &parts);
-
-//! The connection to \a upstream was lost while it ran a request with these parts in its prompt.
-struct PartCrash {
-    PartFingerprints parts;
-    model::UpstreamId upstream;
-
-    friend auto operator<=>(const PartCrash &, const PartCrash &) = default;
-};
-
 //! A part that will be quarantined unless a request with it was answered since the first crash.
 struct PartSuspicion {
     model::Fingerprint part;
@@ -89,12 +75,8 @@
     bool isQuarantined(const PartFingerprints &parts, model::TimePoint now) const;
 
 private:
-    struct Crash {
-        model::UpstreamId upstream;
-        model::TimePoint at;
-        //! Parts of the lost requests, with their position in the prompt.
-        absl::flat_hash_map<model::Fingerprint, size_t> parts;
-    };
+    using Crash = PartCrashTable::Crash;
+
     struct Quarantine {
         model::TimePoint at;
         //! Parts that explain the same crashes as well as this one. A request without one of them
@@ -112,19 +94,21 @@
         model::Fingerprint part;
         size_t position = 0;
         size_t crashes = 0;
+        size_t listedIn = 0; //!< Number of these crashes whose reports list the part.
+        //! Probability that the sketches of the other crashes hold the part by chance.
+        double errorRate = 1.0;
         bool wasAnswered = false; //!< Before the crashes.
         std::vector<model::UpstreamId> upstreams;
         model::TimePoint firstAt;
         model::TimePoint lastAt;
     };
 
-    //! The crash of the upstream that is under way; a new one if there is none.
-    Crash &crashOf(const model::UpstreamId &upstream, model::TimePoint now);
     enum class Counted {
         Unexplained, //!< Crashes in which no part is in quarantine.
         All,
     };
     bool isExplained(const Crash &crash) const;
+    absl::flat_hash_map<model::Fingerprint, Candidate> countCrashes(Counted counted) const;
     std::vector<Candidate> candidates(Counted counted) const;
     void dropSuspicions();
     static bool isEnough(const Candidate &candidate);
@@ -137,7 +121,7 @@
     PartFingerprints alternativesTo(model::Fingerprint part) const;
     static bool containsAll(const PartFingerprints &parts, const PartFingerprints &wanted);
     //! Ends the trials of parts in quarantine that are in the crash.
-    void noteTrialCrash(const PartFingerprints &parts, model::TimePoint now);
+    void noteTrialCrash(const PartCrash &crash, model::TimePoint now);
     PartFingerprints takeFindings(model::TimePoint now);
     bool isQuarantined(model::Fingerprint part, model::TimePoint now) const;
     bool countsAgainst(const Crash &crash, model::Fingerprint part) const;
@@ -145,7 +129,7 @@
     void noteAnswer(model::Fingerprint part, model::TimePoint at);
     void forgetExpired(model::TimePoint now);
 
-    std::deque<Crash> m_crashes; //!< Oldest first.
+    PartCrashTable m_crashes;
     absl::flat_hash_map<model::Fingerprint, Quarantine> m_quarantines;
     absl::flat_hash_map<model::Fingerprint, Suspicion> m_suspicions;
     //! When another daemon announced its suspicion of the part.
--- a/src/relay/relaycommands.h
+++ b/src/relay/relaycommands.h
@@ -116,7 +116,9 @@
 //! Tell the other daemons that the connection to an upstream broke while it ran a request.
 struct PublishCrashReport {
     pipeline::CrashReport report;
-    PartFingerprints parts; //!< Parts of the request's prompt that may be the cause.
+    //! Parts of the request's prompt that may be the cause; a sketch of them if there are many.
+    PartFingerprints parts;
+    PartSketch partSketch;
 };
 
 //! Ask the other daemons whether they have passed on an answer to a request with this part.
