Net: a response that names no request is not taken for the next one's

Cause: a response with another id was discarded, but one without an id was taken for the answer to the request under way. A refusal needs no other proof than the header that says so.

Change: on a connection that has had a request before, a response without an id fails as malformed and closes the connection; the attempt counts as one that may have run. On a new connection it can belong to one request only and is taken as before. Calls without such a header (stages, registry, daemons) are not affected.

--- a/src/net/internal/upstreamclient.cpp
+++ b/src/net/internal/upstreamclient.cpp
@@ -96,10 +96,12 @@
         {
             isKeepAlive = head.isKeepAlive;
             idleTimeout = idleTimeoutOf(head.headers);
-            isStaleResponse = !correlationHeader.empty()
-                              && headerValue(head.headers, correlationHeader) != correlationValue
-                              && !headerValue(head.headers, correlationHeader).empty();
-            if (!isStaleResponse) {
+            if (!correlationHeader.empty()) {
+                const std::string named = headerValue(head.headers, correlationHeader);
+                isStaleResponse = !named.empty() && named != correlationValue;
+                isUnattributable = named.empty() && isReused;
+            }
+            if (!isStaleResponse && !isUnattributable) {
                 handler->onHead(call, head);
             }
         }
@@ -110,7 +112,7 @@
                 return;
             }
             bodyBytes += bytes.size();
-            if (call != 0 && bodyBytes <= maxBodyBytes) {
+            if (call != 0 && !isUnattributable && bodyBytes <= maxBodyBytes) {
                 handler->onBody(call, bytes);
             }
         }
@@ -134,6 +136,9 @@
         bool isConnected = false;
         bool isWriting = false;
         bool isStaleResponse = false; //!< The current response belongs to an earlier request.
+        bool isReused = false; //!< Had a call before the current one.
+        //! The current response names no request, and may belong to any that the connection had.
+        bool isUnattributable = false;
         bool hadStaleResponse = false; //!< A response to an earlier request was discarded.
         bool isKeepAlive = false;
         bool isInCallback = false;
@@ -156,6 +161,7 @@
             connection = created.get();
             m_connections.emplace(connection->id, std::move(created));
         }
+        connection->isReused = !isNew;
         connection->call = number;
         connection->handler = &handler;
         connection->correlationHeader = std::move(call.correlationHeader);
@@ -310,7 +316,7 @@
                 return false;
             }
             h2o_buffer_consume(&input, consumed);
-            if (connection.parser.error() != ParseError::None
+            if (connection.parser.error() != ParseError::None || connection.isUnattributable
                 || connection.staleBytes > maxStaleBytes) {
                 fail(connection, CallFailure::Malformed);
                 return false;
--- a/src/net/tests/upstreamclienttest.cpp
+++ b/src/net/tests/upstreamclienttest.cpp
@@ -319,6 +319,39 @@
     CHECK(fixture.client.idleCount() == 0);
 }
 
+// Guards against a refusal that is taken for the answer to the next request: an upstream wrote it
+// once more, without the name of its request.
+TEST_CASE("A response on a reused connection that names no request belongs to none")
+{
+    const std::string unnamed = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+    Fixture fixture;
+    SECTION("on a new connection it can belong to only one")
+    {
+        fixture.start();
+        RawPeer peer = fixture.accept();
+        peer.send(unnamed);
+        REQUIRE(fixture.waitForEnd());
+        CHECK(fixture.handler.heads == 1);
+        CHECK(fixture.handler.ends == 1);
+    }
+    SECTION("on a reused one")
+    {
+        fixture.start();
+        RawPeer peer = fixture.accept();
+        peer.send(validResponse);
+        REQUIRE(fixture.waitForEnd());
+        fixture.handler = {};
+        fixture.start();
+        fixture.waitForRequest(peer);
+        peer.send(unnamed);
+        REQUIRE(fixture.waitForEnd());
+        CHECK(fixture.handler.heads == 0);
+        CHECK(fixture.handler.ends == 0);
+        CHECK(fixture.handler.failure == CallFailure::Malformed);
+        CHECK(fixture.client.idleCount() == 0);
+    }
+}
+
 TEST_CASE("An absurd keep-alive timeout is limited")
 {
     Fixture fixture;
--- a/src/net/upstreamclient.h
+++ b/src/net/upstreamclient.h
@@ -24,7 +24,7 @@
     bool needsFreshConnection = false;
     //! Name and value of the header by which the upstream identifies the request that a response
     //! belongs to. A response with another value of this header belongs to an earlier request and
-    //! is discarded.
+    //! is discarded. On a reused connection, one without the header is malformed.
     std::string correlationHeader;
     std::string correlationValue;
     model::Duration connectTimeout = model::milliseconds(800);
