Relay: a second attempt at an address uses a connection of its own

Cause: an answer is told from an earlier one by the request's id, but two attempts of one request have the same id. They meet on one connection when an address is listed under two ids (a replaced upstream answers 421 and its successor is tried next), or when a request whose stage result was lost is sent to the same upstream again.

Change: an attempt at an address that the request has tried before uses a new connection, as requests that must not be repeated do always. Ruled out: new connections for all retries, as most go to other addresses, and each new connection costs the upstream time.

--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -73,7 +73,8 @@
                         " failures=", upstream.consecutiveFailures,
                         " leftMs=", model::toMilliseconds(exchange.deadline - now),
                         " afterMs=", model::toMilliseconds(now - exchange.arrived.startedAt)));
-    const RequestKind kind = exchange.route->kind;
+    const bool needsFresh = needsFreshConnection(exchange, upstream.listing.address);
+    exchange.triedAddresses.push_back(upstream.listing.address);
     m_commands.emplace_back(
         StartAttempt {.request = id,
                       .attempt = attempt,
@@ -85,8 +86,17 @@
                       .hasStages = !exchange.plan.isEmpty(),
                       .inputs = inputs,
                       .resumeAfter = exchange.lastEvent,
-                      .needsFreshConnection = !mayRepeat(kind),
-                      .forwardsWholeEvents = kind == RequestKind::ResumableStream});
+                      .needsFreshConnection = needsFresh,
+                      .forwardsWholeEvents = exchange.route->kind == RequestKind::ResumableStream});
+}
+
+// A late copy of an earlier attempt's answer names the same request as the answer to this attempt,
+// and only the connection tells them apart.
+bool RelaySystem::needsFreshConnection(const Exchange &exchange, const config::Endpoint &address)
+{
+    return !mayRepeat(exchange.route->kind)
+           || std::find(exchange.triedAddresses.begin(), exchange.triedAddresses.end(), address)
+                  != exchange.triedAddresses.end();
 }
 
 UpstreamCriteria RelaySystem::criteriaOf(const Exchange &exchange) const
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -162,6 +162,7 @@
         uint32_t sentAttempts = 0; //!< Attempts that an upstream may have received.
         uint32_t unsentAttempts = 0; //!< Attempts that certainly reached no upstream.
         std::vector<model::UpstreamId> triedUpstreams;
+        std::vector<config::Endpoint> triedAddresses;
         PartFingerprints sharedParts; //!< Parts of the prompt that may crash upstreams.
         bool isAnswerStarted = false; //!< The head of a streamed answer was sent to the caller.
         model::TimePoint streamStartedAt; //!< When the head of a stream was sent to the caller.
@@ -263,6 +264,7 @@
     // Attempts
     void startAttempt(Exchange &exchange, model::TimePoint now);
     UpstreamCriteria criteriaOf(const Exchange &exchange) const;
+    static bool needsFreshConnection(const Exchange &exchange, const config::Endpoint &address);
     void chooseExpectedZone(Exchange &exchange, model::TimePoint now);
     Attempt closeAttempt(model::AttemptId id);
     void onRefusedByUpstream(Exchange &exchange, const AnswerFacts &facts, model::TimePoint now);
