Relay: only a stream of events goes on with a stream that broke off

Cause: a resumed attempt was judged by status, signature and request id only. Whatever came with them was joined to the stream, and its end counted as the end of the stream.

Change: a resumed attempt whose answer is a success but no stream of events is cancelled at its head and counts as lost, so another upstream goes on or the answer is broken off. The three places that cancel an attempt share one function now.

--- a/src/daemon/internal/exchangerunner.cpp
+++ b/src/daemon/internal/exchangerunner.cpp
@@ -1,6 +1,5 @@
 #include "daemon/internal/exchangerunner.h"
 
-#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 
@@ -66,12 +65,6 @@
     return 502;
 }
 
-bool isEventStream(const net::MessageHead &head)
-{
-    return absl::StartsWithIgnoreCase(net::headerValue(head.headers, "content-type"),
-                                      "text/event-stream");
-}
-
 // Covers only what stays the same when a caller repeats a request: host, target, account key and
 // body, but not the request identifier or the time.
 model::Fingerprint computeFingerprint(const relay::ArrivedRequest &arrived,
@@ -260,7 +253,7 @@
 // the end of a connection alone does not show that a stream is complete.
 bool ExchangeRunner::wasCutOff(const Attempt &attempt)
 {
-    const bool hasEvents = attempt.forwardsWholeEvents || isEventStream(attempt.head);
+    const bool hasEvents = attempt.forwardsWholeEvents || net::isEventStream(attempt.head.headers);
     return attempt.isRelaying && attempt.head.endsWithConnection && hasEvents
            && !attempt.events.isBehindEvent();
 }
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -26,6 +26,9 @@
 //! Value of the first header with a lower-case \a name; empty if there is none.
 std::string headerValue(const Headers &headers, std::string_view name);
 
+//! Whether the content type is that of server-sent events.
+bool isEventStream(const Headers &headers);
+
 //! Content type of JSON bodies.
 inline constexpr const char *jsonType = "application/json";
 
--- a/src/net/internal/http.cpp
+++ b/src/net/internal/http.cpp
@@ -1,5 +1,7 @@
 #include "net/http.h"
 
+#include <absl/strings/match.h>
+
 namespace citronpick::net
 {
 
@@ -13,6 +15,11 @@
     return {};
 }
 
+bool isEventStream(const Headers &headers)
+{
+    return absl::StartsWithIgnoreCase(headerValue(headers, "content-type"), "text/event-stream");
+}
+
 std::string_view toString(HttpError error)
 {
     switch (error) {
--- a/src/relay/internal/relayanswers.cpp
+++ b/src/relay/internal/relayanswers.cpp
@@ -38,6 +38,12 @@
     if (!facts.isSuccess() || !isStream(exchange.route->kind)) {
         return;
     }
+    if (it->second.isResumption && !facts.isEventStream) {
+        // A success of another kind, such as an error page, is no rest of the stream.
+        abandonAttempt(id, AttemptFailure::Malformed,
+                       absl::StrCat("why=no-stream status=", facts.status), now);
+        return;
+    }
     m_directory.noteSuccess(it->second.upstream);
     it->second.lastProgressAt = now;
     m_timeouts.add(now + progressTimeout(exchange), exchange.arrived.request);
@@ -112,11 +118,7 @@
         m_commands.emplace_back(StartStream {.request = exchange.arrived.request, .attempt = id});
         return;
     }
-    const Attempt attempt = closeAttempt(id);
-    m_commands.emplace_back(CancelAttempt {.attempt = id});
-    m_directory.noteFailure(attempt.upstream, now);
-    record(EventCode::AttemptLost, exchange, attempt.upstream.text(), "why=oversized-failure");
-    onAnswerLost(exchange, attempt.upstream, AttemptFailure::Malformed, now);
+    abandonAttempt(id, AttemptFailure::Malformed, "why=oversized-failure", now);
 }
 
 bool RelaySystem::canResume(const Exchange &exchange, model::TimePoint now)
@@ -145,13 +147,10 @@
         m_timeouts.add(std::min(callerLimit, now + resumeCheckInterval), exchange.arrived.request);
         return;
     }
-    const Attempt attempt = closeAttempt(id);
-    m_commands.emplace_back(CancelAttempt {.attempt = id});
-    m_directory.noteFailure(attempt.upstream, now);
-    record(
-        EventCode::AttemptLost, exchange, attempt.upstream.text(),
-        absl::StrCat("why=silent silentMs=", model::toMilliseconds(now - attempt.lastProgressAt)));
-    onAnswerLost(exchange, attempt.upstream, AttemptFailure::TimedOut, now);
+    abandonAttempt(id, AttemptFailure::TimedOut,
+                   absl::StrCat("why=silent silentMs=",
+                                model::toMilliseconds(now - it->second.lastProgressAt)),
+                   now);
 }
 
 } // namespace citronpick::relay
--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -64,7 +64,8 @@
                            .incarnation = upstream.listing.incarnation,
                            .tokens = exchange.arrived.promptTokens,
                            .startedAt = now,
-                           .lastProgressAt = now};
+                           .lastProgressAt = now,
+                           .isResumption = exchange.isAnswerStarted};
     exchange.attempt = attempt;
     exchange.triedUpstreams.push_back(upstream.listing.id);
     ++exchange.sentAttempts;
@@ -138,6 +139,17 @@
     return attempt;
 }
 
+void RelaySystem::abandonAttempt(model::AttemptId id, AttemptFailure failure,
+                                 const std::string &detail, model::TimePoint now)
+{
+    const Attempt attempt = closeAttempt(id);
+    Exchange &exchange = *find(attempt.request);
+    m_commands.emplace_back(CancelAttempt {.attempt = id});
+    m_directory.noteFailure(attempt.upstream, now);
+    record(EventCode::AttemptLost, exchange, attempt.upstream.text(), detail);
+    onAnswerLost(exchange, attempt.upstream, failure, now);
+}
+
 void RelaySystem::onAttemptEnd(model::AttemptId id, model::TimePoint now)
 {
     if (!m_attempts.contains(id)) {
--- a/src/relay/relayevents.h
+++ b/src/relay/relayevents.h
@@ -46,6 +46,7 @@
     //! The body has a content encoding, so it is not the body that the upstream produced.
     bool isEncoded = false;
     bool matchesRequest = false; //!< The answer names the request to which it belongs.
+    bool isEventStream = false; //!< According to its content type.
 
     bool isSuccess() const
     {
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -177,6 +177,7 @@
         model::TimePoint startedAt;
         model::TimePoint lastProgressAt; //!< When the last event of the answer was received.
         bool isPaused = false; //!< Not read, because the caller reads slowly.
+        bool isResumption = false; //!< The caller already has the first part of the answer.
         std::optional<model::TimePoint> beganAt; //!< When the head of the answer was received.
         std::optional<model::TimePoint> firstEventAt; //!< When events of a stream first arrived.
         bool hasOutlivedCrashes = false; //!< The stream goes on, so the request crashes nothing.
@@ -267,6 +268,9 @@
     static bool needsFreshConnection(const Exchange &exchange, const config::Endpoint &address);
     void chooseExpectedZone(Exchange &exchange, model::TimePoint now);
     Attempt closeAttempt(model::AttemptId id);
+    //! Cancels an attempt whose answer cannot be used.
+    void abandonAttempt(model::AttemptId id, AttemptFailure failure, const std::string &detail,
+                        model::TimePoint now);
     void onRefusedByUpstream(Exchange &exchange, const AnswerFacts &facts, model::TimePoint now);
     void onAttemptNotSent(Exchange &exchange, const model::UpstreamId &upstream,
                           model::TimePoint now);
--- a/src/relay/tests/relayfixture.h
+++ b/src/relay/tests/relayfixture.h
@@ -171,7 +171,8 @@
 
     static AnswerFacts success(uint16_t status = 200)
     {
-        return {.status = status, .hasProvenance = true, .matchesRequest = true};
+        return {
+            .status = status, .hasProvenance = true, .matchesRequest = true, .isEventStream = true};
     }
     static AnswerFacts notRun(uint16_t status = 503)
     {
