Daemon: a streamed answer without its final record is never complete

Cause: the check for the final record covered status 200 only, while any 2xx counted as success behind it.

--- a/src/daemon/internal/attemptrunner.cpp
+++ b/src/daemon/internal/attemptrunner.cpp
@@ -244,12 +244,12 @@
         return;
     }
     OpenAttempt &open = it->second;
-    constexpr uint16_t success = 200;
     if (!isEchoValid(open, answer.headers)) {
         fail(attempt, pipeline::AttemptError::MalformedAnswer);
         return;
     }
-    if (isStreaming && answer.status == success && !open.hasFinalRecord) {
+    const bool isSuccess = answer.status >= 200 && answer.status < 300;
+    if (isStreaming && isSuccess && !open.hasFinalRecord) {
         // The connection was closed cleanly, but the stream has no final record. ConnectionLost
         // lets the core request the missing part from another upstream.
         fail(attempt, pipeline::AttemptError::ConnectionLost);
