Daemon: a record with a field of another type does not end the process

Change: the field's type is checked, as those of the other fields are; the answer counts as malformed. The test failed before with that exception.

--- a/src/daemon/internal/attemptrunner.cpp
+++ b/src/daemon/internal/attemptrunner.cpp
@@ -223,7 +223,11 @@
     if (!record.is_object() || open.hasFinalRecord) {
         return false;
     }
-    if (record.value("done", false)) {
+    const auto done = record.find("done");
+    if (done != record.end() && !done->is_boolean()) {
+        return false;
+    }
+    if (done != record.end() && done->get<bool>()) {
         open.hasFinalRecord = true;
         return true;
     }
--- a/src/daemon/tests/attemptrunnertest.cpp
+++ b/src/daemon/tests/attemptrunnertest.cpp
@@ -76,3 +76,13 @@
     CHECK_FALSE(attempt.answered);
     CHECK(attempt.failed);
 }
+
+// Guards against a process that one malformed record ends.
+TEST_CASE("A record whose fields have other types makes the answer malformed")
+{
+    ResumedAttempt attempt;
+    attempt.answer(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nf\r\n{\"done\":\"yes\"}\n\r\n");
+    REQUIRE(attempt.failed);
+    CHECK(attempt.failed->error == pipeline::AttemptError::MalformedAnswer);
+}
