--- a/src/relay/internal/partquarantine.cpp
+++ b/src/relay/internal/partquarantine.cpp
@@ -27,8 +27,8 @@
 constexpr model::Duration firstTrialDelay = model::seconds(2);
 //! Doubles with each trial that crashed an upstream.
 constexpr model::Duration trialInterval = model::seconds(30);
-constexpr uint32_t maxTrialDoublings = 5; //!< Beyond the lifetime of a quarantine.
-//! More would add little: a request is let through if it is without one of them.
+constexpr uint32_t maxTrialDoublings = 5; //!< Then the interval exceeds a quarantine's lifetime.
+//! A request is let through if it is without one of them, so a few of many will do.
 constexpr size_t maxAlternatives = 8;
 constexpr size_t maxAnsweredParts = 8192; //!< The oldest are removed beyond this.
 
@@ -182,7 +182,7 @@
                        [&](const auto &entry) { return crash.mayContain(entry.first); });
 }
 
-// Counts only crashes that no answer followed.
+// Counts only crashes since which no request with the part was answered.
 absl::flat_hash_map<model::Fingerprint, PartQuarantine::Candidate>
 PartQuarantine::countCrashes(Counted counted) const
 {
@@ -216,7 +216,7 @@
 std::vector<PartQuarantine::Candidate> PartQuarantine::candidates(Counted counted) const
 {
     const auto rows = countCrashes(counted);
-    //! How many parts are listed in at least so many crashes.
+    // How many parts are listed in at least so many crashes.
     std::vector<size_t> listed(m_crashes.crashes().size() + 1);
     for (const auto &[part, row] : rows) {
         ++listed[row.listedIn];
--- a/src/relay/partquarantine.h
+++ b/src/relay/partquarantine.h
@@ -134,7 +134,7 @@
     absl::flat_hash_map<model::Fingerprint, Suspicion> m_suspicions;
     //! When another daemon announced its suspicion of the part.
     absl::flat_hash_map<model::Fingerprint, model::TimePoint> m_peerSuspectedAt;
-    //! When a request with the part was last answered completely, here or at another daemon.
+    //! When a request with the part was last answered, here or at another daemon.
     absl::flat_hash_map<model::Fingerprint, model::TimePoint> m_answeredAt;
     //! When each of these parts was added to the queue, the oldest first.
     std::deque<std::pair<model::Fingerprint, model::TimePoint>> m_answerOrder;
