Soak: an upstream that is back from leaving has a later start

Cause: the soak listed an upstream that had left as ready again with the start that was leaving. Daemons take that for a late entry (311, already-leaving) and leave the upstream unused, here all of the order desk. On the platform a replica that reports that it leaves exits; whoever comes back under its id is a new start.

Change: the stand-in counts a start when it comes back. What is checked stays as it was.

--- a/tests/soak/soakfaults.cpp
+++ b/tests/soak/soakfaults.cpp
@@ -298,6 +298,7 @@
         replicaFor(fault).standIn->setFault(ReplicaFault::None);
         break;
     case FaultKind::ReplicaLeaves:
+        replicaFor(fault).standIn->noteStart();
         setLeaving(replicaFor(fault), false);
         break;
     case FaultKind::StageSlow:
