Relay tests: deadly parts at other places and sizes than the reported cases

Change: a deadly part first, in the middle and last among 2, 33, 100 and 200 shared ones, and two deadly parts at once.

--- a/src/relay/tests/partsketchtest.cpp
+++ b/src/relay/tests/partsketchtest.cpp
@@ -106,3 +106,48 @@
     CHECK(parts <= 200000);
     CHECK(table.crashes().back().upstream == model::UpstreamId("99"));
 }
+
+// Guards against a part that is found only where the reported cases have it: sound parts around it
+// are in the same crashes, and were answered before.
+TEST_CASE("A deadly part is found at any place among shared parts, and only it is refused")
+{
+    const size_t count = GENERATE(2, 33, 100, 200);
+    const size_t place = GENERATE(0, 1, 2); // First, in the middle, last.
+    CAPTURE(count, place);
+    PromptFixture fixture;
+    std::vector<std::string> sound;
+    for (size_t i = 0; i < count; ++i) {
+        sound.push_back(absl::StrCat("shared", i));
+    }
+    std::vector<std::string> deadly = sound;
+    deadly.insert(deadly.begin() + static_cast<ptrdiff_t>(place * count / 2), "deadly");
+    fixture.serve(sound);
+    fixture.advanceTime(model::seconds(5));
+    for (int i = 0; i < 3; ++i) {
+        fixture.crash(deadly);
+        fixture.advanceTime(milliseconds(600));
+    }
+    fixture.passObjectionTime();
+    CHECK(fixture.isRefused(deadly));
+    CHECK(fixture.isRefused({"deadly"}));
+    CHECK_FALSE(fixture.isRefused(sound));
+}
+
+// Guards against a second deadly part that hides behind the first one.
+TEST_CASE("Two deadly parts at once are both found")
+{
+    PromptFixture fixture;
+    fixture.serve({"first", "shared"});
+    fixture.advanceTime(model::seconds(5));
+    for (int i = 0; i < 4; ++i) {
+        fixture.crash({"deadly", "shared"});
+        fixture.advanceTime(milliseconds(300));
+        fixture.crash({"first", "lethal"});
+        fixture.advanceTime(milliseconds(300));
+    }
+    fixture.passObjectionTime();
+    fixture.passObjectionTime();
+    CHECK(fixture.isRefused({"deadly", "shared"}));
+    CHECK(fixture.isRefused({"first", "lethal"}));
+    CHECK_FALSE(fixture.isRefused({"first", "shared"}));
+}
