Relay: statements of upstreams about themselves are decoded and logged

Change: platform/ decodes both once into UpstreamNotice, for every answer of a request, a batch and a release of results. Values that are neither '1' nor a time are nothing; a 421 is the answer of another upstream and states nothing. The relay logs 313 upstream-said-leaving and 314 upstream-asked-rest with the request's id, the incarnation and the time asked. A release names the upstream that it is meant for, so that its answer can be attributed. Nothing is decided on them yet.

--- a/src/daemon/internal/batchrunner.cpp
+++ b/src/daemon/internal/batchrunner.cpp
@@ -49,6 +49,7 @@
     const uint64_t number = m_client.start(std::move(call), *this);
     m_calls[number] = {.batch = command.batch,
                        .upstream = command.upstream,
+                       .incarnation = command.incarnation,
                        .address = command.address,
                        .items = command.items.size(),
                        .itemsDigest = digestOf(command.items),
@@ -87,19 +88,27 @@
     }
     m_nextFlush = model::TimePoint::max();
     for (const auto &[producer, handles] : std::exchange(m_releases, {})) {
-        net::UpstreamCall call = m_format.encodeRelease(producer, handles);
+        const relay::Upstream *upstream = m_system.upstreams().findByAddress(producer);
+        const model::UpstreamId id = upstream ? upstream->listing.id : model::UpstreamId();
+        net::UpstreamCall call = m_format.encodeRelease(producer, id, handles);
         call.timeout = releaseTimeout;
         call.maxBodyBytes = maxAnswerBytes;
-        m_calls[m_client.start(std::move(call), *this)] = {};
+        m_calls[m_client.start(std::move(call), *this)]
+            = {.upstream = id, .incarnation = upstream ? upstream->listing.incarnation : 0};
     }
 }
 
 void BatchRunner::onHead(uint64_t call, const net::MessageHead &head)
 {
     const auto it = m_calls.find(call);
-    if (it != m_calls.end()) {
-        it->second.facts = m_format.decodeAnswer(head, {});
+    if (it == m_calls.end()) {
+        return;
     }
+    it->second.facts = m_format.decodeAnswer(head, {});
+    m_system.onUpstreamNotice(
+        {.upstream = it->second.upstream, .incarnation = it->second.incarnation, .request = {}},
+        m_format.decodeNotice(head, net::EventLoop::wallTime()), net::EventLoop::now());
+    m_host.execute();
 }
 
 void BatchRunner::onBody(uint64_t call, std::string_view bytes)
--- a/src/daemon/internal/batchrunner.h
+++ b/src/daemon/internal/batchrunner.h
@@ -42,6 +42,7 @@
     struct Call {
         relay::BatchId batch; //!< Zero if the call is a release.
         model::UpstreamId upstream;
+        uint64_t incarnation = 0;
         config::Endpoint address;
         size_t items = 0;
         uint64_t itemsDigest = 0; //!< Hash of which pieces the batch contains.
--- a/src/daemon/internal/exchangerunner.cpp
+++ b/src/daemon/internal/exchangerunner.cpp
@@ -152,6 +152,8 @@
     call.timeout = command.timeLeft + gracePeriod;
     Attempt &attempt = m_attempts[command.attempt];
     attempt.request = command.request;
+    attempt.upstream = command.upstream;
+    attempt.incarnation = command.incarnation;
     attempt.forwardsWholeEvents = command.forwardsWholeEvents;
     attempt.call = m_client.start(std::move(call), *this);
     m_calls[attempt.call] = command.attempt;
@@ -196,7 +198,11 @@
     const auto pending = m_pendingRequests.find(attempt->request);
     const model::CallerRequestId callerId
         = pending == m_pendingRequests.end() ? model::CallerRequestId() : pending->second.callerId;
-    m_system.onAttemptHead(id, m_format.decodeAnswer(head, callerId), net::EventLoop::now());
+    const model::TimePoint now = net::EventLoop::now();
+    m_system.onUpstreamNotice(
+        {.upstream = attempt->upstream, .incarnation = attempt->incarnation, .request = callerId},
+        m_format.decodeNotice(head, net::EventLoop::wallTime()), now);
+    m_system.onAttemptHead(id, m_format.decodeAnswer(head, callerId), now);
     m_host.execute();
 }
 
--- a/src/daemon/internal/exchangerunner.h
+++ b/src/daemon/internal/exchangerunner.h
@@ -55,6 +55,8 @@
     };
     struct Attempt {
         model::RequestId request;
+        model::UpstreamId upstream;
+        uint64_t incarnation = 0;
         uint64_t call = 0;
         net::MessageHead head;
         std::string unsentBody; //!< Answer body that has not been relayed to the caller yet.
--- a/src/daemon/iwireformat.h
+++ b/src/daemon/iwireformat.h
@@ -13,6 +13,7 @@
 #include "registry/registryfollower.h"
 #include "relay/relaycommands.h"
 #include "relay/relayevents.h"
+#include "relay/upstreamnotice.h"
 
 namespace citronpick::daemon
 {
@@ -53,13 +54,18 @@
                                             const relay::StartAttempt &attempt) const = 0;
     virtual relay::AnswerFacts decodeAnswer(const net::MessageHead &head,
                                             const model::CallerRequestId &request) const = 0;
+    //! What the upstream that was addressed states about itself in any of its answers. Empty if
+    //! another upstream has answered at its address.
+    virtual relay::UpstreamNotice decodeNotice(const net::MessageHead &head,
+                                               model::WallTime receivedAt) const = 0;
     virtual net::UpstreamCall encodeBatch(const relay::RunBatch &batch) const = 0;
     virtual absl::StatusOr<std::vector<relay::ItemOutcome>>
     decodeBatch(std::string_view body) const = 0;
     //! Address of the upstream that produced the result; empty if the handle contains no address.
     virtual std::optional<config::Endpoint> producerOf(const relay::ResultHandle &handle) const = 0;
+    //! \a upstream is empty if it is not known which one listens at the producer's address.
     virtual net::UpstreamCall
-    encodeRelease(const config::Endpoint &producer,
+    encodeRelease(const config::Endpoint &producer, const model::UpstreamId &upstream,
                   const std::vector<relay::ResultHandle> &handles) const = 0;
 
     // Registry
--- a/src/model/time.h
+++ b/src/model/time.h
@@ -20,6 +20,9 @@
 
 using TimePoint = CoreClock::time_point;
 
+//! Time of day, for times that other systems state. Differs between instances, and may jump.
+using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
+
 constexpr Duration milliseconds(int64_t count)
 {
     return std::chrono::milliseconds(count);
--- a/src/net/eventloop.h
+++ b/src/net/eventloop.h
@@ -31,6 +31,7 @@
 
     //! Time of the monotonic clock, which keeps counting while the system is suspended.
     static model::TimePoint now();
+    static model::WallTime wallTime();
 
 private:
     st_h2o_evloop_t *m_loop;
--- a/src/net/internal/eventloop.cpp
+++ b/src/net/internal/eventloop.cpp
@@ -20,6 +20,11 @@
     h2o_evloop_run(m_loop, static_cast<int32_t>(model::toMilliseconds(wait)));
 }
 
+model::WallTime EventLoop::wallTime()
+{
+    return std::chrono::floor<std::chrono::milliseconds>(std::chrono::system_clock::now());
+}
+
 model::TimePoint EventLoop::now()
 {
     timespec time {};
--- a/src/observability/event.h
+++ b/src/observability/event.h
@@ -40,6 +40,8 @@
     UpstreamRemoved = 310,
     ListingRejected = 311,
     UpstreamMissing = 312,
+    UpstreamSaidLeaving = 313,
+    UpstreamAskedRest = 314,
     RequestRefused = 401,
     RequestFailed = 402,
     RequestUnknown = 403,
--- a/src/observability/internal/event.cpp
+++ b/src/observability/internal/event.cpp
@@ -39,6 +39,8 @@
     EventDescription {UpstreamRemoved, Info, "upstream-removed"},
     EventDescription {ListingRejected, Warning, "listing-rejected"},
     EventDescription {UpstreamMissing, Info, "upstream-missing"},
+    EventDescription {UpstreamSaidLeaving, Info, "upstream-said-leaving"},
+    EventDescription {UpstreamAskedRest, Info, "upstream-asked-rest"},
     EventDescription {RequestRefused, Debug, "request-refused"},
     EventDescription {RequestFailed, Warning, "request-failed"},
     EventDescription {RequestUnknown, Error, "request-unknown"},
--- a/src/relay/batchscheduler.h
+++ b/src/relay/batchscheduler.h
@@ -21,6 +21,7 @@
 struct RunBatch {
     BatchId batch;
     model::UpstreamId upstream;
+    uint64_t incarnation = 0; //!< Of the upstream, according to the registry.
     config::Endpoint address;
     model::PoolId pool;
     std::vector<BatchItem> items;
--- a/src/relay/internal/batchscheduler.cpp
+++ b/src/relay/internal/batchscheduler.cpp
@@ -146,6 +146,7 @@
     const BatchId batch(++m_lastBatch);
     RunBatch command {.batch = batch,
                       .upstream = upstream.listing.id,
+                      .incarnation = upstream.listing.incarnation,
                       .address = upstream.listing.address,
                       .pool = id};
     for (const PieceRef &piece : pieces) {
--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -80,6 +80,7 @@
         StartAttempt {.request = id,
                       .attempt = attempt,
                       .upstream = upstream.listing.id,
+                      .incarnation = upstream.listing.incarnation,
                       .address = upstream.listing.address,
                       .account = exchange.account,
                       .timeLeft = exchange.deadline - now,
--- a/src/relay/internal/upstreamdirectory.cpp
+++ b/src/relay/internal/upstreamdirectory.cpp
@@ -80,6 +80,14 @@
     return it == m_upstreams.end() ? nullptr : it->second.get();
 }
 
+const Upstream *UpstreamDirectory::findByAddress(const config::Endpoint &address) const
+{
+    const auto it = std::find_if(m_upstreams.begin(), m_upstreams.end(), [&](const auto &entry) {
+        return entry.second->listing.address == address;
+    });
+    return it == m_upstreams.end() ? nullptr : it->second.get();
+}
+
 const std::vector<Upstream *> &UpstreamDirectory::inPool(const model::PoolId &pool) const
 {
     static const std::vector<Upstream *> none;
--- a/src/relay/relaycommands.h
+++ b/src/relay/relaycommands.h
@@ -41,6 +41,7 @@
     model::RequestId request;
     model::AttemptId attempt;
     model::UpstreamId upstream;
+    uint64_t incarnation = 0; //!< Of the upstream, according to the registry.
     config::Endpoint address;
     model::AccountId account; //!< Empty if the request has no valid account key.
     model::Duration timeLeft {};
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -19,6 +19,7 @@
 #include "relay/stageplan.h"
 #include "relay/upstreamchooser.h"
 #include "relay/upstreamdirectory.h"
+#include "relay/upstreamnotice.h"
 
 namespace citronpick::relay
 {
@@ -100,6 +101,11 @@
     void onAttemptFailed(model::AttemptId attempt, AttemptFailure failure,
                          const std::string &lastEvent, model::TimePoint now);
 
+    //! The head of an answer to a call was received; \a notice is empty if the upstream states
+    //! nothing about itself.
+    void onUpstreamNotice(const NoticeSource &source, const UpstreamNotice &notice,
+                          model::TimePoint now);
+
     void onBatchAnswered(BatchId batch, const std::vector<ItemOutcome> &outcomes,
                          model::TimePoint now);
     void onBatchRefused(BatchId batch, model::TimePoint now);
--- a/src/relay/upstreamdirectory.h
+++ b/src/relay/upstreamdirectory.h
@@ -58,6 +58,8 @@
 
     Upstream *find(const model::UpstreamId &id);
     const Upstream *find(const model::UpstreamId &id) const;
+    //! An upstream that is listed at this address; null if there is none.
+    const Upstream *findByAddress(const config::Endpoint &address) const;
     //! The upstreams of a pool sorted by id, including those that are leaving.
     const std::vector<Upstream *> &inPool(const model::PoolId &pool) const;
     std::vector<model::UpstreamId> ids() const;
--- /dev/null
+++ b/src/relay/upstreamnotice.h
@@ -0,0 +1,49 @@
+#ifndef CITRONPICK_RELAY_UPSTREAMNOTICE_H
+#define CITRONPICK_RELAY_UPSTREAMNOTICE_H
+
+#include <compare>
+#include <cstdint>
+
+#include "model/ids.h"
+#include "model/time.h"
+
+namespace citronpick::relay
+{
+
+//! A range of incarnations of an upstream, both ends included.
+struct IncarnationRange {
+    uint64_t first = 0;
+    uint64_t last = 0;
+
+    friend auto operator<=>(const IncarnationRange &, const IncarnationRange &) = default;
+};
+
+//! What an upstream states about itself in the head of an answer.
+struct UpstreamNotice {
+    bool isLeaving = false; //!< It takes no new work from now on.
+    //! How long it wants no work from this daemon; zero if it has not asked for that.
+    model::Duration rest {};
+    //! Starts of the upstream so recent that the registry may not show them yet. The answer may
+    //! come from any of these.
+    IncarnationRange recentStarts;
+
+    bool isEmpty() const
+    {
+        return !isLeaving && rest == model::Duration::zero();
+    }
+
+    friend auto operator<=>(const UpstreamNotice &, const UpstreamNotice &) = default;
+};
+
+//! The call whose answer contained a notice.
+struct NoticeSource {
+    model::UpstreamId upstream;
+    uint64_t incarnation = 0; //!< Incarnation of the upstream that was listed when the call began.
+    model::CallerRequestId request; //!< Empty for a call that serves several requests.
+
+    friend auto operator<=>(const NoticeSource &, const NoticeSource &) = default;
+};
+
+} // namespace citronpick::relay
+
+#endif // CITRONPICK_RELAY_UPSTREAMNOTICE_H
