Relay: an upstream whose answer says that it leaves gets no new work

An answer's Server-Leaving decided nothing, so as long as the registry was silent, late or still said 'ready', the upstream stayed the least loaded choice.

Change: LeavingTable keeps by id which starts of an upstream leave, told by a listing, an answer or another daemon. It outlives the listing; only a later start ends it, and one so recent that the registry may not show it yet counts as the one that spoke. All doors ask Upstream::isLeaving(): choice, retry, resume, batches, forecasts. A request whose pool, or a stage's pool, has only leaving upstreams is refused at once instead of waiting for its deadline. The other daemons hear of it as a LeavingFact; the bound holds without that.

--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -249,6 +249,11 @@
                 m_fleet->publish(fleet::ClearedPartFact {.part = publish.part},
                                  net::EventLoop::now());
             },
+            [this](const relay::PublishLeavingUpstream &publish) {
+                m_fleet->publish(fleet::LeavingFact {.upstream = publish.upstream,
+                                                     .incarnation = publish.incarnation},
+                                 net::EventLoop::now());
+            },
             [this](const relay::ReleaseResults &release) {
                 m_batches->release(release, net::EventLoop::now());
             },
--- a/src/daemon/internal/relayfleet.cpp
+++ b/src/daemon/internal/relayfleet.cpp
@@ -33,6 +33,7 @@
     }
     const fleet::FleetUpdates updates = m_fleet->takeUpdates();
     applyCrashFacts(updates, now);
+    applyLeavingFacts(updates, now);
     if (!updates.newerConfigurations.empty() && now >= m_nextConfigurationFetch) {
         m_nextConfigurationFetch = now + configurationFetchInterval;
         const fleet::NewerConfiguration &newer = updates.newerConfigurations.back();
@@ -66,6 +67,13 @@
     }
 }
 
+void RelayDaemon::applyLeavingFacts(const fleet::FleetUpdates &updates, model::TimePoint now)
+{
+    for (const fleet::LeavingFact &leaving : updates.leavingUpstreams) {
+        m_relay->onPeerLeavingUpstream(leaving.upstream, leaving.incarnation, now);
+    }
+}
+
 void RelayDaemon::refreshPeers()
 {
     const uint64_t digest = m_fleet->members().digest();
--- a/src/daemon/internal/relaymetrics.cpp
+++ b/src/daemon/internal/relaymetrics.cpp
@@ -81,6 +81,8 @@
                 "Parts of prompts that were found to crash upstreams", counters.quarantinedParts),
         counter("citronpick_relay_released_parts_total",
                 "Suspected parts of prompts that an answer cleared", counters.releasedParts),
+        counter("citronpick_relay_leaving_notices_total",
+                "Upstreams that stated in an answer that they leave", counters.leavingNotices),
         counter("citronpick_upstream_connects_total", "Connections opened to upstreams",
                 source.upstreamConnects),
         counter("citronpick_log_suppressed_total", "Log lines suppressed", source.suppressedLines),
--- a/src/daemon/internal/relayregistry.cpp
+++ b/src/daemon/internal/relayregistry.cpp
@@ -188,6 +188,7 @@
     const std::string revision = absl::StrCat("revision=", changed.revision);
     if (!changed.value) {
         if (m_relay->upstreams().remove(id)) {
+            m_fleet->withdraw(fleet::LeavingFact {.upstream = id});
             record({.code = EventCode::UpstreamRemoved,
                     .request = {},
                     .subject = id.text(),
@@ -198,6 +199,7 @@
     const auto listing = m_format.decodeUpstream(changed.key, *changed.value);
     if (!listing.ok()) {
         m_relay->upstreams().remove(id);
+        m_fleet->withdraw(fleet::LeavingFact {.upstream = id});
         record({.code = EventCode::ListingRejected,
                 .request = {},
                 .subject = id.text(),
@@ -215,6 +217,9 @@
                 .detail = absl::StrCat(revision, " why=already-leaving")});
         return;
     }
+    if (change == relay::ListingChange::Restarted) {
+        m_fleet->withdraw(fleet::LeavingFact {.upstream = id});
+    }
     const EventCode code = change == relay::ListingChange::Added ? EventCode::UpstreamListed
                            : change == relay::ListingChange::Restarted
                                ? EventCode::UpstreamRestarted
--- a/src/daemon/internal/stagejobcodec.cpp
+++ b/src/daemon/internal/stagejobcodec.cpp
@@ -109,7 +109,7 @@
     const Json document = Json::parse(text, nullptr, false);
     try {
         const int failure = document.at("failure");
-        if (failure < 0 || failure > static_cast<int>(relay::JobFailure::Failed)) {
+        if (failure < 0 || failure > static_cast<int>(relay::JobFailure::Unavailable)) {
             return absl::InvalidArgumentError("unknown failure code in job result");
         }
         return relay::JobResult {.failure = static_cast<relay::JobFailure>(failure),
--- a/src/daemon/relaydaemon.h
+++ b/src/daemon/relaydaemon.h
@@ -82,6 +82,7 @@
     void execute(relay::RelayCommand &command);
     void runFleet(model::TimePoint now);
     void applyCrashFacts(const fleet::FleetUpdates &updates, model::TimePoint now);
+    void applyLeavingFacts(const fleet::FleetUpdates &updates, model::TimePoint now);
     void refreshPeers();
     void checkReady(model::TimePoint now);
     void checkDrain(model::TimePoint now);
--- a/src/relay/batchscheduler.h
+++ b/src/relay/batchscheduler.h
@@ -158,7 +158,9 @@
     };
 
     void dispatch(const model::PoolId &id, Pool &pool, model::TimePoint now);
-    void failWaitingJobs(Pool &pool, model::TimePoint now);
+    //! Why no upstream of the pool takes work; nullopt if one may.
+    std::optional<JobFailure> unavailability(const model::PoolId &pool) const;
+    void failWaitingJobs(Pool &pool, JobFailure failure, model::TimePoint now);
     void failExpiredJobs(Pool &pool, const BatchRule &rule, model::TimePoint now);
     size_t queuedPieces(const Pool &pool) const;
     void updateForecast(const model::PoolId &id, Pool &pool, const BatchRule &rule,
--- a/src/relay/internal/batchfilling.cpp
+++ b/src/relay/internal/batchfilling.cpp
@@ -31,8 +31,8 @@
 void BatchScheduler::dispatch(const model::PoolId &id, Pool &pool, model::TimePoint now)
 {
     const BatchRule *rule = ruleOf(id);
-    if (!rule) {
-        failWaitingJobs(pool, now);
+    if (const std::optional<JobFailure> failure = unavailability(id)) {
+        failWaitingJobs(pool, *failure, now);
     }
     if (pool.waiting.empty()) {
         pool.forecast = {};
@@ -61,12 +61,12 @@
     }
 }
 
-// The pool is not in the current configuration, so nothing will run its jobs.
-void BatchScheduler::failWaitingJobs(Pool &pool, model::TimePoint now)
+// Nothing will run the pool's jobs in the near future.
+void BatchScheduler::failWaitingJobs(Pool &pool, JobFailure failure, model::TimePoint now)
 {
     const std::vector<JobId> waiting = pool.waiting;
     for (const JobId job : waiting) {
-        finish(job, {.failure = JobFailure::NoUpstream, .retryAfter = model::seconds(1)}, now);
+        finish(job, {.failure = failure, .retryAfter = model::seconds(1)}, now);
     }
 }
 
@@ -184,7 +184,7 @@
         const Upstream *upstream = m_directory.find(batch.upstream);
         const model::TimePoint end
             = batch.startedAt + model::scaled(batch.expected, pool.slowdown) + batchTimeSpread;
-        if (batch.pool == id && upstream && !upstream->listing.isLeaving && end > now) {
+        if (batch.pool == id && upstream && !upstream->isLeaving() && end > now) {
             note(upstream->listing.zone, end);
         }
     }
--- a/src/relay/internal/batchforecast.cpp
+++ b/src/relay/internal/batchforecast.cpp
@@ -68,7 +68,7 @@
                         / model::toSeconds(rate.fullBatchTime);
     double piecesPerSecond = 0.0;
     for (const Upstream *upstream : m_directory.inPool(id)) {
-        const bool isOut = upstream->listing.isLeaving || now < upstream->avoidedUntil;
+        const bool isOut = upstream->isLeaving() || now < upstream->avoidedUntil;
         piecesPerSecond += isOut ? 0.0 : each;
     }
     rate.secondsPerPiece = 1.0 / std::max(piecesPerSecond, each);
--- a/src/relay/internal/batchscheduler.cpp
+++ b/src/relay/internal/batchscheduler.cpp
@@ -38,6 +38,8 @@
         return "no-upstream";
     case JobFailure::Failed:
         return "failed";
+    case JobFailure::Unavailable:
+        return "unavailable";
     }
     return "failed";
 }
@@ -53,6 +55,14 @@
     return rule && rule->batch ? &*rule->batch : nullptr;
 }
 
+std::optional<JobFailure> BatchScheduler::unavailability(const model::PoolId &pool) const
+{
+    if (!ruleOf(pool) || m_directory.inPool(pool).empty()) {
+        return JobFailure::NoUpstream;
+    }
+    return m_directory.hasStaying(pool) ? std::nullopt : std::optional(JobFailure::Unavailable);
+}
+
 JobId BatchScheduler::submit(StageJob job, model::TimePoint now)
 {
     const JobId id(++m_lastJob);
@@ -66,8 +76,8 @@
         finish(id, {}, now);
         return id;
     }
-    if (!ruleOf(pool) || m_directory.inPool(pool).empty()) {
-        finish(id, {.failure = JobFailure::NoUpstream, .retryAfter = model::seconds(1)}, now);
+    if (const std::optional<JobFailure> failure = unavailability(pool)) {
+        finish(id, {.failure = *failure, .retryAfter = model::seconds(1)}, now);
         return id;
     }
     m_pools[pool].waiting.push_back(id);
--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -19,8 +19,6 @@
 constexpr model::Duration minAttemptTime = model::milliseconds(20);
 //! A full upstream has capacity again after about the time of one request.
 constexpr model::Duration fullPoolRetryAfter = model::milliseconds(300);
-//! If a pool without upstreams gets one at all, it does so within seconds.
-constexpr model::Duration emptyPoolRetryAfter = model::seconds(1);
 constexpr uint16_t conflictStatus = 409;
 
 } // namespace
--- a/src/relay/internal/relaystages.cpp
+++ b/src/relay/internal/relaystages.cpp
@@ -84,6 +84,12 @@
     return job;
 }
 
+void RelaySystem::runScheduler(model::TimePoint now)
+{
+    m_scheduler.run(now);
+    handleSchedulerOutput(now);
+}
+
 void RelaySystem::handleSchedulerOutput(model::TimePoint now)
 {
     for (BatchCommand &command : m_scheduler.takeCommands()) {
@@ -151,6 +157,7 @@
         return;
     case JobFailure::NoUpstream:
     case JobFailure::Failed:
+    case JobFailure::Unavailable:
         refuse(owner.request, Refusal::StagesFailed, result.retryAfter);
         return;
     }
--- a/src/relay/internal/relaysystem.cpp
+++ b/src/relay/internal/relaysystem.cpp
@@ -251,6 +251,10 @@
                         " pool=", exchange.pool.text(), " account=", exchange.account.text(),
                         " leftMs=", model::toMilliseconds(exchange.deadline - now),
                         " stages=", exchange.route->stages.size()));
+    if (!isServable(exchange)) {
+        refuse(id, Refusal::NoUpstream, emptyPoolRetryAfter);
+        return;
+    }
     if (const std::optional<model::Duration> excess = excessWait(exchange, now)) {
         refuse(id, Refusal::TooLate, std::max(minQueueRetryAfter, *excess));
         return;
@@ -366,8 +370,7 @@
         onTimeout(*request, now);
     }
     runQuarantine(now);
-    m_scheduler.run(now);
-    handleSchedulerOutput(now);
+    runScheduler(now);
     checkPeers(now);
 }
 
--- a/src/relay/internal/upstreamdirectory.cpp
+++ b/src/relay/internal/upstreamdirectory.cpp
@@ -17,35 +17,42 @@
 constexpr model::Duration maxAvoidance = model::seconds(4);
 constexpr uint32_t maxDoublings = 3;
 
+} // namespace
+
 // An upstream that has begun to leave takes new requests only after a restart, so a listing of the
-// same or an earlier start that says otherwise was written late or by another writer.
-bool isOutdated(const UpstreamListing &known, const UpstreamListing &listing)
+// same or an earlier start that says otherwise was written late, by another writer, or by an
+// upstream that states its leaving only in its answers.
+bool UpstreamDirectory::isOutdated(const Upstream *known, const UpstreamListing &listing) const
 {
-    return known.isLeaving && !listing.isLeaving && known.incarnation != 0
-           && listing.incarnation <= known.incarnation;
+    const bool isLeaving = !known || known->listing.isLeaving;
+    return isLeaving && !listing.isLeaving && m_leaving.contains(listing.id, listing.incarnation);
 }
 
-} // namespace
-
 ListingChange UpstreamDirectory::apply(const UpstreamListing &listing)
 {
     Upstream *known = find(listing.id);
+    if (known && known->listing == listing) {
+        return ListingChange::None;
+    }
+    if (isOutdated(known, listing)) {
+        return ListingChange::Outdated;
+    }
+    if (listing.isLeaving && listing.incarnation != 0) {
+        m_leaving.add(listing.id, {.last = listing.incarnation, .recent = {}});
+    }
+    const bool hasSaidLeaving = m_leaving.contains(listing.id, listing.incarnation);
     if (!known) {
         auto upstream = std::make_unique<Upstream>();
         upstream->listing = listing;
+        upstream->hasSaidLeaving = hasSaidLeaving;
         insertIntoPool(*upstream);
         m_upstreams.emplace(listing.id, std::move(upstream));
         return ListingChange::Added;
     }
-    if (known->listing == listing) {
-        return ListingChange::None;
-    }
-    if (isOutdated(known->listing, listing)) {
-        return ListingChange::Outdated;
-    }
     const UpstreamListing before = known->listing;
     eraseFromPool(*known);
     known->listing = listing;
+    known->hasSaidLeaving = hasSaidLeaving;
     insertIntoPool(*known);
     if (before.incarnation != listing.incarnation || before.address != listing.address) {
         known->consecutiveFailures = 0;
@@ -57,6 +64,23 @@
                                                   : ListingChange::Updated;
 }
 
+bool UpstreamDirectory::noteLeaving(const model::UpstreamId &id, const UpstreamStarts &starts)
+{
+    const bool isNew = m_leaving.add(id, starts);
+    if (Upstream *upstream = find(id)) {
+        upstream->hasSaidLeaving = m_leaving.contains(id, upstream->listing.incarnation);
+    }
+    m_leaving.limit([this](const model::UpstreamId &each) { return find(each) != nullptr; });
+    return isNew;
+}
+
+bool UpstreamDirectory::hasStaying(const model::PoolId &pool) const
+{
+    const std::vector<Upstream *> &upstreams = inPool(pool);
+    return std::any_of(upstreams.begin(), upstreams.end(),
+                       [](const Upstream *upstream) { return !upstream->isLeaving(); });
+}
+
 bool UpstreamDirectory::remove(const model::UpstreamId &id)
 {
     const auto it = m_upstreams.find(id);
@@ -139,7 +163,7 @@
 
 bool UpstreamDirectory::isUsable(const Upstream &upstream, model::TimePoint now)
 {
-    if (upstream.listing.isLeaving || now < upstream.avoidedUntil) {
+    if (upstream.isLeaving() || now < upstream.avoidedUntil) {
         return false;
     }
     return !upstream.isOnTrial || upstream.inFlight == 0;
--- a/src/relay/relaycommands.h
+++ b/src/relay/relaycommands.h
@@ -137,11 +137,18 @@
     model::Fingerprint part;
 };
 
-using RelayCommand = std::variant<StartAttempt, CancelAttempt, StartStream, ResumeStream,
-                                  FinishStream, ForwardAnswer, AbortAnswer, RefuseRequest, RunBatch,
-                                  CancelBatch, ForwardJob, CancelForwardedJob, AnswerPeer,
-                                  ReleaseResults, PublishCrashReport, PublishSuspectedPart,
-                                  PublishQuarantinedPart, PublishClearedPart, observability::Event>;
+//! Tell the other daemons that an upstream stated in an answer that it leaves.
+struct PublishLeavingUpstream {
+    model::UpstreamId upstream;
+    uint64_t incarnation = 0;
+};
+
+using RelayCommand
+    = std::variant<StartAttempt, CancelAttempt, StartStream, ResumeStream, FinishStream,
+                   ForwardAnswer, AbortAnswer, RefuseRequest, RunBatch, CancelBatch, ForwardJob,
+                   CancelForwardedJob, AnswerPeer, ReleaseResults, PublishCrashReport,
+                   PublishSuspectedPart, PublishQuarantinedPart, PublishClearedPart,
+                   PublishLeavingUpstream, observability::Event>;
 
 } // namespace citronpick::relay
 
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -47,6 +47,7 @@
     uint64_t stageRestarts = 0;
     uint64_t quarantinedParts = 0;
     uint64_t releasedParts = 0;
+    uint64_t leavingNotices = 0;
     observability::Histogram firstEvents; //!< From a request's arrival to its stream's first event.
     observability::Histogram answers; //!< From a request's arrival to the end of its answer.
 };
@@ -105,6 +106,9 @@
     //! nothing about itself.
     void onUpstreamNotice(const NoticeSource &source, const UpstreamNotice &notice,
                           model::TimePoint now);
+    //! Another daemon was told by an upstream of this incarnation that it leaves.
+    void onPeerLeavingUpstream(const model::UpstreamId &upstream, uint64_t incarnation,
+                               model::TimePoint now);
 
     void onBatchAnswered(BatchId batch, const std::vector<ItemOutcome> &outcomes,
                          model::TimePoint now);
@@ -223,6 +227,9 @@
         Typical, //!< From recent measurements.
     };
 
+    //! If a pool without upstreams gets one at all, it does so within seconds.
+    static constexpr model::Duration emptyPoolRetryAfter = model::seconds(1);
+
     // Arrival
     std::optional<Refusal> admit(Exchange &exchange, model::TimePoint now) const;
     model::PoolId poolOf(const Exchange &exchange) const;
@@ -286,6 +293,11 @@
     //! Whether another attempt is allowed; consumes one retry of the budget if so.
     bool acquireRetry(const Exchange &exchange, model::TimePoint now);
 
+    // Notices of upstreams
+    bool isServable(const Exchange &exchange) const;
+    UpstreamStarts startsOf(const NoticeSource &source, const UpstreamNotice &notice) const;
+    void runScheduler(model::TimePoint now);
+
     // Quarantine
     bool isQuarantined(const Exchange &exchange, model::TimePoint now) const;
     //! Returns whether the report puts something into quarantine.
--- a/src/relay/stagejob.h
+++ b/src/relay/stagejob.h
@@ -82,6 +82,7 @@
     InputsGone, //!< An input has expired, was lost or was already released.
     NoUpstream,
     Failed, //!< A piece failed on every allowed attempt.
+    Unavailable, //!< No upstream of the pool takes work before the job's deadline.
 };
 
 std::string_view toString(JobFailure failure);
--- a/src/relay/upstreamdirectory.h
+++ b/src/relay/upstreamdirectory.h
@@ -9,6 +9,7 @@
 #include "config/settings.h"
 #include "model/ids.h"
 #include "model/time.h"
+#include "relay/leavingtable.h"
 
 namespace citronpick::relay
 {
@@ -36,6 +37,13 @@
     //! Batches are not sent before this time; requests only if no other upstream is usable.
     model::TimePoint avoidedUntil;
     bool isOnTrial = false; //!< Failed recently; gets one request at a time until one succeeds.
+    bool hasSaidLeaving = false; //!< Stated in an answer that it leaves.
+
+    //! Whether it gets no new work until it starts again.
+    bool isLeaving() const
+    {
+        return listing.isLeaving || hasSaidLeaving;
+    }
 };
 
 //! How a listing differed from the known one.
@@ -68,6 +76,12 @@
         return m_upstreams.size();
     }
 
+    //! An answer, or another daemon, states that these starts of the upstream leave; it need not
+    //! be listed. Returns false if this is known.
+    bool noteLeaving(const model::UpstreamId &id, const UpstreamStarts &starts);
+    //! Whether a pool has an upstream that does not leave.
+    bool hasStaying(const model::PoolId &pool) const;
+
     //! The upstream refused or closed a connection, or did not answer.
     void noteFailure(const model::UpstreamId &id, model::TimePoint now);
     //! A different upstream answers at the address of this one, which is still listed.
@@ -78,11 +92,13 @@
     static bool isUsable(const Upstream &upstream, model::TimePoint now);
 
 private:
+    bool isOutdated(const Upstream *known, const UpstreamListing &listing) const;
     void insertIntoPool(Upstream &upstream);
     void eraseFromPool(const Upstream &upstream);
 
     absl::flat_hash_map<model::UpstreamId, std::unique_ptr<Upstream>> m_upstreams;
     absl::flat_hash_map<model::PoolId, std::vector<Upstream *>> m_pools;
+    LeavingTable m_leaving;
 };
 
 } // namespace citronpick::relay
--- a/src/relay/upstreamnotice.h
+++ b/src/relay/upstreamnotice.h
@@ -35,6 +35,19 @@
     friend auto operator<=>(const UpstreamNotice &, const UpstreamNotice &) = default;
 };
 
+//! Starts of an upstream, by their incarnations.
+struct UpstreamStarts {
+    uint64_t last = 0; //!< The latest one that is listed; all earlier ones are included.
+    IncarnationRange recent; //!< Further ones, which may not be listed yet.
+
+    bool contains(uint64_t incarnation) const
+    {
+        return incarnation <= last || (incarnation >= recent.first && incarnation <= recent.last);
+    }
+
+    friend auto operator<=>(const UpstreamStarts &, const UpstreamStarts &) = default;
+};
+
 //! The call whose answer contained a notice.
 struct NoticeSource {
     model::UpstreamId upstream;
