Relay: an upstream that asks for a rest is left alone until it is over

The request went elsewhere, but the next one was free to go there: with one answer in four shed, the upstream had the fewest requests in flight and was the first choice.

Change: NoticeTable keeps the end of the rest beside the leaving, by id and start, so that neither a success, a shorter time asked later, a listing nor a removal ends it; a restart does. Requests, retries, resumes, batches and releases of results are held off, also if no other upstream is left. No strike is counted, also for a 503 that does not say that it has not run. A pool of which all rest refuses at once, with the time at which the first is back; pieces of a stage wait for it if their deadline allows, and are refused at once if not. Daemons come back 10 ms apart on average over the fleet, each with one request until one succeeds. A retry is no longer taken from the budget when no upstream is left for it.

--- a/src/daemon/internal/batchrunner.cpp
+++ b/src/daemon/internal/batchrunner.cpp
@@ -15,6 +15,10 @@
 //! delay is short compared with the lifetime of results.
 constexpr model::Duration releaseDelay = model::milliseconds(15);
 constexpr model::Duration releaseTimeout = model::seconds(2);
+//! Results expire after a few seconds.
+constexpr model::Duration maxReleaseDelay = model::seconds(5);
+//! Exceeds the results that one upstream stores for one daemon.
+constexpr size_t maxPostponedHandles = 4096;
 //! Only a safeguard: the scheduler cancels batches much earlier.
 constexpr model::Duration batchTimeout = model::seconds(20);
 //! Exceeds the answer to the largest batch, which holds a short handle for each piece.
@@ -76,8 +80,8 @@
             m_releases[*producer].push_back(handle);
         }
     }
-    if (!m_releases.empty() && m_nextFlush == model::TimePoint::max()) {
-        m_nextFlush = now + releaseDelay;
+    if (!m_releases.empty()) {
+        m_nextFlush = std::min(m_nextFlush, now + releaseDelay);
     }
 }
 
@@ -87,8 +91,12 @@
         return;
     }
     m_nextFlush = model::TimePoint::max();
-    for (const auto &[producer, handles] : std::exchange(m_releases, {})) {
+    for (auto &[producer, handles] : std::exchange(m_releases, {})) {
         const relay::Upstream *upstream = m_system.upstreams().findByAddress(producer);
+        if (upstream && !relay::UpstreamDirectory::isAvailable(*upstream, now)) {
+            postpone(*upstream, producer, std::move(handles), now);
+            continue;
+        }
         const model::UpstreamId id = upstream ? upstream->listing.id : model::UpstreamId();
         net::UpstreamCall call = m_format.encodeRelease(producer, id, handles);
         call.timeout = releaseTimeout;
@@ -98,16 +106,37 @@
     }
 }
 
+// An upstream that leaves takes its results with it, and after a long rest they have expired.
+void BatchRunner::postpone(const relay::Upstream &upstream, const config::Endpoint &producer,
+                           std::vector<relay::ResultHandle> handles, model::TimePoint now)
+{
+    const bool isWorthwhile = !upstream.isLeaving() && upstream.restUntil - now <= maxReleaseDelay
+                              && handles.size() <= maxPostponedHandles;
+    m_host.record({.code = observability::EventCode::ReleaseHeld,
+                   .request = {},
+                   .subject = upstream.listing.id.text(),
+                   .detail = absl::StrCat("handles=", handles.size(),
+                                          " outcome=", isWorthwhile ? "postponed" : "dropped")});
+    if (!isWorthwhile) {
+        return;
+    }
+    m_releases[producer] = std::move(handles);
+    m_nextFlush = std::min(m_nextFlush, upstream.restUntil);
+}
+
 void BatchRunner::onHead(uint64_t call, const net::MessageHead &head)
 {
     const auto it = m_calls.find(call);
     if (it == m_calls.end()) {
         return;
     }
-    it->second.facts = m_format.decodeAnswer(head, {});
+    Call &received = it->second;
+    received.facts = m_format.decodeAnswer(head, {});
+    const relay::UpstreamNotice notice = m_format.decodeNotice(head, net::EventLoop::wallTime());
+    received.hasAskedRest = notice.rest > model::Duration::zero();
     m_system.onUpstreamNotice(
-        {.upstream = it->second.upstream, .incarnation = it->second.incarnation, .request = {}},
-        m_format.decodeNotice(head, net::EventLoop::wallTime()), net::EventLoop::now());
+        {.upstream = received.upstream, .incarnation = received.incarnation, .request = {}}, notice,
+        net::EventLoop::now());
     m_host.execute();
 }
 
@@ -133,7 +162,9 @@
     m_callsByBatch.erase(call.batch);
     constexpr uint16_t success = 200;
     const model::TimePoint now = net::EventLoop::now();
-    if (call.facts.wasNotRun) {
+    if (call.facts.wasNotRun || call.hasAskedRest) {
+        // Pieces may be processed again, so it does not matter whether a batch that was turned away
+        // for a rest has run.
         record(call, absl::StrCat("refused-", call.facts.status));
         m_system.onBatchRefused(call.batch, now);
     } else if (isLateCopy(call)) {
--- a/src/daemon/internal/batchrunner.h
+++ b/src/daemon/internal/batchrunner.h
@@ -48,6 +48,7 @@
         uint64_t itemsDigest = 0; //!< Hash of which pieces the batch contains.
         model::TimePoint startedAt;
         relay::AnswerFacts facts;
+        bool hasAskedRest = false;
         std::string body;
     };
 
@@ -59,6 +60,9 @@
 
     //! Whether \a call was answered with a copy of the answer to the upstream's previous batch.
     bool isLateCopy(const Call &call);
+    //! Keeps a release until its upstream takes calls again, or drops it.
+    void postpone(const relay::Upstream &upstream, const config::Endpoint &producer,
+                  std::vector<relay::ResultHandle> handles, model::TimePoint now);
     void record(const Call &call, std::string_view outcome);
 
     net::UpstreamClient &m_client;
--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -345,7 +345,8 @@
                              .fleet = *m_fleet,
                              .connections = m_exchanges->server().connectionCount(),
                              .upstreamConnects = m_client.connectsStarted(),
-                             .suppressedLines = m_logLimiter.suppressedTotal()});
+                             .suppressedLines = m_logLimiter.suppressedTotal(),
+                             .now = net::EventLoop::now()});
 }
 
 } // namespace citronpick::daemon
--- a/src/daemon/internal/relaymetrics.h
+++ b/src/daemon/internal/relaymetrics.h
@@ -16,6 +16,7 @@
     size_t connections = 0;
     uint64_t upstreamConnects = 0;
     uint64_t suppressedLines = 0;
+    model::TimePoint now;
 };
 
 //! Formats the metrics of a RelayDaemon in the Prometheus text format.
--- a/src/observability/event.h
+++ b/src/observability/event.h
@@ -82,6 +82,7 @@
     BatchEnded = 812,
     CoordinatorAvoided = 813,
     AnswerBegan = 814,
+    ReleaseHeld = 815,
     LinesSuppressed = 901,
 };
 
--- a/src/observability/internal/event.cpp
+++ b/src/observability/internal/event.cpp
@@ -81,6 +81,7 @@
     EventDescription {BatchEnded, Info, "batch-ended"},
     EventDescription {CoordinatorAvoided, Warning, "coordinator-avoided"},
     EventDescription {AnswerBegan, Info, "answer-began"},
+    EventDescription {ReleaseHeld, Info, "release-held"},
     EventDescription {LinesSuppressed, Warning, "lines-suppressed"},
 };
 
--- a/src/relay/batchscheduler.h
+++ b/src/relay/batchscheduler.h
@@ -137,6 +137,9 @@
         std::vector<JobId> waiting; //!< Jobs with queued pieces.
         //! End of the wait of queued jobs for an upstream in their preferred zone.
         model::TimePoint zoneWaitUntil = model::TimePoint::max();
+        //! When an upstream takes work again if all of them rest.
+        model::TimePoint availableFrom;
+        model::TimePoint nextReturn = model::TimePoint::max(); //!< When a rest ends next.
         model::TimePoint nextForecast;
         QueueForecast forecast; //!< Calculated at forecastAt.
         model::TimePoint forecastAt;
@@ -158,9 +161,10 @@
     };
 
     void dispatch(const model::PoolId &id, Pool &pool, model::TimePoint now);
-    //! Why no upstream of the pool takes work; nullopt if one may.
-    std::optional<JobFailure> unavailability(const model::PoolId &pool) const;
-    void failWaitingJobs(Pool &pool, JobFailure failure, model::TimePoint now);
+    //! The result of a job that no upstream of its pool will run in time; nullopt for another job.
+    std::optional<JobResult> unavailability(const StageJob &job, model::TimePoint availableFrom,
+                                            model::TimePoint now) const;
+    void failUnavailableJobs(Pool &pool, model::TimePoint now);
     void failExpiredJobs(Pool &pool, const BatchRule &rule, model::TimePoint now);
     size_t queuedPieces(const Pool &pool) const;
     void updateForecast(const model::PoolId &id, Pool &pool, const BatchRule &rule,
--- a/src/relay/internal/batchfilling.cpp
+++ b/src/relay/internal/batchfilling.cpp
@@ -31,14 +31,16 @@
 void BatchScheduler::dispatch(const model::PoolId &id, Pool &pool, model::TimePoint now)
 {
     const BatchRule *rule = ruleOf(id);
-    if (const std::optional<JobFailure> failure = unavailability(id)) {
-        failWaitingJobs(pool, *failure, now);
+    pool.availableFrom = m_directory.availableFrom(id, now);
+    if (!rule || pool.availableFrom > now) {
+        failUnavailableJobs(pool, now);
     }
     if (pool.waiting.empty()) {
         pool.forecast = {};
         return;
     }
     failExpiredJobs(pool, *rule, now);
+    pool.nextReturn = m_directory.nextReturn(id, now);
     updateForecast(id, pool, *rule, now);
     pool.zoneWaitUntil = model::TimePoint::max();
     std::vector<Upstream *> free = freeUpstreams(id, *rule, now);
@@ -61,12 +63,15 @@
     }
 }
 
-// Nothing will run the pool's jobs in the near future.
-void BatchScheduler::failWaitingJobs(Pool &pool, JobFailure failure, model::TimePoint now)
+// Fails jobs that no upstream of the pool will run in time.
+void BatchScheduler::failUnavailableJobs(Pool &pool, model::TimePoint now)
 {
     const std::vector<JobId> waiting = pool.waiting;
     for (const JobId job : waiting) {
-        finish(job, {.failure = failure, .retryAfter = model::seconds(1)}, now);
+        if (std::optional<JobResult> failed
+            = unavailability(m_jobs.at(job).content, pool.availableFrom, now)) {
+            finish(job, *std::move(failed), now);
+        }
     }
 }
 
--- a/src/relay/internal/batchforecast.cpp
+++ b/src/relay/internal/batchforecast.cpp
@@ -68,7 +68,8 @@
                         / model::toSeconds(rate.fullBatchTime);
     double piecesPerSecond = 0.0;
     for (const Upstream *upstream : m_directory.inPool(id)) {
-        const bool isOut = upstream->isLeaving() || now < upstream->avoidedUntil;
+        const bool isOut
+            = !UpstreamDirectory::isAvailable(*upstream, now) || now < upstream->avoidedUntil;
         piecesPerSecond += isOut ? 0.0 : each;
     }
     rate.secondsPerPiece = 1.0 / std::max(piecesPerSecond, each);
@@ -99,6 +100,7 @@
             first = std::min(first, batch.startedAt + model::scaled(batch.expected, pool.slowdown));
         }
     }
+    first = std::min(first, pool.nextReturn);
     return first == model::TimePoint::max() ? now : std::max(now, first);
 }
 
@@ -147,7 +149,7 @@
 void BatchScheduler::shedLateJobs(Pool &pool, const BatchRule &rule, const PoolRate &rate,
                                   model::TimePoint now)
 {
-    model::Duration wait {};
+    model::Duration wait = std::max(model::Duration::zero(), pool.availableFrom - now);
     std::vector<std::pair<JobId, model::Duration>> unreachable;
     for (const JobId job : pool.waiting) {
         const Job &entry = m_jobs.at(job);
--- a/src/relay/internal/batchscheduler.cpp
+++ b/src/relay/internal/batchscheduler.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "relay/retryafter.h"
+
 namespace citronpick::relay
 {
 
@@ -55,12 +57,22 @@
     return rule && rule->batch ? &*rule->batch : nullptr;
 }
 
-std::optional<JobFailure> BatchScheduler::unavailability(const model::PoolId &pool) const
+std::optional<JobResult> BatchScheduler::unavailability(const StageJob &job,
+                                                        model::TimePoint availableFrom,
+                                                        model::TimePoint now) const
 {
-    if (!ruleOf(pool) || m_directory.inPool(pool).empty()) {
-        return JobFailure::NoUpstream;
+    const BatchRule *rule = ruleOf(job.pool);
+    if (!rule || m_directory.inPool(job.pool).empty()) {
+        return JobResult {.failure = JobFailure::NoUpstream, .retryAfter = emptyPoolRetryAfter};
+    }
+    const bool canRun = availableFrom <= now
+                        || (availableFrom < model::TimePoint::max()
+                            && availableFrom + rule->callTime < job.deadline);
+    if (canRun) {
+        return std::nullopt;
     }
-    return m_directory.hasStaying(pool) ? std::nullopt : std::optional(JobFailure::Unavailable);
+    return JobResult {.failure = JobFailure::Unavailable,
+                      .retryAfter = retryAfterFor(availableFrom, emptyPoolRetryAfter, now)};
 }
 
 JobId BatchScheduler::submit(StageJob job, model::TimePoint now)
@@ -76,8 +88,9 @@
         finish(id, {}, now);
         return id;
     }
-    if (const std::optional<JobFailure> failure = unavailability(pool)) {
-        finish(id, {.failure = *failure, .retryAfter = model::seconds(1)}, now);
+    if (std::optional<JobResult> failed
+        = unavailability(entry.content, m_directory.availableFrom(pool, now), now)) {
+        finish(id, *std::move(failed), now);
         return id;
     }
     m_pools[pool].waiting.push_back(id);
@@ -124,6 +137,7 @@
             continue;
         }
         consider(pool.zoneWaitUntil);
+        consider(pool.nextReturn);
         for (const Upstream *upstream : m_directory.inPool(id)) {
             if (upstream->inFlight == 0 && upstream->avoidedUntil > model::TimePoint()) {
                 consider(upstream->avoidedUntil);
@@ -173,7 +187,7 @@
         = rule.callTime + rule.itemTime * static_cast<int64_t>(pieces.size());
     const model::Duration timeLimit
         = model::scaled(expected, overdueFactor * pool.slowdown) + overdueMargin;
-    ++upstream.inFlight;
+    UpstreamDirectory::noteStarted(upstream, now);
     m_batches.emplace(
         batch, Batch {.pool = id,
                       .upstream = upstream.listing.id,
@@ -193,10 +207,7 @@
     }
     Batch batch = std::move(it->second);
     m_batches.erase(it);
-    Upstream *upstream = m_directory.find(batch.upstream);
-    if (upstream && upstream->inFlight > 0) {
-        --upstream->inFlight;
-    }
+    m_directory.noteEnded(batch.upstream, batch.startedAt);
     return batch;
 }
 
@@ -211,7 +222,7 @@
     const double ratio = model::toSeconds(now - batch->startedAt)
                          / std::max(model::toSeconds(batch->expected), 0.001);
     pool.slowdown += slowdownWeight * (std::clamp(ratio, 1.0, maxSlowdown) - pool.slowdown);
-    m_directory.noteSuccess(batch->upstream);
+    m_directory.noteSuccess(batch->upstream, batch->startedAt);
     noteStoredResults(*batch, outcomes, now);
     const Upstream *producer = m_directory.find(batch->upstream);
     const model::ZoneId zone = producer ? producer->listing.zone : model::ZoneId();
--- a/src/relay/internal/relayanswers.cpp
+++ b/src/relay/internal/relayanswers.cpp
@@ -44,7 +44,7 @@
                        absl::StrCat("why=no-stream status=", facts.status), now);
         return;
     }
-    m_directory.noteSuccess(it->second.upstream);
+    m_directory.noteSuccess(it->second.upstream, it->second.startedAt);
     it->second.lastProgressAt = now;
     m_timeouts.add(now + progressTimeout(exchange), exchange.arrived.request);
     if (exchange.isAnswerStarted) {
--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -4,6 +4,7 @@
 
 #include "model/abslview.h"
 #include "relay/relaysystem.h"
+#include "relay/retryafter.h"
 
 namespace citronpick::relay
 {
@@ -49,13 +50,13 @@
             return;
         }
         refuse(id, exchange.sentAttempts > 0 ? Refusal::UpstreamsFull : Refusal::NoUpstream,
-               emptyPoolRetryAfter);
+               retryAfterOf(exchange.pool, emptyPoolRetryAfter, now));
         return;
     }
     Upstream &upstream = *m_directory.find(choice->listing.id);
     const model::AttemptId attempt(++m_lastAttempt);
     ++m_counters.attempts;
-    ++upstream.inFlight;
+    UpstreamDirectory::noteStarted(upstream, now);
     upstream.inFlightTokens += exchange.arrived.promptTokens;
     m_attempts[attempt] = {.request = id,
                            .upstream = upstream.listing.id,
@@ -128,8 +129,8 @@
     const auto it = m_attempts.find(id);
     Attempt attempt = std::move(it->second);
     m_attempts.erase(it);
+    m_directory.noteEnded(attempt.upstream, attempt.startedAt);
     if (Upstream *upstream = m_directory.find(attempt.upstream)) {
-        upstream->inFlight -= std::min(upstream->inFlight, 1U);
         upstream->inFlightTokens -= std::min(upstream->inFlightTokens, attempt.tokens);
     }
     if (Exchange *exchange = find(attempt.request)) {
@@ -186,7 +187,7 @@
         onAnswerLost(exchange, attempt.upstream, AttemptFailure::Malformed, now);
         return;
     }
-    m_directory.noteSuccess(attempt.upstream);
+    m_directory.noteSuccess(attempt.upstream, attempt.startedAt);
     if (facts.status < firstServerError) {
         addAnswer(exchange, now);
     }
@@ -219,7 +220,7 @@
         restartStages(exchange, now);
         return;
     }
-    if (acquireRetry(exchange, now)) {
+    if (m_chooser.choose(criteriaOf(exchange), now) && acquireRetry(exchange, now)) {
         ++m_counters.retries;
         startAttempt(exchange, now);
         return;
@@ -231,7 +232,7 @@
         closeExchange(id);
         return;
     }
-    refuse(id, Refusal::UpstreamsFull, fullPoolRetryAfter);
+    refuse(id, Refusal::UpstreamsFull, retryAfterOf(exchange.pool, fullPoolRetryAfter, now));
 }
 
 void RelaySystem::onAttemptFailed(model::AttemptId id, AttemptFailure failure,
@@ -277,7 +278,7 @@
     } else {
         refuse(exchange.arrived.request,
                exchange.sentAttempts == 0 ? Refusal::NoUpstream : Refusal::UpstreamFailed,
-               emptyPoolRetryAfter);
+               retryAfterOf(exchange.pool, emptyPoolRetryAfter, now));
     }
 }
 
--- a/src/relay/internal/relaynotices.cpp
+++ b/src/relay/internal/relaynotices.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/str_cat.h>
 
 #include "relay/relaysystem.h"
+#include "relay/retryafter.h"
 
 // The part of RelaySystem that handles what upstreams state about themselves in their answers.
 
@@ -11,19 +12,40 @@
 
 using observability::EventCode;
 
-// A request is not begun if all upstreams that could run one of its stages, or its end, leave.
-bool RelaySystem::isServable(const Exchange &exchange) const
+namespace
 {
-    const auto isServed = [this](const model::PoolId &pool) {
-        return m_directory.inPool(pool).empty() || m_directory.hasStaying(pool);
+
+//! Daemons that an upstream told to wait at the same moment return about this long after each
+//! other.
+constexpr model::Duration returnInterval = model::milliseconds(10);
+
+} // namespace
+
+model::Duration RelaySystem::retryAfterOf(const model::PoolId &pool, model::Duration otherwise,
+                                          model::TimePoint now) const
+{
+    return retryAfterFor(m_directory.availableFrom(pool, now), otherwise, now);
+}
+
+// A request does not begin its stages if all upstreams of one of them leave, or if those that would
+// run the request itself leave or rest for too long.
+std::optional<model::Duration> RelaySystem::unservableRetryAfter(const Exchange &exchange,
+                                                                 model::TimePoint now) const
+{
+    const auto isServed = [&](const model::PoolId &pool, model::TimePoint until) {
+        return m_directory.inPool(pool).empty() || m_directory.availableFrom(pool, now) < until;
     };
     const std::vector<StageRule> &stages = exchange.route->stages;
     for (uint32_t i = 0; i < stages.size(); ++i) {
-        if (exchange.plan.pieceCount(i) > 0 && !isServed(stages[i].pool)) {
-            return false;
+        const bool isNeeded = exchange.plan.pieceCount(i) > 0;
+        if (isNeeded && !isServed(stages[i].pool, model::TimePoint::max())) {
+            return emptyPoolRetryAfter;
         }
     }
-    return isServed(exchange.pool);
+    if (stages.empty() || isServed(exchange.pool, exchange.firstEventDeadline)) {
+        return std::nullopt;
+    }
+    return retryAfterOf(exchange.pool, emptyPoolRetryAfter, now);
 }
 
 // The answer came from the start of the upstream that was listed when the call began, or from a
@@ -56,11 +78,16 @@
         runScheduler(now);
     }
     if (notice.rest > model::Duration::zero()) {
+        const model::Duration spread = model::scaled(
+            returnInterval * static_cast<int64_t>(m_peers.size()), m_random.uniformDouble());
+        m_directory.noteRest(source.upstream, starts, now + notice.rest + spread);
+        ++m_counters.restNotices;
         m_commands.emplace_back(observability::Event {
             .code = EventCode::UpstreamAskedRest,
             .request = source.request,
             .subject = source.upstream.text(),
-            .detail = absl::StrCat(incarnation, " restMs=", model::toMilliseconds(notice.rest))});
+            .detail = absl::StrCat(incarnation, " restMs=", model::toMilliseconds(notice.rest),
+                                   " spreadMs=", model::toMilliseconds(spread))});
     }
 }
 
--- a/src/relay/internal/relaysystem.cpp
+++ b/src/relay/internal/relaysystem.cpp
@@ -98,6 +98,7 @@
     , m_scheduler(m_directory)
     , m_budget(m_options.retries)
     , m_quarantine(crashesToQuarantine, crashReportLifetime, quarantineLifetime)
+    , m_random(m_options.seed)
 {
 }
 
@@ -251,8 +252,8 @@
                         " pool=", exchange.pool.text(), " account=", exchange.account.text(),
                         " leftMs=", model::toMilliseconds(exchange.deadline - now),
                         " stages=", exchange.route->stages.size()));
-    if (!isServable(exchange)) {
-        refuse(id, Refusal::NoUpstream, emptyPoolRetryAfter);
+    if (const std::optional<model::Duration> retryAfter = unservableRetryAfter(exchange, now)) {
+        refuse(id, Refusal::NoUpstream, *retryAfter);
         return;
     }
     if (const std::optional<model::Duration> excess = excessWait(exchange, now)) {
--- a/src/relay/internal/upstreamchooser.cpp
+++ b/src/relay/internal/upstreamchooser.cpp
@@ -42,7 +42,7 @@
         const bool isExcluded
             = std::find(criteria.excluded.begin(), criteria.excluded.end(), upstream->listing.id)
               != criteria.excluded.end();
-        if (isExcluded || upstream->isLeaving()) {
+        if (isExcluded || !UpstreamDirectory::isAvailable(*upstream, now)) {
             continue;
         }
         (UpstreamDirectory::isUsable(*upstream, now) ? usable : avoided).push_back(upstream);
--- a/src/relay/internal/upstreamdirectory.cpp
+++ b/src/relay/internal/upstreamdirectory.cpp
@@ -25,7 +25,7 @@
 bool UpstreamDirectory::isOutdated(const Upstream *known, const UpstreamListing &listing) const
 {
     const bool isLeaving = !known || known->listing.isLeaving;
-    return isLeaving && !listing.isLeaving && m_leaving.contains(listing.id, listing.incarnation);
+    return isLeaving && !listing.isLeaving && m_notices.isLeaving(listing.id, listing.incarnation);
 }
 
 ListingChange UpstreamDirectory::apply(const UpstreamListing &listing)
@@ -38,13 +38,14 @@
         return ListingChange::Outdated;
     }
     if (listing.isLeaving && listing.incarnation != 0) {
-        m_leaving.add(listing.id, {.last = listing.incarnation, .recent = {}});
+        m_notices.addLeaving(listing.id, {.last = listing.incarnation, .recent = {}});
     }
-    const bool hasSaidLeaving = m_leaving.contains(listing.id, listing.incarnation);
+    const bool hasSaidLeaving = m_notices.isLeaving(listing.id, listing.incarnation);
     if (!known) {
         auto upstream = std::make_unique<Upstream>();
         upstream->listing = listing;
         upstream->hasSaidLeaving = hasSaidLeaving;
+        applyRest(*upstream);
         insertIntoPool(*upstream);
         m_upstreams.emplace(listing.id, std::move(upstream));
         return ListingChange::Added;
@@ -53,6 +54,7 @@
     eraseFromPool(*known);
     known->listing = listing;
     known->hasSaidLeaving = hasSaidLeaving;
+    applyRest(*known);
     insertIntoPool(*known);
     if (before.incarnation != listing.incarnation || before.address != listing.address) {
         known->consecutiveFailures = 0;
@@ -66,19 +68,85 @@
 
 bool UpstreamDirectory::noteLeaving(const model::UpstreamId &id, const UpstreamStarts &starts)
 {
-    const bool isNew = m_leaving.add(id, starts);
+    const bool isNew = m_notices.addLeaving(id, starts);
     if (Upstream *upstream = find(id)) {
-        upstream->hasSaidLeaving = m_leaving.contains(id, upstream->listing.incarnation);
+        upstream->hasSaidLeaving = m_notices.isLeaving(id, upstream->listing.incarnation);
     }
-    m_leaving.limit([this](const model::UpstreamId &each) { return find(each) != nullptr; });
+    m_notices.limit([this](const model::UpstreamId &each) { return find(each) != nullptr; });
     return isNew;
 }
 
-bool UpstreamDirectory::hasStaying(const model::PoolId &pool) const
+void UpstreamDirectory::noteRest(const model::UpstreamId &id, const UpstreamStarts &starts,
+                                 model::TimePoint until)
 {
-    const std::vector<Upstream *> &upstreams = inPool(pool);
-    return std::any_of(upstreams.begin(), upstreams.end(),
-                       [](const Upstream *upstream) { return !upstream->isLeaving(); });
+    m_notices.addRest(id, starts, until);
+    if (Upstream *upstream = find(id)) {
+        applyRest(*upstream);
+    }
+    m_notices.limit([this](const model::UpstreamId &each) { return find(each) != nullptr; });
+}
+
+void UpstreamDirectory::applyRest(Upstream &upstream) const
+{
+    const model::TimePoint until
+        = m_notices.restUntil(upstream.listing.id, upstream.listing.incarnation);
+    if (until == upstream.restUntil) {
+        return;
+    }
+    upstream.restUntil = until;
+    upstream.isReturning = until != model::TimePoint();
+    upstream.inFlightSinceRest = 0;
+}
+
+model::TimePoint UpstreamDirectory::availableFrom(const model::PoolId &pool,
+                                                  model::TimePoint now) const
+{
+    model::TimePoint earliest = model::TimePoint::max();
+    for (const Upstream *upstream : inPool(pool)) {
+        if (!upstream->isLeaving()) {
+            earliest = std::min(earliest, std::max(now, upstream->restUntil));
+        }
+    }
+    return earliest;
+}
+
+model::TimePoint UpstreamDirectory::nextReturn(const model::PoolId &pool,
+                                               model::TimePoint now) const
+{
+    model::TimePoint next = model::TimePoint::max();
+    for (const Upstream *upstream : inPool(pool)) {
+        if (!upstream->isLeaving() && now < upstream->restUntil) {
+            next = std::min(next, upstream->restUntil);
+        }
+    }
+    return next;
+}
+
+size_t UpstreamDirectory::restingCount(model::TimePoint now) const
+{
+    return static_cast<size_t>(
+        std::count_if(m_upstreams.begin(), m_upstreams.end(),
+                      [now](const auto &entry) { return now < entry.second->restUntil; }));
+}
+
+void UpstreamDirectory::noteStarted(Upstream &upstream, model::TimePoint now)
+{
+    ++upstream.inFlight;
+    if (upstream.isReturning && now >= upstream.restUntil) {
+        ++upstream.inFlightSinceRest;
+    }
+}
+
+void UpstreamDirectory::noteEnded(const model::UpstreamId &id, model::TimePoint startedAt)
+{
+    Upstream *upstream = find(id);
+    if (!upstream) {
+        return;
+    }
+    upstream->inFlight -= std::min(upstream->inFlight, 1U);
+    if (startedAt >= upstream->restUntil) {
+        upstream->inFlightSinceRest -= std::min(upstream->inFlightSinceRest, 1U);
+    }
 }
 
 bool UpstreamDirectory::remove(const model::UpstreamId &id)
@@ -152,21 +220,25 @@
     }
 }
 
-void UpstreamDirectory::noteSuccess(const model::UpstreamId &id)
+void UpstreamDirectory::noteSuccess(const model::UpstreamId &id, model::TimePoint startedAt)
 {
-    if (Upstream *upstream = find(id)) {
-        upstream->consecutiveFailures = 0;
-        upstream->isOnTrial = false;
-        upstream->avoidedUntil = {};
+    Upstream *upstream = find(id);
+    if (!upstream) {
+        return;
     }
+    upstream->consecutiveFailures = 0;
+    upstream->isOnTrial = false;
+    upstream->avoidedUntil = {};
+    upstream->isReturning = upstream->isReturning && startedAt < upstream->restUntil;
 }
 
 bool UpstreamDirectory::isUsable(const Upstream &upstream, model::TimePoint now)
 {
-    if (upstream.isLeaving() || now < upstream.avoidedUntil) {
+    if (!isAvailable(upstream, now) || now < upstream.avoidedUntil) {
         return false;
     }
-    return !upstream.isOnTrial || upstream.inFlight == 0;
+    const bool hasTrial = upstream.isReturning && upstream.inFlightSinceRest > 0;
+    return !hasTrial && (!upstream.isOnTrial || upstream.inFlight == 0);
 }
 
 void UpstreamDirectory::insertIntoPool(Upstream &upstream)
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -48,6 +48,7 @@
     uint64_t quarantinedParts = 0;
     uint64_t releasedParts = 0;
     uint64_t leavingNotices = 0;
+    uint64_t restNotices = 0;
     observability::Histogram firstEvents; //!< From a request's arrival to its stream's first event.
     observability::Histogram answers; //!< From a request's arrival to the end of its answer.
 };
@@ -227,9 +228,6 @@
         Typical, //!< From recent measurements.
     };
 
-    //! If a pool without upstreams gets one at all, it does so within seconds.
-    static constexpr model::Duration emptyPoolRetryAfter = model::seconds(1);
-
     // Arrival
     std::optional<Refusal> admit(Exchange &exchange, model::TimePoint now) const;
     model::PoolId poolOf(const Exchange &exchange) const;
@@ -294,7 +292,12 @@
     bool acquireRetry(const Exchange &exchange, model::TimePoint now);
 
     // Notices of upstreams
-    bool isServable(const Exchange &exchange) const;
+    //! When to retry a request that cannot be served now; nullopt if it may be served.
+    std::optional<model::Duration> unservableRetryAfter(const Exchange &exchange,
+                                                        model::TimePoint now) const;
+    //! When a pool is expected to have an upstream that takes work; \a otherwise if it has one.
+    model::Duration retryAfterOf(const model::PoolId &pool, model::Duration otherwise,
+                                 model::TimePoint now) const;
     UpstreamStarts startsOf(const NoticeSource &source, const UpstreamNotice &notice) const;
     void runScheduler(model::TimePoint now);
 
@@ -347,6 +350,7 @@
     model::TimerQueue<model::RequestId> m_timeouts;
     std::vector<RelayCommand> m_commands;
     RelayCounters m_counters;
+    model::Random m_random;
     uint64_t m_lastAttempt = 0;
     uint64_t m_lastForward = 0;
     //! New streams are refused from this time on.
--- a/src/relay/tests/upstreamtest.cpp
+++ b/src/relay/tests/upstreamtest.cpp
@@ -81,7 +81,7 @@
     directory.noteFailure(upstream.listing.id, start + milliseconds(1100));
     upstream.inFlight = 0;
     CHECK_FALSE(UpstreamDirectory::isUsable(upstream, start + milliseconds(3000)));
-    directory.noteSuccess(upstream.listing.id);
+    directory.noteSuccess(upstream.listing.id, start + milliseconds(1200));
     upstream.inFlight = 3;
     CHECK(UpstreamDirectory::isUsable(upstream, start));
 }
--- a/src/relay/upstreamchooser.h
+++ b/src/relay/upstreamchooser.h
@@ -30,7 +30,7 @@
     {
     }
 
-    //! Null if every upstream of the pool is leaving or excluded.
+    //! Null if every upstream of the pool is leaving, resting or excluded.
     const Upstream *choose(const UpstreamCriteria &criteria, model::TimePoint now);
 
 private:
--- a/src/relay/upstreamdirectory.h
+++ b/src/relay/upstreamdirectory.h
@@ -9,7 +9,7 @@
 #include "config/settings.h"
 #include "model/ids.h"
 #include "model/time.h"
-#include "relay/leavingtable.h"
+#include "relay/noticetable.h"
 
 namespace citronpick::relay
 {
@@ -38,6 +38,11 @@
     model::TimePoint avoidedUntil;
     bool isOnTrial = false; //!< Failed recently; gets one request at a time until one succeeds.
     bool hasSaidLeaving = false; //!< Stated in an answer that it leaves.
+    //! Gets no work before this time, as it asked for a rest; TimePoint() if it has not asked.
+    model::TimePoint restUntil;
+    //! No work that began after the rest has succeeded yet.
+    bool isReturning = false;
+    uint32_t inFlightSinceRest = 0; //!< Unfinished requests or batches that began after the rest.
 
     //! Whether it gets no new work until it starts again.
     bool isLeaving() const
@@ -79,26 +84,46 @@
     //! An answer, or another daemon, states that these starts of the upstream leave; it need not
     //! be listed. Returns false if this is known.
     bool noteLeaving(const model::UpstreamId &id, const UpstreamStarts &starts);
-    //! Whether a pool has an upstream that does not leave.
-    bool hasStaying(const model::PoolId &pool) const;
+    //! An answer asks for a rest of these starts of the upstream; it need not be listed.
+    void noteRest(const model::UpstreamId &id, const UpstreamStarts &starts,
+                  model::TimePoint until);
+    //! The earliest time at which an upstream of a pool takes work again: \a now if one does
+    //! already, TimePoint::max() if all leave or none is listed. Failures are not considered.
+    model::TimePoint availableFrom(const model::PoolId &pool, model::TimePoint now) const;
+    //! When the next rest of an upstream of a pool ends; TimePoint::max() if none rests.
+    model::TimePoint nextReturn(const model::PoolId &pool, model::TimePoint now) const;
+    //! Number of upstreams that rest.
+    size_t restingCount(model::TimePoint now) const;
+
+    //! A request or batch was sent to the upstream.
+    static void noteStarted(Upstream &upstream, model::TimePoint now);
+    //! One that was sent at \a startedAt has ended in any way.
+    void noteEnded(const model::UpstreamId &id, model::TimePoint startedAt);
 
     //! The upstream refused or closed a connection, or did not answer.
     void noteFailure(const model::UpstreamId &id, model::TimePoint now);
     //! A different upstream answers at the address of this one, which is still listed.
     void noteReplaced(const model::UpstreamId &id, model::TimePoint now);
-    void noteSuccess(const model::UpstreamId &id);
+    //! Work that began at \a startedAt succeeds.
+    void noteSuccess(const model::UpstreamId &id, model::TimePoint startedAt);
 
     //! Whether the upstream can be given new work now.
     static bool isUsable(const Upstream &upstream, model::TimePoint now);
+    //! Whether the upstream takes work, apart from its recent failures.
+    static bool isAvailable(const Upstream &upstream, model::TimePoint now)
+    {
+        return !upstream.isLeaving() && now >= upstream.restUntil;
+    }
 
 private:
     bool isOutdated(const Upstream *known, const UpstreamListing &listing) const;
+    void applyRest(Upstream &upstream) const;
     void insertIntoPool(Upstream &upstream);
     void eraseFromPool(const Upstream &upstream);
 
     absl::flat_hash_map<model::UpstreamId, std::unique_ptr<Upstream>> m_upstreams;
     absl::flat_hash_map<model::PoolId, std::vector<Upstream *>> m_pools;
-    LeavingTable m_leaving;
+    NoticeTable m_notices;
 };
 
 } // namespace citronpick::relay
