Relay: calls that wait for a connection end when their upstream takes no work

The upstream that asks for a rest is just the one whose queue of connections is full.

Change: when an upstream says that it leaves or asks for a rest, calls of which no byte has been sent are ended and go elsewhere, as attempts that were not sent: without a strike, within the retry budget and the deadline.

Neither the command nor the callback existed before.

--- a/src/daemon/internal/batchrunner.cpp
+++ b/src/daemon/internal/batchrunner.cpp
@@ -73,6 +73,27 @@
     m_callsByBatch.erase(it);
 }
 
+void BatchRunner::recall(const relay::RecallCalls &command)
+{
+    std::vector<uint64_t> unsent;
+    for (const auto &[number, call] : m_calls) {
+        if (call.upstream == command.upstream && !m_client.isSent(number)) {
+            unsent.push_back(number);
+        }
+    }
+    for (const uint64_t number : unsent) {
+        const Call call = m_calls.at(number);
+        m_client.cancel(number);
+        m_calls.erase(number);
+        record(call, "recalled");
+        // A release needs no retry: unreleased results expire after a few seconds.
+        if (call.batch.value() != 0) {
+            m_callsByBatch.erase(call.batch);
+            m_system.onBatchRefused(call.batch, net::EventLoop::now());
+        }
+    }
+}
+
 void BatchRunner::release(const relay::ReleaseResults &command, model::TimePoint now)
 {
     for (const relay::ResultHandle &handle : command.handles) {
--- a/src/daemon/internal/batchrunner.h
+++ b/src/daemon/internal/batchrunner.h
@@ -23,6 +23,7 @@
 
     void run(const relay::RunBatch &command);
     void cancel(const relay::CancelBatch &command);
+    void recall(const relay::RecallCalls &command);
     void release(const relay::ReleaseResults &command, model::TimePoint now);
 
     //! Sends the collected releases if nextFlush() has been reached.
--- a/src/daemon/internal/exchangerunner.cpp
+++ b/src/daemon/internal/exchangerunner.cpp
@@ -187,6 +187,20 @@
     }
 }
 
+void ExchangeRunner::recall(const relay::RecallCalls &command)
+{
+    std::vector<model::AttemptId> unsent;
+    for (const auto &[id, attempt] : m_attempts) {
+        if (attempt.upstream == command.upstream && !m_client.isSent(attempt.call)) {
+            unsent.push_back(id);
+        }
+    }
+    for (const model::AttemptId id : unsent) {
+        cancel({.attempt = id});
+        m_system.onAttemptRecalled(id, net::EventLoop::now());
+    }
+}
+
 void ExchangeRunner::onHead(uint64_t call, const net::MessageHead &head)
 {
     model::AttemptId id;
--- a/src/daemon/internal/exchangerunner.h
+++ b/src/daemon/internal/exchangerunner.h
@@ -32,6 +32,7 @@
     // Commands of the relay system
     void start(const relay::StartAttempt &command);
     void cancel(const relay::CancelAttempt &command);
+    void recall(const relay::RecallCalls &command);
     void startStream(const relay::StartStream &command);
     void resumeStream(const relay::ResumeStream &command);
     void finishStream(const relay::FinishStream &command);
--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -254,6 +254,10 @@
                                                      .incarnation = publish.incarnation},
                                  net::EventLoop::now());
             },
+            [this](const relay::RecallCalls &recall) {
+                m_exchanges->recall(recall);
+                m_batches->recall(recall);
+            },
             [this](const relay::ReleaseResults &release) {
                 m_batches->release(release, net::EventLoop::now());
             },
--- a/src/net/internal/upstreamclient.cpp
+++ b/src/net/internal/upstreamclient.cpp
@@ -533,6 +533,12 @@
     m_impl->cancel(call);
 }
 
+bool UpstreamClient::isSent(uint64_t call) const
+{
+    const auto it = m_impl->m_calls.find(call);
+    return it != m_impl->m_calls.end() && it->second->isConnected;
+}
+
 void UpstreamClient::closeIdleConnections(const config::Endpoint &to)
 {
     m_impl->closeIdleConnections(to);
--- a/src/net/tests/rawpeer.h
+++ b/src/net/tests/rawpeer.h
@@ -66,6 +66,18 @@
         return RawPeer(descriptor);
     }
 
+    //! Does not wait until the connection is established.
+    static RawPeer beginConnecting(uint16_t port)
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+        connect(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+        return RawPeer(descriptor);
+    }
+
     void send(std::string_view bytes)
     {
         static_cast<void>(::send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL));
--- a/src/net/upstreamclient.h
+++ b/src/net/upstreamclient.h
@@ -77,6 +77,8 @@
     uint64_t start(UpstreamCall call, IUpstreamHandler &handler);
     //! Ends a call and closes its connection without any further callback.
     void cancel(uint64_t call);
+    //! Whether the upstream may have received a part of the call's request.
+    bool isSent(uint64_t call) const;
     //! Closes the idle connections to an upstream, so that no later call uses them.
     void closeIdleConnections(const config::Endpoint &to);
     //! Pauses or resumes reading a response.
--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -262,6 +262,17 @@
     onAttemptNotSent(exchange, attempt.upstream, now);
 }
 
+void RelaySystem::onAttemptRecalled(model::AttemptId id, model::TimePoint now)
+{
+    if (!m_attempts.contains(id)) {
+        return;
+    }
+    const Attempt attempt = closeAttempt(id);
+    Exchange &exchange = *find(attempt.request);
+    record(EventCode::AttemptLost, exchange, attempt.upstream.text(), "why=recalled");
+    onAttemptNotSent(exchange, attempt.upstream, now);
+}
+
 // The chosen upstream has not received the request, so the attempt does not count.
 void RelaySystem::onAttemptNotSent(Exchange &exchange, const model::UpstreamId &upstream,
                                    model::TimePoint now)
--- a/src/relay/internal/relaynotices.cpp
+++ b/src/relay/internal/relaynotices.cpp
@@ -71,6 +71,7 @@
                                                       .request = source.request,
                                                       .subject = source.upstream.text(),
                                                       .detail = incarnation});
+        m_commands.emplace_back(RecallCalls {.upstream = source.upstream});
         if (m_directory.find(source.upstream)) {
             m_commands.emplace_back(
                 PublishLeavingUpstream {.upstream = source.upstream, .incarnation = starts.last});
@@ -81,6 +82,7 @@
         const model::Duration spread = model::scaled(
             returnInterval * static_cast<int64_t>(m_peers.size()), m_random.uniformDouble());
         m_directory.noteRest(source.upstream, starts, now + notice.rest + spread);
+        m_commands.emplace_back(RecallCalls {.upstream = source.upstream});
         ++m_counters.restNotices;
         m_commands.emplace_back(observability::Event {
             .code = EventCode::UpstreamAskedRest,
--- a/src/relay/relaycommands.h
+++ b/src/relay/relaycommands.h
@@ -137,6 +137,12 @@
     model::Fingerprint part;
 };
 
+//! End the calls to an upstream that have not been sent yet, because it takes no new work. They are
+//! reported through RelaySystem::onAttemptRecalled() and onBatchRefused().
+struct RecallCalls {
+    model::UpstreamId upstream;
+};
+
 //! Tell the other daemons that an upstream stated in an answer that it leaves.
 struct PublishLeavingUpstream {
     model::UpstreamId upstream;
@@ -148,7 +154,7 @@
                    ForwardAnswer, AbortAnswer, RefuseRequest, RunBatch, CancelBatch, ForwardJob,
                    CancelForwardedJob, AnswerPeer, ReleaseResults, PublishCrashReport,
                    PublishSuspectedPart, PublishQuarantinedPart, PublishClearedPart,
-                   PublishLeavingUpstream, observability::Event>;
+                   PublishLeavingUpstream, RecallCalls, observability::Event>;
 
 } // namespace citronpick::relay
 
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -111,6 +111,9 @@
     void onPeerLeavingUpstream(const model::UpstreamId &upstream, uint64_t incarnation,
                                model::TimePoint now);
 
+    //! The attempt was ended before its upstream received any byte of the request.
+    void onAttemptRecalled(model::AttemptId attempt, model::TimePoint now);
+
     void onBatchAnswered(BatchId batch, const std::vector<ItemOutcome> &outcomes,
                          model::TimePoint now);
     void onBatchRefused(BatchId batch, model::TimePoint now);
--- a/src/relay/tests/restnoticetest.cpp
+++ b/src/relay/tests/restnoticetest.cpp
@@ -168,6 +168,21 @@
     CHECK_FALSE(resting.isOnTrial);
 }
 
+// Guards against requests that wait for a connection and arrive long after the upstream's answer.
+TEST_CASE("A request that was not sent yet goes elsewhere without a strike for the upstream")
+{
+    NoticeFixture fixture;
+    fixture.arrive("/once/x");
+    const auto first = fixture.take<StartAttempt>();
+    fixture.askRest(first.upstream.text(), rest);
+    CHECK(fixture.take<RecallCalls>().upstream == first.upstream);
+    fixture.system.onAttemptRecalled(first.attempt, fixture.now);
+    fixture.collect();
+    CHECK(fixture.take<StartAttempt>().upstream != first.upstream);
+    CHECK(fixture.system.upstreams().find(first.upstream)->consecutiveFailures == 0);
+    CHECK(fixture.system.upstreams().find(first.upstream)->inFlight == 0);
+}
+
 TEST_CASE("A pool whose upstreams all rest refuses at once, with the time at which one is back")
 {
     NoticeFixture fixture;
