Relay: a stopping daemon takes only requests that end before the stop does

Cause: a request was taken in the first 80 % of the stop whatever its deadline, and a stream if the mean time of its route's streams fitted in, so work was begun of which the daemon knew that the stop might not hold it.

Change: a request that is no stream is taken and sent on only if its own deadline lies before the end of the stop; otherwise it is refused as not run. Streams are judged by mean plus four mean deviations. What an upstream may have run already goes on, because a refusal would not be true.

'A daemon that stops accepts only requests that it can finish' expected that a request with 8 s of time is taken with 4.5 s of the stop left, which contradicts its name; it now expects that this one is refused and one with 4 s is taken.

--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -32,6 +32,11 @@
         return;
     }
     const std::vector<ResultHandle> inputs = exchange.plan.finalResults();
+    // A refusal is true only as long as no upstream may have run the request.
+    if (mayOutlastShutdown(exchange) && !exchange.mayHaveRun) {
+        refuse(id, Refusal::TooLate, fullPoolRetryAfter);
+        return;
+    }
     const bool isTooLate
         = isStream(exchange.route->kind) && !exchange.isAnswerStarted
           && now + engineTime(exchange, Estimate::Minimum) >= exchange.firstEventDeadline;
--- a/src/relay/internal/relayforecast.cpp
+++ b/src/relay/internal/relayforecast.cpp
@@ -28,6 +28,8 @@
 constexpr int64_t maxStageTimeInBatches = 4;
 //! Weight of the newest stream in the moving average of a route's stream time.
 constexpr double streamTimeWeight = 0.1;
+//! Nearly all streams are shorter than the mean plus this multiple of the mean deviation.
+constexpr int64_t streamTimeDeviations = 4;
 
 } // namespace
 
@@ -83,18 +85,24 @@
                          isMinimum ? minEngineTimeFactor : typicalEngineTimeFactor);
 }
 
-// Time from the first event of a stream to its end.
+// Time from the first event of a stream to its end that few streams of the route exceed.
 model::Duration RelaySystem::streamTime(const RouteRule &route) const
 {
     const auto measured = m_streamTimes.find(route.id);
-    return measured == m_streamTimes.end() ? model::Duration::zero() : measured->second;
+    return measured == m_streamTimes.end()
+               ? model::Duration::zero()
+               : measured->second.mean + streamTimeDeviations * measured->second.deviation;
 }
 
 void RelaySystem::updateStreamTime(const Exchange &exchange, model::TimePoint now)
 {
     const model::Duration took = now - exchange.streamStartedAt;
-    const auto [measured, isNew] = m_streamTimes.emplace(exchange.route->id, took);
-    measured->second += model::scaled(took - measured->second, streamTimeWeight);
+    const auto [it, isNew] = m_streamTimes.emplace(exchange.route->id, StreamTime {.mean = took});
+    StreamTime &measured = it->second;
+    const model::Duration difference = took - measured.mean;
+    measured.mean += model::scaled(difference, streamTimeWeight);
+    measured.deviation
+        += model::scaled(std::chrono::abs(difference) - measured.deviation, streamTimeWeight);
 }
 
 // Time of the longest path from the end of a stage to the first token.
--- a/src/relay/internal/relaysystem.cpp
+++ b/src/relay/internal/relaysystem.cpp
@@ -139,6 +139,13 @@
     exchange.firstEventDeadline = std::min(exchange.firstEventDeadline, latestFirstEvent);
 }
 
+// A request that ends by its own deadline before the shutdown does is never cut by it. Streams last
+// too long for that; they are judged by the time that their route's streams take.
+bool RelaySystem::mayOutlastShutdown(const Exchange &exchange)
+{
+    return exchange.isLimitedByShutdown && !isStream(exchange.route->kind);
+}
+
 void RelaySystem::addDeadlineTimers(const Exchange &exchange)
 {
     m_timeouts.add(exchange.deadline, exchange.arrived.request);
@@ -252,6 +259,10 @@
                         " pool=", exchange.pool.text(), " account=", exchange.account.text(),
                         " leftMs=", model::toMilliseconds(exchange.deadline - now),
                         " stages=", exchange.route->stages.size()));
+    if (mayOutlastShutdown(exchange)) {
+        refuse(id, Refusal::Stopping, stoppingRetryAfter);
+        return;
+    }
     if (const std::optional<model::Duration> retryAfter = unservableRetryAfter(exchange, now)) {
         refuse(id, Refusal::NoUpstream, *retryAfter);
         return;
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -225,6 +225,11 @@
         model::TimePoint sentAt;
     };
 
+    //! Moving averages of the duration of a route's streams and of its deviation from that.
+    struct StreamTime {
+        model::Duration mean {};
+        model::Duration deviation {};
+    };
     //! How the duration of a stage is estimated.
     enum class Estimate {
         Minimum, //!< Without any queue.
@@ -239,6 +244,8 @@
     static model::Duration callerTimeout(const RouteRule &route);
     static model::TimePoint firstEventDeadlineOf(const Exchange &exchange);
     void limitToShutdown(Exchange &exchange);
+    //! Whether an upstream that gets the request now may still run it when the shutdown ends.
+    static bool mayOutlastShutdown(const Exchange &exchange);
     void addDeadlineTimers(const Exchange &exchange);
     void onTimeout(model::RequestId request, model::TimePoint now);
 
@@ -348,8 +355,8 @@
     absl::flat_hash_map<model::PoolId, model::Duration> m_stageTimes;
     //! Moving average of the time from an attempt's start to its first event, by route.
     absl::flat_hash_map<model::RouteId, model::Duration> m_firstEventTimes;
-    //! Moving average of the time from a stream's first event to its end, by route.
-    absl::flat_hash_map<model::RouteId, model::Duration> m_streamTimes;
+    //! Time from a stream's first event to its end, by route.
+    absl::flat_hash_map<model::RouteId, StreamTime> m_streamTimes;
     model::TimerQueue<model::RequestId> m_timeouts;
     std::vector<RelayCommand> m_commands;
     RelayCounters m_counters;
--- a/src/relay/tests/exchangetest.cpp
+++ b/src/relay/tests/exchangetest.cpp
@@ -275,11 +275,14 @@
     fixture.advanceTime(milliseconds(500));
     fixture.arrive("/stream/x");
     CHECK(fixture.take<RefuseRequest>().refusal == Refusal::Stopping);
-    fixture.arrive("/once/x");
+    fixture.arrive("/once/x", "key", model::seconds(4));
     CHECK(fixture.count<StartAttempt>() == 2);
-    fixture.advanceTime(model::seconds(4));
     fixture.arrive("/once/x");
     CHECK(fixture.take<RefuseRequest>().refusal == Refusal::Stopping);
+    fixture.advanceTime(model::seconds(4));
+    fixture.commands.clear();
+    fixture.arrive("/once/x", "key", milliseconds(100));
+    CHECK(fixture.take<RefuseRequest>().refusal == Refusal::Stopping);
 }
 
 TEST_CASE("A resumable stream without progress is cancelled and then resumed on another upstream")
--- a/src/relay/tests/shutdowntest.cpp
+++ b/src/relay/tests/shutdowntest.cpp
@@ -88,3 +88,53 @@
     fixture.arrive("/stream/x");
     CHECK(fixture.count<StartAttempt>() == 1);
 }
+
+// Guards against LOST: requests that came late in a planned stop were passed on and cut at its end,
+// among them some that must not be repeated.
+TEST_CASE(
+    "A stopping daemon refuses a request that its upstream may run beyond the end of the stop")
+{
+    RelayFixture fixture;
+    fixture.system.beginShutdown(fixture.now, model::seconds(7));
+    fixture.advanceTime(model::seconds(4));
+    for (const char *path : {"/once/x", "/safe/x"}) {
+        CAPTURE(path);
+        fixture.arrive(path, "key", milliseconds(3001));
+        CHECK(fixture.count<StartAttempt>() == 0);
+        const auto refusal = fixture.take<RefuseRequest>();
+        CHECK(refusal.refusal == Refusal::Stopping);
+        CHECK(refusal.retryAfter > model::Duration::zero());
+
+        fixture.arrive(path, "key", milliseconds(3000));
+        fixture.answer(fixture.take<StartAttempt>().attempt, RelayFixture::success());
+        CHECK(fixture.count<ForwardAnswer>() == 1);
+        fixture.commands.clear();
+    }
+}
+
+// Guards against the same for a request that is turned away by one upstream during the stop.
+TEST_CASE("A stopping daemon does not send a request on that may run beyond the end of the stop")
+{
+    RelayFixture fixture;
+    fixture.arrive("/safe/x");
+    const auto attempt = fixture.take<StartAttempt>();
+    fixture.system.beginShutdown(fixture.now, model::seconds(7));
+    fixture.answer(attempt.attempt, RelayFixture::notRun());
+    CHECK(fixture.count<StartAttempt>() == 0);
+    CHECK(fixture.take<RefuseRequest>().refusal == Refusal::Stopping);
+}
+
+// Guards against streams that are cut at the end of a stop because they take longer than the mean.
+TEST_CASE("A stopping daemon allows for the spread of a route's stream times")
+{
+    RelayFixture fixture;
+    for (int i = 0; i < 20; ++i) {
+        serveStream(fixture, model::seconds(1));
+        serveStream(fixture, model::seconds(3));
+    }
+    fixture.commands.clear();
+    fixture.system.beginShutdown(fixture.now, milliseconds(2900));
+    fixture.arrive("/stream/x");
+    CHECK(fixture.count<StartAttempt>() == 0);
+    CHECK(fixture.take<RefuseRequest>().refusal == Refusal::Stopping);
+}
