Soak: upstreams that say that they leave or ask for a rest

Seeds from 2000 on mix, in one answer of four or in all, for one replica or all of a pool: Server-Leaving while the entry says ready, cannot be read or is written once more, and 503 with a Retry-After of 0.4 to 9 s; beside a silent or busy store, listed leavings, failing replicas and configurations, on odd seeds with stopped, killed and paused daemons. After each fault the replica is back with a later start. Each daemon is held to what it was told itself, from what replicas and callers see.

--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -12,6 +12,7 @@
 //! only for daemons that had no disruption for some seconds.
 constexpr uint64_t mildInterval = 3;
 constexpr uint64_t firstPlannedSeed = 1000;
+constexpr uint64_t firstNoticesSeed = 2000;
 constexpr uint64_t deadlyInterval = 5;
 constexpr uint64_t deadlyStopsInterval = 3;
 //! Requests before a deadly part comes are compared with those after its quarantine.
@@ -53,6 +54,14 @@
     case PlanKind::DeadlyPartAndStops:
         return {FaultKind::HangUp, FaultKind::ConfigurationChanges, FaultKind::ConfigurationChanges,
                 FaultKind::ConfigurationChanges, FaultKind::StopDaemon};
+    case PlanKind::Notices:
+        return {FaultKind::SaysLeaving,   FaultKind::SaysLeaving,  FaultKind::AsksRest,
+                FaultKind::AsksRest,      FaultKind::StoreBusy,    FaultKind::StoreSilent,
+                FaultKind::ReplicaLeaves, FaultKind::ReplicaFails, FaultKind::ConfigurationChanges};
+    case PlanKind::NoticesAndStops:
+        return {FaultKind::SaysLeaving, FaultKind::SaysLeaving, FaultKind::AsksRest,
+                FaultKind::AsksRest,    FaultKind::StoreSilent, FaultKind::StopDaemon,
+                FaultKind::PauseDaemon, FaultKind::KillDaemon,  FaultKind::HangUp};
     }
     return {};
 }
@@ -78,6 +87,9 @@
     if (seed < firstPlannedSeed) {
         return seed % mildInterval == 0 ? PlanKind::Mild : PlanKind::Mixed;
     }
+    if (seed >= firstNoticesSeed) {
+        return seed % 2 == 0 ? PlanKind::Notices : PlanKind::NoticesAndStops;
+    }
     if (seed % deadlyInterval != 0) {
         return PlanKind::PlannedWork;
     }
@@ -127,6 +139,10 @@
         return "stage-slow";
     case FaultKind::DeadlyPart:
         return "deadly-part";
+    case FaultKind::SaysLeaving:
+        return "says-leaving";
+    case FaultKind::AsksRest:
+        return "asks-rest";
     }
     return "unknown";
 }
@@ -150,7 +166,8 @@
             return;
         }
         const FaultKind kind = kinds[random.below(static_cast<uint32_t>(kinds.size()))];
-        const bool isLong = kind == FaultKind::ReplicaLeaves || kind == FaultKind::StageSlow;
+        const bool isLong = kind == FaultKind::ReplicaLeaves || kind == FaultKind::StageSlow
+                            || kind == FaultKind::SaysLeaving || kind == FaultKind::AsksRest;
         const model::Duration shortest = isLong ? minLongDuration : minDuration;
         plan.push_back({.at = at,
                         .duration = shortest + model::scaled(durationRange, random.uniformDouble()),
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -33,6 +33,8 @@
     HangUpInStop, //!< SIGTERM, then SIGHUP with other drain settings.
     StageSlow, //!< All replicas of a stage take many times as long.
     DeadlyPart, //!< Requests with one prompt part crash each upstream that answers them.
+    SaysLeaving, //!< Answers of replicas state that they leave, while they are listed as ready.
+    AsksRest, //!< Replicas turn requests away and ask for a rest.
 };
 
 //! Which faults a seed gets.
@@ -42,9 +44,12 @@
     PlannedWork, //!< Stops, changes of settings and configuration, leaving upstreams, slow stages.
     DeadlyPart, //!< A deadly part beside changes of settings and configuration.
     DeadlyPartAndStops,
+    Notices, //!< Upstreams that state something about themselves, beside outages of the store.
+    NoticesAndStops,
 };
 
-//! Seeds from 1000 on get plans of planned work only, each fifth with a deadly part.
+//! Seeds from 1000 on get plans of planned work only, each fifth with a deadly part. Those from
+//! 2000 on get notices, each second one with stopped and paused daemons.
 PlanKind planKindOf(uint64_t seed);
 
 constexpr model::Duration minDeadlyPlan = model::seconds(28);
--- a/tests/soak/soakfaults.cpp
+++ b/tests/soak/soakfaults.cpp
@@ -1,6 +1,7 @@
 #include "soak/soakrun.h"
 
 #include <algorithm>
+#include <array>
 #include <iostream>
 
 #include <absl/strings/str_cat.h>
@@ -49,6 +50,8 @@
     case FaultKind::ReplicaFails:
     case FaultKind::ReplicaLeaves:
     case FaultKind::StageSlow:
+    case FaultKind::SaysLeaving:
+    case FaultKind::AsksRest:
         return true;
     default:
         return false;
@@ -144,6 +147,7 @@
         return true;
     case FaultKind::PauseDaemon:
         process.pause();
+        forgetNotices(fault.target);
         return true;
     case FaultKind::HangUp:
         process.sendSighup();
@@ -187,6 +191,7 @@
 {
     const auto daemon = static_cast<uint32_t>(scheduled.daemon % m_daemons.size());
     DaemonProcess &process = *m_daemons[daemon].process;
+    forgetNotices(daemon);
     switch (scheduled.signal) {
     case Signal::Stop:
         process.stop(m_now);
@@ -252,6 +257,10 @@
     case FaultKind::DeadlyPart:
         beginDeadlyPart(fault);
         break;
+    case FaultKind::SaysLeaving:
+    case FaultKind::AsksRest:
+        beginNotices(fault);
+        break;
     default:
         break;
     }
@@ -274,6 +283,66 @@
     m_callers->sendDeadlyRequests(route, part, m_deadlyPart->until);
 }
 
+// One replica or all of a pool make the statement, in each answer or in one of four.
+std::vector<SoakRun::Replica *> SoakRun::noticeReplicasFor(const PlannedFault &fault)
+{
+    constexpr uint32_t wholePoolInterval = 4;
+    if (fault.variant % wholePoolInterval != 0) {
+        return {&replicaFor(fault)};
+    }
+    const std::string prefix = m_spec.pools[fault.target % m_spec.pools.size()].name + "-";
+    std::vector<Replica *> all;
+    for (Replica &replica : m_replicas) {
+        if (replica.standIn->id().starts_with(prefix)) {
+            all.push_back(&replica);
+        }
+    }
+    return all;
+}
+
+void SoakRun::beginNotices(const PlannedFault &fault)
+{
+    constexpr std::array<int64_t, 4> restsMs = {400, 1250, 3000, 9000};
+    constexpr uint32_t fewAnswers = 4;
+    const bool isLeaving = fault.kind == FaultKind::SaysLeaving;
+    const uint32_t option = fault.variant / 8;
+    for (Replica *replica : noticeReplicasFor(fault)) {
+        replica->standIn->setNotice(
+            {.isLeaving = isLeaving,
+             .rest = isLeaving ? model::Duration::zero()
+                               : model::milliseconds(restsMs.at(option % restsMs.size())),
+             .interval = fault.variant % 8 < 4 ? 1 : fewAnswers});
+        if (isLeaving && option % 2 == 0) {
+            // Another writer's entry, and then once more the one of this start.
+            m_scheduledPuts.push_back(
+                {.at = m_now + fault.duration / 3, .replica = replica, .isReadable = false});
+            m_scheduledPuts.push_back({.at = m_now + fault.duration / 2, .replica = replica});
+        }
+    }
+}
+
+void SoakRun::endNotices(const PlannedFault &fault)
+{
+    for (Replica *replica : noticeReplicasFor(fault)) {
+        replica->standIn->setNotice({});
+        replica->standIn->noteStart();
+        setLeaving(*replica, replica->isLeaving);
+    }
+}
+
+void SoakRun::runScheduledPuts()
+{
+    std::erase_if(m_scheduledPuts, [this](const ScheduledPut &put) {
+        const bool isDue = m_now >= put.at;
+        if (isDue) {
+            const platform::standin::ReplicaStandIn &standIn = *put.replica->standIn;
+            m_store.put(absl::StrCat(platform::names::upstreamKeyPrefix, standIn.id()),
+                        put.isReadable ? standIn.registryEntry(put.replica->isLeaving) : "\xff");
+        }
+        return isDue;
+    });
+}
+
 void SoakRun::endFault(const PlannedFault &fault)
 {
     logFault(fault, "ends");
@@ -281,6 +350,7 @@
     switch (fault.kind) {
     case FaultKind::PauseDaemon:
         daemon.process->resume(m_now);
+        forgetNotices(fault.target);
         break;
     case FaultKind::StoreLink:
         daemon.storeLink->setFault(LinkFault::None);
@@ -304,6 +374,10 @@
     case FaultKind::StageSlow:
         setStageSlowness(fault, 1);
         break;
+    case FaultKind::SaysLeaving:
+    case FaultKind::AsksRest:
+        endNotices(fault);
+        break;
     default:
         break;
     }
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -163,6 +163,7 @@
         }
         checkLeaving(replica);
     }
+    runScheduledPuts();
     runDaemons();
     m_callers->run(m_now);
 }
@@ -178,17 +179,27 @@
         return isDue;
     });
     std::for_each(due.begin(), due.end(), [this](const ScheduledSignal &each) { send(each); });
-    for (Daemon &daemon : m_daemons) {
+    for (uint32_t i = 0; i < m_daemons.size(); ++i) {
+        Daemon &daemon = m_daemons[i];
         daemon.storeLink->run(m_now);
         if (const auto failure = daemon.process->run(m_now)) {
             m_ledger.recordViolation(*failure);
         }
-        if (const auto life = daemon.process->takeEndedLife(); life && life->stoppedAt) {
+        const std::optional<ProcessLife> life = daemon.process->takeEndedLife();
+        if (life) {
+            forgetNotices(i);
+        }
+        if (life && life->stoppedAt) {
             daemon.stoppedLives.push_back(*life);
         }
     }
 }
 
+void SoakRun::forgetNotices(uint32_t daemon)
+{
+    m_ledger.notices().forgetDaemon(daemonHost(static_cast<uint32_t>(daemon % m_daemons.size())));
+}
+
 bool SoakRun::execute()
 {
     const model::TimePoint limit = net::EventLoop::now() + startupTimeout;
@@ -253,10 +264,11 @@
         stops += daemon.stoppedLives.size();
     }
     std::cout << "seed " << m_options.seed << ": stops " << stops << ", crashes "
-              << m_ledger.crashes().size() << ", sent " << m_ledger.sent() << ", served "
-              << last.served << ", refused " << last.refused << ", failed " << last.failed
-              << "; after the faults " << served << " of " << all << " served; promises broken "
-              << m_ledger.violations().size() << '\n';
+              << m_ledger.crashes().size() << ", notices " << m_ledger.notices().statements()
+              << ", sent " << m_ledger.sent() << ", served " << last.served << ", refused "
+              << last.refused << ", failed " << last.failed << "; after the faults " << served
+              << " of " << all << " served; promises broken " << m_ledger.violations().size()
+              << '\n';
     for (const std::string &violation : m_ledger.violations()) {
         std::cout << "  " << violation << '\n';
     }
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -67,6 +67,12 @@
         uint32_t daemon = 0; //!< Index of the daemon, modulo their number.
         Signal signal = Signal::Stop;
     };
+    //! A later write of a replica's entry to the store.
+    struct ScheduledPut {
+        model::TimePoint at;
+        const Replica *replica = nullptr;
+        bool isReadable = true;
+    };
     struct Daemon {
         std::unique_ptr<DaemonProcess> process;
         std::unique_ptr<FaultProxy> storeLink;
@@ -94,6 +100,12 @@
     bool beginStoreFault(const PlannedFault &fault);
     void beginReplicaFault(const PlannedFault &fault);
     void beginDeadlyPart(const PlannedFault &fault);
+    std::vector<Replica *> noticeReplicasFor(const PlannedFault &fault);
+    void beginNotices(const PlannedFault &fault);
+    void endNotices(const PlannedFault &fault);
+    void runScheduledPuts();
+    //! The daemon may not know any more what replicas stated.
+    void forgetNotices(uint32_t daemon);
     void endFault(const PlannedFault &fault);
     void setLinkFault(Replica &replica, LinkFault fault);
     void setStageSlowness(const PlannedFault &fault, int64_t factor);
@@ -116,6 +128,7 @@
     std::vector<Daemon> m_daemons;
     std::vector<ScheduledEnd> m_scheduledEnds;
     std::vector<ScheduledSignal> m_scheduledSignals;
+    std::vector<ScheduledPut> m_scheduledPuts;
     std::optional<DeadlyPart> m_deadlyPart;
     uint64_t m_configuration = 1;
     model::TimePoint m_now;
