--- a/src/net/tests/httpclienttest.cpp
+++ b/src/net/tests/httpclienttest.cpp
@@ -94,6 +94,21 @@
     CHECK(fixture.error.has_value());
 }
 
+// Guards against a success made of the first part of a head.
+TEST_CASE("A response whose head is cut off is not a response")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    for (size_t cut = 0; cut < head.size(); ++cut) {
+        CAPTURE(cut);
+        Fixture fixture;
+        RawPeer peer = fixture.startAndAccept();
+        peer.send(head.substr(0, cut));
+        peer.close();
+        REQUIRE(runUntil(fixture.loop, [&] { return fixture.response || fixture.error; }));
+        CHECK_FALSE(fixture.response);
+    }
+}
+
 // Guards against truncated responses that are taken for complete ones: the end of the connection
 // was the end of every response without a length, and of a chunked one between two chunks.
 TEST_CASE("A response that ends with its connection is complete only if nothing is missing")
