Soak: batches are attributed to their connection

The logs tell that daemon 0 had been asked at 28.328, and that daemon 2 began its own batches at 28.896, as it heard of daemon 0 only at 29.542: until then each scheduled the pool for itself. They now count for the connection on which the answer was given, which belongs to one daemon.

--- a/src/net/exchangeserver.h
+++ b/src/net/exchangeserver.h
@@ -86,6 +86,9 @@
     void abort(uint64_t exchange);
     //! Bytes of a response that were written but not yet sent to the caller.
     size_t buffered(uint64_t exchange) const;
+    //! Number of the connection on which the request of an open exchange arrived; numbers are not
+    //! reused. Zero if the exchange has ended.
+    uint64_t connectionOf(uint64_t exchange) const;
 
     //! Ends connections that have exceeded their timeout. Must be called a few times per second.
     void sweep(model::TimePoint now);
--- a/src/net/internal/exchangeserver.cpp
+++ b/src/net/internal/exchangeserver.cpp
@@ -507,6 +507,12 @@
     m_impl->abort(exchange);
 }
 
+uint64_t ExchangeServer::connectionOf(uint64_t exchange) const
+{
+    const auto it = m_impl->m_exchanges.find(exchange);
+    return it == m_impl->m_exchanges.end() ? 0 : it->second->id;
+}
+
 size_t ExchangeServer::buffered(uint64_t exchange) const
 {
     const Impl::Connection *connection = m_impl->find(exchange);
