--- a/src/relay/batchscheduler.h
+++ b/src/relay/batchscheduler.h
@@ -164,7 +164,7 @@
     //! The result of a job that no upstream of its pool will run in time; nullopt for another job.
     std::optional<JobResult> unavailability(const StageJob &job, model::TimePoint availableFrom,
                                             model::TimePoint now) const;
-    void failUnavailableJobs(Pool &pool, model::TimePoint now);
+    void failUnavailableJobs(const model::PoolId &id, Pool &pool, model::TimePoint now);
     void failExpiredJobs(Pool &pool, const BatchRule &rule, model::TimePoint now);
     size_t queuedPieces(const Pool &pool) const;
     void updateForecast(const model::PoolId &id, Pool &pool, const BatchRule &rule,
--- a/src/relay/internal/batchfilling.cpp
+++ b/src/relay/internal/batchfilling.cpp
@@ -31,16 +31,14 @@
 void BatchScheduler::dispatch(const model::PoolId &id, Pool &pool, model::TimePoint now)
 {
     const BatchRule *rule = ruleOf(id);
-    pool.availableFrom = m_directory.availableFrom(id, now);
-    if (!rule || pool.availableFrom > now) {
-        failUnavailableJobs(pool, now);
+    if (!pool.waiting.empty()) {
+        failUnavailableJobs(id, pool, now);
     }
     if (pool.waiting.empty()) {
         pool.forecast = {};
         return;
     }
     failExpiredJobs(pool, *rule, now);
-    pool.nextReturn = m_directory.nextReturn(id, now);
     updateForecast(id, pool, *rule, now);
     pool.zoneWaitUntil = model::TimePoint::max();
     std::vector<Upstream *> free = freeUpstreams(id, *rule, now);
@@ -64,8 +62,13 @@
 }
 
 // Fails jobs that no upstream of the pool will run in time.
-void BatchScheduler::failUnavailableJobs(Pool &pool, model::TimePoint now)
+void BatchScheduler::failUnavailableJobs(const model::PoolId &id, Pool &pool, model::TimePoint now)
 {
+    pool.availableFrom = m_directory.availableFrom(id, now);
+    pool.nextReturn = m_directory.nextReturn(id, now);
+    if (ruleOf(id) && pool.availableFrom <= now) {
+        return;
+    }
     const std::vector<JobId> waiting = pool.waiting;
     for (const JobId job : waiting) {
         if (std::optional<JobResult> failed
