Scheduler: waiting pieces beside a resting upstream do not keep the daemon busy

Cause: nextRun() counts the end of each idle upstream's avoidance, also when it has passed. A refused batch sets one of 100 ms; while the upstream rests or leaves it stays idle, so with pieces waiting for the others the daemon ran without a pause.

Change: the avoidance counts only if it ends after the rest and the upstream does not leave; the end of a rest counts by itself.

Test: 'Pieces that wait while an upstream takes no work …' failed before, for a rest and for a leaving.

--- a/src/relay/internal/batchscheduler.cpp
+++ b/src/relay/internal/batchscheduler.cpp
@@ -139,7 +139,9 @@
         consider(pool.zoneWaitUntil);
         consider(pool.nextReturn);
         for (const Upstream *upstream : m_directory.inPool(id)) {
-            if (upstream->inFlight == 0 && upstream->avoidedUntil > model::TimePoint()) {
+            // A rest that lasts longer is considered by nextReturn.
+            const bool isAvoided = upstream->avoidedUntil > upstream->restUntil;
+            if (upstream->inFlight == 0 && isAvoided && !upstream->isLeaving()) {
                 consider(upstream->avoidedUntil);
             }
         }
--- a/src/relay/tests/restnoticetest.cpp
+++ b/src/relay/tests/restnoticetest.cpp
@@ -241,6 +241,26 @@
     CHECK(fixture.take<RunBatch>().upstream == model::UpstreamId("s0"));
 }
 
+// Guards against a daemon that runs without a pause while pieces wait beside an idle upstream.
+TEST_CASE("Pieces that wait while an upstream takes no work do not keep the daemon busy")
+{
+    NoticeFixture fixture;
+    fixture.arrive("/staged/x");
+    const auto first = fixture.take<RunBatch>();
+    const bool isLeaving = GENERATE(false, true);
+    CAPTURE(isLeaving);
+    fixture.notice(first.upstream.text(),
+                   {.isLeaving = isLeaving,
+                    .rest = isLeaving ? model::Duration::zero() : model::Duration(rest)});
+    fixture.system.onBatchRefused(first.batch, fixture.now);
+    fixture.collect();
+    REQUIRE(fixture.count<RunBatch>() == 1);
+    fixture.arrive("/staged/x");
+    fixture.advanceTime(milliseconds(200));
+    REQUIRE(fixture.system.nextRun());
+    CHECK(*fixture.system.nextRun() > fixture.now);
+}
+
 TEST_CASE("An upstream that is back from a rest gets one request until one succeeds")
 {
     NoticeFixture fixture;
