--- a/src/relay/internal/relaysystem.cpp
+++ b/src/relay/internal/relaysystem.cpp
@@ -25,10 +25,6 @@
 constexpr int64_t callerTimeoutInPauses = 8;
 //! Allows for the network delay of the refusal and for timers that fire late.
 constexpr model::Duration callerTimeoutMargin = model::milliseconds(50);
-//! Parts of the shutdown time during which new requests are accepted. Streams with their stages
-//! need most of the time to finish, other requests need little.
-constexpr double streamAcceptShare = 0.33;
-constexpr double requestAcceptShare = 0.8;
 //! Number of upstreams that have to fail while they run identical requests before these are
 //! quarantined. A lower number would quarantine requests when upstreams crash for other reasons.
 constexpr uint32_t crashesToQuarantine = 3;
@@ -112,40 +108,6 @@
     return true;
 }
 
-// Callers cache the addresses of daemons for seconds, so a daemon that stops still receives
-// requests. Those that would not finish in time are refused, so that callers retry them elsewhere.
-void RelaySystem::beginShutdown(model::TimePoint now, model::Duration limit)
-{
-    m_acceptStreamsUntil = now + model::scaled(limit, streamAcceptShare);
-    m_acceptRequestsUntil = now + model::scaled(limit, requestAcceptShare);
-    m_shutdownAt = now + limit;
-    for (const auto &[id, exchange] : m_exchanges) {
-        limitToShutdown(*exchange);
-        addDeadlineTimers(*exchange);
-    }
-}
-
-// The end of the process would close the connection of an open request without an answer. A stream
-// that would not be complete by then isn't started.
-void RelaySystem::limitToShutdown(Exchange &exchange)
-{
-    if (m_shutdownAt == model::TimePoint::max()) {
-        return;
-    }
-    const model::TimePoint latestFirstEvent = m_shutdownAt - streamTime(*exchange.route);
-    exchange.isLimitedByShutdown
-        = m_shutdownAt < exchange.deadline || latestFirstEvent < exchange.firstEventDeadline;
-    exchange.deadline = std::min(exchange.deadline, m_shutdownAt);
-    exchange.firstEventDeadline = std::min(exchange.firstEventDeadline, latestFirstEvent);
-}
-
-// A request that ends by its own deadline before the shutdown does is never cut by it. Streams last
-// too long for that; they are judged by the time that their route's streams take.
-bool RelaySystem::mayOutlastShutdown(const Exchange &exchange)
-{
-    return exchange.isLimitedByShutdown && !isStream(exchange.route->kind);
-}
-
 void RelaySystem::addDeadlineTimers(const Exchange &exchange)
 {
     m_timeouts.add(exchange.deadline, exchange.arrived.request);
--- a/src/relay/tests/shutdowntest.cpp
+++ b/src/relay/tests/shutdowntest.cpp
@@ -138,3 +138,23 @@
     CHECK(fixture.count<StartAttempt>() == 0);
     CHECK(fixture.take<RefuseRequest>().refusal == Refusal::Stopping);
 }
+
+TEST_CASE("A daemon that stops accepts only requests that it can finish")
+{
+    RelayFixture fixture;
+    fixture.system.beginShutdown(fixture.now, model::seconds(7));
+    fixture.advanceTime(model::seconds(2));
+    fixture.arrive("/stream/x");
+    CHECK(fixture.count<StartAttempt>() == 1);
+    fixture.advanceTime(milliseconds(500));
+    fixture.arrive("/stream/x");
+    CHECK(fixture.take<RefuseRequest>().refusal == Refusal::Stopping);
+    fixture.arrive("/once/x", "key", model::seconds(4));
+    CHECK(fixture.count<StartAttempt>() == 2);
+    fixture.arrive("/once/x");
+    CHECK(fixture.take<RefuseRequest>().refusal == Refusal::Stopping);
+    fixture.advanceTime(model::seconds(4));
+    fixture.commands.clear();
+    fixture.arrive("/once/x", "key", milliseconds(100));
+    CHECK(fixture.take<RefuseRequest>().refusal == Refusal::Stopping);
+}
