Relay: results are not released at an upstream that rests and lost its row

Cause: a release goes to an address, and the daemon asked the row of the listing whether calls may go there. NoticeTable keeps the word by id beyond the row, but the address was lost with it.

Change: the table keeps the address too. An upstream that is listed at an address goes before those that were reached there earlier, so a new one at the same address gets its releases.

--- a/src/daemon/internal/batchrunner.cpp
+++ b/src/daemon/internal/batchrunner.cpp
@@ -114,8 +114,8 @@
     m_nextFlush = model::TimePoint::max();
     for (auto &[producer, handles] : std::exchange(m_releases, {})) {
         const relay::Upstream *upstream = m_system.upstreams().findByAddress(producer);
-        if (upstream && !relay::UpstreamDirectory::isAvailable(*upstream, now)) {
-            postpone(*upstream, producer, std::move(handles), now);
+        if (!m_system.upstreams().takesCalls(producer, now)) {
+            postpone(upstream, producer, std::move(handles), now);
             continue;
         }
         const model::UpstreamId id = upstream ? upstream->listing.id : model::UpstreamId();
@@ -123,26 +123,31 @@
         call.timeout = releaseTimeout;
         call.maxBodyBytes = maxAnswerBytes;
         m_calls[m_client.start(std::move(call), *this)]
-            = {.upstream = id, .incarnation = upstream ? upstream->listing.incarnation : 0};
+            = {.upstream = id,
+               .incarnation = upstream ? upstream->listing.incarnation : 0,
+               .address = producer};
     }
 }
 
-// An upstream that leaves takes its results with it, and after a long rest they have expired.
-void BatchRunner::postpone(const relay::Upstream &upstream, const config::Endpoint &producer,
+// An upstream that leaves takes its results with it, and after a long rest, or at one that is no
+// longer listed, they have expired.
+void BatchRunner::postpone(const relay::Upstream *upstream, const config::Endpoint &producer,
                            std::vector<relay::ResultHandle> handles, model::TimePoint now)
 {
-    const bool isWorthwhile = !upstream.isLeaving() && upstream.restUntil - now <= maxReleaseDelay
+    const bool isWorthwhile = upstream && !upstream->isLeaving()
+                              && upstream->restUntil - now <= maxReleaseDelay
                               && handles.size() <= maxPostponedHandles;
     m_host.record({.code = observability::EventCode::ReleaseHeld,
                    .request = {},
-                   .subject = upstream.listing.id.text(),
-                   .detail = absl::StrCat("handles=", handles.size(),
+                   .subject = config::toText(producer),
+                   .detail = absl::StrCat("upstream=", upstream ? upstream->listing.id.text() : "",
+                                          " handles=", handles.size(),
                                           " outcome=", isWorthwhile ? "postponed" : "dropped")});
     if (!isWorthwhile) {
         return;
     }
     m_releases[producer] = std::move(handles);
-    m_nextFlush = std::min(m_nextFlush, upstream.restUntil);
+    m_nextFlush = std::min(m_nextFlush, upstream->restUntil);
 }
 
 void BatchRunner::onHead(uint64_t call, const net::MessageHead &head)
@@ -155,9 +160,11 @@
     received.facts = m_format.decodeAnswer(head, {});
     const relay::UpstreamNotice notice = m_format.decodeNotice(head, net::EventLoop::wallTime());
     received.hasAskedRest = notice.rest > model::Duration::zero();
-    m_system.onUpstreamNotice(
-        {.upstream = received.upstream, .incarnation = received.incarnation, .request = {}}, notice,
-        net::EventLoop::now());
+    m_system.onUpstreamNotice({.upstream = received.upstream,
+                               .incarnation = received.incarnation,
+                               .address = received.address,
+                               .request = {}},
+                              notice, net::EventLoop::now());
     m_host.execute();
 }
 
--- a/src/daemon/internal/batchrunner.h
+++ b/src/daemon/internal/batchrunner.h
@@ -61,8 +61,9 @@
 
     //! Whether \a call was answered with a copy of the answer to the upstream's previous batch.
     bool isLateCopy(const Call &call);
-    //! Keeps a release until its upstream takes calls again, or drops it.
-    void postpone(const relay::Upstream &upstream, const config::Endpoint &producer,
+    //! Keeps a release until its upstream takes calls again, or drops it; \a upstream is null if
+    //! none is listed at the address.
+    void postpone(const relay::Upstream *upstream, const config::Endpoint &producer,
                   std::vector<relay::ResultHandle> handles, model::TimePoint now);
     void record(const Call &call, std::string_view outcome);
 
--- a/src/daemon/internal/exchangerunner.cpp
+++ b/src/daemon/internal/exchangerunner.cpp
@@ -154,6 +154,7 @@
     attempt.request = command.request;
     attempt.upstream = command.upstream;
     attempt.incarnation = command.incarnation;
+    attempt.address = command.address;
     attempt.forwardsWholeEvents = command.forwardsWholeEvents;
     attempt.call = m_client.start(std::move(call), *this);
     m_calls[attempt.call] = command.attempt;
@@ -213,9 +214,11 @@
     const model::CallerRequestId callerId
         = pending == m_pendingRequests.end() ? model::CallerRequestId() : pending->second.callerId;
     const model::TimePoint now = net::EventLoop::now();
-    m_system.onUpstreamNotice(
-        {.upstream = attempt->upstream, .incarnation = attempt->incarnation, .request = callerId},
-        m_format.decodeNotice(head, net::EventLoop::wallTime()), now);
+    m_system.onUpstreamNotice({.upstream = attempt->upstream,
+                               .incarnation = attempt->incarnation,
+                               .address = attempt->address,
+                               .request = callerId},
+                              m_format.decodeNotice(head, net::EventLoop::wallTime()), now);
     m_system.onAttemptHead(id, m_format.decodeAnswer(head, callerId), now);
     m_host.execute();
 }
--- a/src/daemon/internal/exchangerunner.h
+++ b/src/daemon/internal/exchangerunner.h
@@ -58,6 +58,7 @@
         model::RequestId request;
         model::UpstreamId upstream;
         uint64_t incarnation = 0;
+        config::Endpoint address;
         uint64_t call = 0;
         net::MessageHead head;
         std::string unsentBody; //!< Answer body that has not been relayed to the caller yet.
--- a/src/relay/internal/noticetable.cpp
+++ b/src/relay/internal/noticetable.cpp
@@ -58,6 +58,22 @@
     return isResting ? it->second.restUntil : model::TimePoint();
 }
 
+void NoticeTable::setAddress(const model::UpstreamId &upstream, const config::Endpoint &address)
+{
+    const auto it = m_rows.find(upstream);
+    if (it != m_rows.end()) {
+        it->second.address = address;
+    }
+}
+
+bool NoticeTable::isClosed(const config::Endpoint &address, model::TimePoint now) const
+{
+    return std::any_of(m_rows.begin(), m_rows.end(), [&](const auto &entry) {
+        const Row &row = entry.second;
+        return row.address == address && (row.isLeaving || now < row.restUntil);
+    });
+}
+
 void NoticeTable::limit(const std::function<bool(const model::UpstreamId &)> &isListed)
 {
     if (m_rows.size() <= maxRows) {
--- a/src/relay/internal/relaynotices.cpp
+++ b/src/relay/internal/relaynotices.cpp
@@ -91,6 +91,7 @@
             .detail = absl::StrCat(incarnation, " restMs=", model::toMilliseconds(notice.rest),
                                    " spreadMs=", model::toMilliseconds(spread))});
     }
+    m_directory.noteAddress(source.upstream, source.address);
 }
 
 void RelaySystem::onPeerLeavingUpstream(const model::UpstreamId &upstream, uint64_t incarnation,
--- a/src/relay/internal/upstreamdirectory.cpp
+++ b/src/relay/internal/upstreamdirectory.cpp
@@ -39,6 +39,7 @@
     }
     if (listing.isLeaving && listing.incarnation != 0) {
         m_notices.addLeaving(listing.id, {.last = listing.incarnation, .recent = {}});
+        m_notices.setAddress(listing.id, listing.address);
     }
     const bool hasSaidLeaving = m_notices.isLeaving(listing.id, listing.incarnation);
     if (!known) {
@@ -86,6 +87,17 @@
     m_notices.limit([this](const model::UpstreamId &each) { return find(each) != nullptr; });
 }
 
+void UpstreamDirectory::noteAddress(const model::UpstreamId &id, const config::Endpoint &address)
+{
+    m_notices.setAddress(id, address);
+}
+
+bool UpstreamDirectory::takesCalls(const config::Endpoint &address, model::TimePoint now) const
+{
+    const Upstream *upstream = findByAddress(address);
+    return upstream ? isAvailable(*upstream, now) : !m_notices.isClosed(address, now);
+}
+
 void UpstreamDirectory::applyRest(Upstream &upstream) const
 {
     const model::TimePoint until
--- a/src/relay/noticetable.h
+++ b/src/relay/noticetable.h
@@ -5,6 +5,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include "config/settings.h"
 #include "relay/upstreamnotice.h"
 
 namespace citronpick::relay
@@ -25,6 +26,11 @@
     //! TimePoint() if the upstream has not asked for a rest.
     model::TimePoint restUntil(const model::UpstreamId &upstream, uint64_t incarnation) const;
 
+    //! Where the upstream was reached; ignored if it has stated nothing.
+    void setAddress(const model::UpstreamId &upstream, const config::Endpoint &address);
+    //! Whether an upstream that was last reached at this address leaves or rests.
+    bool isClosed(const config::Endpoint &address, model::TimePoint now) const;
+
     //! Removes the oldest rows of upstreams that are not listed if the table has become too large.
     void limit(const std::function<bool(const model::UpstreamId &)> &isListed);
     size_t size() const
@@ -38,6 +44,7 @@
         UpstreamStarts leaving;
         model::TimePoint restUntil;
         UpstreamStarts resting;
+        config::Endpoint address;
         uint64_t addedAs = 0; //!< Number of the last addition to this row.
     };
 
--- a/src/relay/tests/leavingnoticetest.cpp
+++ b/src/relay/tests/leavingnoticetest.cpp
@@ -238,3 +238,35 @@
     CHECK(fixture.take<RunBatch>().upstream == model::UpstreamId("s1"));
     CHECK(fixture.count<RunBatch>() == 0);
 }
+
+// Guards against calls to an upstream of which the daemon has dropped the row, but not the word.
+TEST_CASE(
+    "An address stays closed after its upstream is removed, until another one is listed there")
+{
+    NoticeFixture fixture;
+    const config::Endpoint address {.host = "10.0.0.9", .port = 81};
+    const UpstreamDirectory &directory = fixture.system.upstreams();
+    CHECK(directory.takesCalls(address, fixture.now));
+    const auto *list = GENERATE("listed", "removed before the answer");
+    CAPTURE(list);
+    UpstreamListing listing {.id = model::UpstreamId("k9"),
+                             .pool = deskPool,
+                             .address = address,
+                             .zone = model::ZoneId("a"),
+                             .incarnation = NoticeFixture::firstStart};
+    fixture.system.upstreams().apply(listing);
+    if (list[0] == 'r') {
+        fixture.system.upstreams().remove(listing.id);
+    }
+    fixture.system.onUpstreamNotice({.upstream = listing.id,
+                                     .incarnation = NoticeFixture::firstStart,
+                                     .address = address,
+                                     .request = {}},
+                                    {.rest = model::seconds(15)}, fixture.now);
+    fixture.system.upstreams().remove(listing.id);
+    CHECK_FALSE(directory.takesCalls(address, fixture.now));
+    CHECK(directory.takesCalls(address, fixture.now + model::seconds(15)));
+    listing.id = model::UpstreamId("k10");
+    fixture.system.upstreams().apply(listing);
+    CHECK(directory.takesCalls(address, fixture.now));
+}
--- a/src/relay/upstreamdirectory.h
+++ b/src/relay/upstreamdirectory.h
@@ -87,6 +87,11 @@
     //! An answer asks for a rest of these starts of the upstream; it need not be listed.
     void noteRest(const model::UpstreamId &id, const UpstreamStarts &starts,
                   model::TimePoint until);
+    //! Where an upstream that made a statement was reached.
+    void noteAddress(const model::UpstreamId &id, const config::Endpoint &address);
+    //! Whether no upstream that leaves or rests is known at an address. A listed upstream goes
+    //! before those that were reached there earlier.
+    bool takesCalls(const config::Endpoint &address, model::TimePoint now) const;
     //! The earliest time at which an upstream of a pool takes work again: \a now if one does
     //! already, TimePoint::max() if all leave or none is listed. Failures are not considered.
     model::TimePoint availableFrom(const model::PoolId &pool, model::TimePoint now) const;
--- a/src/relay/upstreamnotice.h
+++ b/src/relay/upstreamnotice.h
@@ -4,6 +4,7 @@
 #include <compare>
 #include <cstdint>
 
+#include "config/settings.h"
 #include "model/ids.h"
 #include "model/time.h"
 
@@ -52,6 +53,7 @@
 struct NoticeSource {
     model::UpstreamId upstream;
     uint64_t incarnation = 0; //!< Incarnation of the upstream that was listed when the call began.
+    config::Endpoint address; //!< To which the call went.
     model::CallerRequestId request; //!< Empty for a call that serves several requests.
 
     friend auto operator<=>(const NoticeSource &, const NoticeSource &) = default;
