--- a/src/relay/tests/restnoticetest.cpp
+++ b/src/relay/tests/restnoticetest.cpp
@@ -168,6 +168,45 @@
     CHECK_FALSE(resting.isOnTrial);
 }
 
+TEST_CASE("A stream is not resumed at an upstream that rests, nor a retry sent there")
+{
+    NoticeFixture fixture;
+    fixture.askRest("e0", model::seconds(15));
+    fixture.askRest("k0", milliseconds(250));
+    fixture.arrive("/resume/x");
+    const auto stream = fixture.take<StartAttempt>();
+    fixture.head(stream.attempt, RelayFixture::success());
+    fixture.fail(stream.attempt, AttemptFailure::Broken, "3");
+    CHECK(fixture.count<AbortAnswer>() == 1);
+    fixture.arrive("/safe/x");
+    fixture.answer(fixture.take<StartAttempt>().attempt, RelayFixture::success(500));
+    CHECK(fixture.count<StartAttempt>() == 0);
+}
+
+TEST_CASE("Queued pieces of this and of other daemons do not go to an upstream that rests")
+{
+    NoticeFixture fixture;
+    fixture.arrive("/staged/x");
+    const auto running = fixture.take<RunBatch>();
+    const std::string other = running.upstream.text() == "s0" ? "s1" : "s0";
+    fixture.askRest(other, rest);
+    fixture.arrive("/staged/x");
+    fixture.system.onPeerJob(1,
+                             {.pool = stagePool,
+                              .request = model::CallerRequestId("p"),
+                              .key = "k",
+                              .due = fixture.now + model::seconds(2),
+                              .deadline = fixture.now + model::seconds(4)},
+                             fixture.now);
+    fixture.advanceTime(milliseconds(200));
+    CHECK(fixture.count<RunBatch>() == 0);
+    fixture.system.onBatchAnswered(running.batch, {{.failure = ItemFailure::None, .handle = "h"}},
+                                   fixture.now);
+    fixture.collect();
+    CHECK(fixture.take<RunBatch>().upstream == running.upstream);
+    CHECK(fixture.count<RunBatch>() == 0);
+}
+
 // Guards against requests that wait for a connection and arrive long after the upstream's answer.
 TEST_CASE("A request that was not sent yet goes elsewhere without a strike for the upstream")
 {
@@ -204,21 +243,13 @@
     }
 }
 
-TEST_CASE("A request does not run its stages if its pool rests for longer than it can wait")
+TEST_CASE("A request runs no stage if a pool that it needs rests for longer than it can wait")
 {
+    const auto *pool = GENERATE("e", "s");
+    CAPTURE(pool);
     NoticeFixture fixture;
-    fixture.askRest("e0", rest);
-    fixture.askRest("e1", rest);
-    fixture.arrive("/staged/x");
-    CHECK(fixture.count<RunBatch>() == 0);
-    CHECK(guaranteesNotRun(fixture.take<RefuseRequest>().refusal));
-}
-
-TEST_CASE("A stage whose upstreams rest longer than its request can wait refuses at once")
-{
-    NoticeFixture fixture;
-    fixture.askRest("s0", rest);
-    fixture.askRest("s1", rest);
+    fixture.askRest(absl::StrCat(pool, "0"), rest);
+    fixture.askRest(absl::StrCat(pool, "1"), rest);
     fixture.arrive("/staged/x");
     CHECK(fixture.count<RunBatch>() == 0);
     const auto refusal = fixture.take<RefuseRequest>();
