Relay: what waits in its stages is refused when a planned stop begins

Cause: the stop was asked about at the dispatch only. Change: beginShutdown() refuses requests that no upstream has and that may outlast the stop. No upstream has run them, so the refusal is true.

Test: 'A request in its stages that may outlast a planned stop …' failed before.

--- a/src/relay/internal/relayshutdown.cpp
+++ b/src/relay/internal/relayshutdown.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "relay/relaysystem.h"
+#include "relay/retryafter.h"
 
 // The part of RelaySystem that decides which requests a planned shutdown may still hold.
 
@@ -24,9 +25,19 @@
     m_acceptStreamsUntil = now + model::scaled(limit, streamAcceptShare);
     m_acceptRequestsUntil = now + model::scaled(limit, requestAcceptShare);
     m_shutdownAt = now + limit;
+    std::vector<model::RequestId> refused;
     for (const auto &[id, exchange] : m_exchanges) {
         limitToShutdown(*exchange);
         addDeadlineTimers(*exchange);
+        const bool isUnsent = exchange->attempt.value() == 0 && !exchange->mayHaveRun;
+        if (isUnsent && mayOutlastShutdown(*exchange)) {
+            refused.push_back(id);
+        }
+    }
+    // No upstream has them yet, so that the refusal is true now and may not be later.
+    std::sort(refused.begin(), refused.end());
+    for (const model::RequestId id : refused) {
+        refuse(id, Refusal::Stopping, stoppingRetryAfter);
     }
 }
 
--- a/src/relay/internal/relaysystem.cpp
+++ b/src/relay/internal/relaysystem.cpp
@@ -7,6 +7,7 @@
 #include "model/abslview.h"
 #include "model/hash.h"
 #include "model/overloaded.h"
+#include "relay/retryafter.h"
 
 namespace citronpick::relay
 {
@@ -32,8 +33,6 @@
 constexpr model::Duration quarantineLifetime = model::seconds(600);
 //! A queue does not become shorter in less time than a batch takes, which is about this long.
 constexpr model::Duration minQueueRetryAfter = model::milliseconds(300);
-//! Other daemons continue to serve while this one stops, so the caller can retry at once.
-constexpr model::Duration stoppingRetryAfter = model::milliseconds(50);
 
 } // namespace
 
--- a/src/relay/retryafter.h
+++ b/src/relay/retryafter.h
@@ -10,6 +10,8 @@
 
 //! If a pool without upstreams gets one at all, it does so within seconds.
 inline constexpr model::Duration emptyPoolRetryAfter = model::seconds(1);
+//! Other daemons continue to serve while this one stops, so the caller can retry at once.
+inline constexpr model::Duration stoppingRetryAfter = model::milliseconds(50);
 //! A pool usually has got another upstream by then.
 inline constexpr model::Duration maxRetryAfter = model::seconds(60);
 
--- a/src/relay/tests/shutdowntest.cpp
+++ b/src/relay/tests/shutdowntest.cpp
@@ -124,6 +124,28 @@
     CHECK(fixture.take<RefuseRequest>().refusal == Refusal::Stopping);
 }
 
+// Guards against requests that wait in their stages in vain, until a refusal leaves their callers
+// no time to go elsewhere.
+TEST_CASE("A request in its stages that may outlast a planned stop is refused when the stop begins")
+{
+    RelayFixture fixture;
+    ConfigurationContent content = RelayFixture::configuration(2)->content();
+    RouteRule &route = content.routes[4];
+    route.kind = RequestKind::AtMostOnce;
+    const std::string path = route.prefix + "x";
+    fixture.system.setConfiguration(std::make_shared<RelayConfiguration>(std::move(content)));
+    fixture.arrive(path);
+    const model::RequestId kept = fixture.arrive(path, "key", model::seconds(3));
+    REQUIRE(fixture.count<RunBatch>() > 0);
+    fixture.system.beginShutdown(fixture.now, model::seconds(7));
+    fixture.collect();
+    const auto refusal = fixture.take<RefuseRequest>();
+    CHECK(refusal.refusal == Refusal::Stopping);
+    CHECK(refusal.request != kept);
+    CHECK(refusal.retryAfter > model::Duration::zero());
+    CHECK(fixture.system.requestCount() == 1);
+}
+
 // Guards against streams that are cut at the end of a stop because they take longer than the mean.
 TEST_CASE("A stopping daemon allows for the spread of a route's stream times")
 {
