Zones that are emptied and cold upstreams

Cause: the operator's order to empty a zone (key op/evacuate/ZONE) was read by nothing, and neither coldRemainingMs nor X-Cold-Ms was. Nothing counted what all daemons together send to one cold upstream.

Change: the order is a key of the mirrored registry. UpstreamDirectory marks the upstreams of its zones, and every way to an upstream asks isAvailable(); calls that wait for a connection are recalled. The limit for cold upstreams is dealt out over the members by rendezvous hashing (ColdStartLimit), without messages; an upstream is cold by its entry, by any answer, after a lost connection and when its zone is taken back. Both work only where the configuration gives a pool a rate for cold upstreams, or the operator gives the order.

setPeers() gets the time, so three tests pass it; none of their checks changed.

--- a/src/config/internal/relaysettings.cpp
+++ b/src/config/internal/relaysettings.cpp
@@ -81,6 +81,7 @@
     const RelaySettings defaults;
     const Json drain = document.value("drain", Json::object());
     const Json retries = document.value("retries", Json::object());
+    const Json coldStarts = document.value("coldStarts", Json::object());
     const Json log = document.value("log", Json::object());
     EndpointReader endpoints(document, findings);
     RelaySettings settings {
@@ -101,6 +102,8 @@
         .retryRatio = retries.value("ratio", defaults.retryRatio),
         .retrySlack = retries.value("slack", defaults.retrySlack),
         .retryWindow = millisecondsAt(retries, "windowMs", defaults.retryWindow),
+        .coldOvershoot = coldStarts.value("overshoot", defaults.coldOvershoot),
+        .coldSlack = coldStarts.value("slack", defaults.coldSlack),
         .drain = {.acceptPeriod = millisecondsAt(drain, "acceptMs", defaults.drain.acceptPeriod),
                   .maxDuration = millisecondsAt(drain, "limitMs", defaults.drain.maxDuration)},
         .logLevel = log.value("level", defaults.logLevel),
--- a/src/config/internal/schemas.cpp
+++ b/src/config/internal/schemas.cpp
@@ -105,6 +105,13 @@
     "registrySilenceMs": { "$ref": "#/definitions/milliseconds" },
     "entryLifetimeMs": { "$ref": "#/definitions/milliseconds" },
     "linkMbps": { "type": "number", "minimum": 0, "maximum": 1000000 },
+    "coldStarts": {
+      "type": "object", "additionalProperties": false,
+      "properties": {
+        "overshoot": { "type": "number", "minimum": 1, "maximum": 10 },
+        "slack": { "type": "number", "minimum": 0, "maximum": 1000000 }
+      }
+    },
     "maxConnections": { "type": "integer", "minimum": 1, "maximum": 1000000 },
     "retries": {
       "type": "object", "additionalProperties": false,
--- a/src/config/relaysettings.h
+++ b/src/config/relaysettings.h
@@ -28,6 +28,10 @@
     double retryRatio = 0.2; //!< Retries allowed per request of a pool, fleet-wide.
     double retrySlack = 50.0; //!< Retries allowed per window in addition to the ratio.
     model::Duration retryWindow = model::seconds(10);
+    //! What a cold upstream may get from the whole fleet in one second: this multiple of the rate
+    //! that its pool tolerates, plus the slack.
+    double coldOvershoot = 1.0;
+    double coldSlack = 0.0;
     DrainSettings drain {.acceptPeriod = model::milliseconds(6200),
                          .maxDuration = model::milliseconds(7600)};
     std::string logLevel = "info";
--- a/src/daemon/internal/batchrunner.cpp
+++ b/src/daemon/internal/batchrunner.cpp
@@ -129,12 +129,12 @@
     }
 }
 
-// An upstream that leaves takes its results with it, and after a long rest, or at one that is no
-// longer listed, they have expired.
+// An upstream that leaves takes its results with it, those in a zone that is emptied expire, and
+// after a long rest, or at one that is no longer listed, they have expired.
 void BatchRunner::postpone(const relay::Upstream *upstream, const config::Endpoint &producer,
                            std::vector<relay::ResultHandle> handles, model::TimePoint now)
 {
-    const bool isWorthwhile = upstream && !upstream->isLeaving()
+    const bool isWorthwhile = upstream && !upstream->isClosed()
                               && upstream->restUntil - now <= maxReleaseDelay
                               && handles.size() <= maxPostponedHandles;
     m_host.record({.code = observability::EventCode::ReleaseHeld,
--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -94,6 +94,8 @@
                              .retries = {.ratio = m_settings.retryRatio,
                                          .slack = m_settings.retrySlack,
                                          .window = m_settings.retryWindow},
+                             .coldOvershoot = m_settings.coldOvershoot,
+                             .coldSlack = m_settings.coldSlack,
                              .seed = seed});
     fleet::FleetOptions fleetOptions;
     fleetOptions.seeds = m_settings.seeds;
--- a/src/daemon/internal/relayfleet.cpp
+++ b/src/daemon/internal/relayfleet.cpp
@@ -94,7 +94,7 @@
                              .linkMbps = row.member.linkMbps});
         }
     }
-    m_relay->setPeers(std::move(peers));
+    m_relay->setPeers(std::move(peers), net::EventLoop::now());
     m_registry->setDaemons(candidates);
 }
 
--- a/src/daemon/internal/relayregistry.cpp
+++ b/src/daemon/internal/relayregistry.cpp
@@ -144,11 +144,27 @@
     case RegistryKeyKind::Upstream:
         onUpstreamChanged(*changed);
         return;
+    case RegistryKeyKind::Evacuation:
+        onEvacuationChanged(*changed);
+        return;
     case RegistryKeyKind::Other:
         return;
     }
 }
 
+// The order holds as long as its key exists, whatever its value says.
+void RelayDaemon::onEvacuationChanged(const registry::KeyChanged &changed)
+{
+    const model::ZoneId zone = m_format.evacuatedZoneOf(changed.key);
+    const model::TimePoint now = net::EventLoop::now();
+    if (changed.value) {
+        m_relay->onZoneEvacuated(zone, now);
+    } else {
+        m_relay->onZoneRestored(zone, now);
+    }
+    execute();
+}
+
 void RelayDaemon::applyConfiguration(const std::string &text, std::string_view source)
 {
     auto content = m_format.decodeConfiguration(text);
@@ -206,7 +222,7 @@
                 .detail = absl::StrCat(revision, " why=", listing.status().message())});
         return;
     }
-    const relay::ListingChange change = m_relay->upstreams().apply(*listing);
+    const relay::ListingChange change = m_relay->onUpstreamListed(*listing, net::EventLoop::now());
     if (change == relay::ListingChange::None || change == relay::ListingChange::Updated) {
         return;
     }
--- a/src/daemon/iwireformat.h
+++ b/src/daemon/iwireformat.h
@@ -30,6 +30,7 @@
     Other,
     Configuration,
     Upstream,
+    Evacuation, //!< Exists while the operator orders that a zone's upstreams get no work.
 };
 
 /*!
@@ -84,6 +85,7 @@
     virtual absl::StatusOr<relay::UpstreamListing> decodeUpstream(std::string_view key,
                                                                   std::string_view value) const = 0;
     virtual model::UpstreamId upstreamOf(std::string_view key) const = 0;
+    virtual model::ZoneId evacuatedZoneOf(std::string_view key) const = 0;
 };
 
 } // namespace citronpick::daemon
--- a/src/daemon/relaydaemon.h
+++ b/src/daemon/relaydaemon.h
@@ -79,6 +79,7 @@
     void onRegistryUpdate(const registry::FollowerUpdate &update);
     void applyConfiguration(const std::string &text, std::string_view source);
     void onUpstreamChanged(const registry::KeyChanged &changed);
+    void onEvacuationChanged(const registry::KeyChanged &changed);
     void execute(relay::RelayCommand &command);
     void runFleet(model::TimePoint now);
     void applyCrashFacts(const fleet::FleetUpdates &updates, model::TimePoint now);
--- a/src/relay/internal/batchfilling.cpp
+++ b/src/relay/internal/batchfilling.cpp
@@ -192,7 +192,7 @@
         const Upstream *upstream = m_directory.find(batch.upstream);
         const model::TimePoint end
             = batch.startedAt + model::scaled(batch.expected, pool.slowdown) + batchTimeSpread;
-        if (batch.pool == id && upstream && !upstream->isLeaving() && end > now) {
+        if (batch.pool == id && upstream && !upstream->isClosed() && end > now) {
             note(upstream->listing.zone, end);
         }
     }
--- a/src/relay/internal/batchscheduler.cpp
+++ b/src/relay/internal/batchscheduler.cpp
@@ -141,7 +141,7 @@
         for (const Upstream *upstream : m_directory.inPool(id)) {
             // A rest that lasts longer is considered by nextReturn.
             const bool isAvoided = upstream->avoidedUntil > upstream->restUntil;
-            if (upstream->inFlight == 0 && isAvoided && !upstream->isLeaving()) {
+            if (upstream->inFlight == 0 && isAvoided && !upstream->isClosed()) {
                 consider(upstream->avoidedUntil);
             }
         }
@@ -257,6 +257,7 @@
         return;
     }
     m_directory.noteFailure(batch->upstream, now);
+    m_directory.noteConnectionLost(batch->upstream, now);
     if (Upstream *upstream = m_directory.find(batch->upstream)) {
         upstream->avoidedUntil = std::max(upstream->avoidedUntil, now + refusalPause);
     }
--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -61,6 +61,7 @@
     Upstream &upstream = *m_directory.find(choice->listing.id);
     const model::AttemptId attempt(++m_lastAttempt);
     ++m_counters.attempts;
+    m_counters.coldCalls += upstream.isCold(now) ? 1 : 0;
     UpstreamDirectory::noteStarted(upstream, now);
     upstream.inFlightTokens += exchange.arrived.promptTokens;
     m_attempts[attempt] = {.request = id,
@@ -252,6 +253,9 @@
         exchange.lastEvent = lastEvent;
     }
     m_directory.noteFailure(attempt.upstream, now);
+    if (failure == AttemptFailure::NotSent || failure == AttemptFailure::Broken) {
+        m_directory.noteConnectionLost(attempt.upstream, now);
+    }
     record(EventCode::AttemptLost, exchange, attempt.upstream.text(),
            absl::StrCat("why=", model::toAbsl(toString(failure)),
                         " afterMs=", model::toMilliseconds(now - attempt.startedAt)));
--- a/src/relay/internal/relaynotices.cpp
+++ b/src/relay/internal/relaynotices.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "model/abslview.h"
 #include "relay/relaysystem.h"
 #include "relay/retryafter.h"
 
@@ -91,9 +92,71 @@
             .detail = absl::StrCat(incarnation, " restMs=", model::toMilliseconds(notice.rest),
                                    " spreadMs=", model::toMilliseconds(spread))});
     }
+    if (notice.coldFor > model::Duration::zero()) {
+        noteCold(source.upstream, notice.coldFor, "answer", now);
+    }
     m_directory.noteAddress(source.upstream, source.address);
 }
 
+void RelaySystem::noteCold(const model::UpstreamId &id, model::Duration coldFor,
+                           std::string_view source, model::TimePoint now)
+{
+    const Upstream *upstream = m_directory.find(id);
+    const bool wasCold = upstream && upstream->isCold(now);
+    m_directory.noteCold(id, now + coldFor);
+    if (!upstream || wasCold || !upstream->isCold(now)) {
+        return;
+    }
+    m_commands.emplace_back(observability::Event {
+        .code = EventCode::UpstreamCold,
+        .request = {},
+        .subject = id.text(),
+        .detail
+        = absl::StrCat("source=", model::toAbsl(source), " coldMs=", model::toMilliseconds(coldFor),
+                       " sender=", upstream->coldTurnAt < model::TimePoint::max() ? "yes" : "no")});
+}
+
+ListingChange RelaySystem::onUpstreamListed(const UpstreamListing &listing, model::TimePoint now)
+{
+    const ListingChange change = m_directory.apply(listing);
+    const bool isKnown = change == ListingChange::None || change == ListingChange::Outdated;
+    if (!isKnown && listing.coldFor > model::Duration::zero()) {
+        noteCold(listing.id, listing.coldFor, "registry", now);
+    }
+    return change;
+}
+
+// Requests that run in the zone go on. Calls that have not been sent yet are taken back.
+void RelaySystem::onZoneEvacuated(const model::ZoneId &zone, model::TimePoint now)
+{
+    if (!m_directory.setEvacuated(zone, true, now)) {
+        return;
+    }
+    const std::vector<model::UpstreamId> upstreams = m_directory.inZone(zone);
+    m_commands.emplace_back(
+        observability::Event {.code = EventCode::ZoneEvacuated,
+                              .request = {},
+                              .subject = zone.text(),
+                              .detail = absl::StrCat("upstreams=", upstreams.size())});
+    for (const model::UpstreamId &upstream : upstreams) {
+        m_commands.emplace_back(RecallCalls {.upstream = upstream});
+    }
+    runScheduler(now);
+}
+
+void RelaySystem::onZoneRestored(const model::ZoneId &zone, model::TimePoint now)
+{
+    if (!m_directory.setEvacuated(zone, false, now)) {
+        return;
+    }
+    m_commands.emplace_back(
+        observability::Event {.code = EventCode::ZoneRestored,
+                              .request = {},
+                              .subject = zone.text(),
+                              .detail = absl::StrCat("cold=", m_directory.coldCount(now))});
+    runScheduler(now);
+}
+
 void RelaySystem::onPeerLeavingUpstream(const model::UpstreamId &upstream, uint64_t incarnation,
                                         model::TimePoint now)
 {
--- a/src/relay/internal/relaysystem.cpp
+++ b/src/relay/internal/relaysystem.cpp
@@ -89,6 +89,9 @@
 
 RelaySystem::RelaySystem(RelayOptions options)
     : m_options(std::move(options))
+    , m_directory({.daemon = m_options.daemon,
+                   .overshoot = m_options.coldOvershoot,
+                   .slack = m_options.coldSlack})
     , m_chooser(m_directory, m_options.seed)
     , m_scheduler(m_directory)
     , m_budget(m_options.retries)
@@ -103,6 +106,7 @@
         return false;
     }
     m_configuration = std::move(configuration);
+    m_directory.setConfiguration(m_configuration);
     m_scheduler.setConfiguration(m_configuration);
     return true;
 }
@@ -115,9 +119,14 @@
     }
 }
 
-void RelaySystem::setPeers(std::vector<PeerDaemon> peers)
+void RelaySystem::setPeers(std::vector<PeerDaemon> peers, model::TimePoint now)
 {
     m_peers = std::move(peers);
+    std::vector<model::DaemonId> daemons;
+    for (const PeerDaemon &peer : m_peers) {
+        daemons.push_back(peer.id);
+    }
+    m_directory.setDaemons(std::move(daemons), now);
     m_budget.setDaemons(static_cast<uint32_t>(m_peers.size()));
 }
 
@@ -342,6 +351,7 @@
     while (const auto request = m_timeouts.takeDue(now)) {
         onTimeout(*request, now);
     }
+    m_directory.run(now);
     runQuarantine(now);
     runScheduler(now);
     checkPeers(now);
@@ -351,7 +361,7 @@
 {
     std::optional<model::TimePoint> next = m_timeouts.earliest();
     for (const std::optional<model::TimePoint> other :
-         {m_scheduler.nextRun(), m_partQuarantine.nextRun()}) {
+         {m_scheduler.nextRun(), m_partQuarantine.nextRun(), m_directory.nextRun()}) {
         if (other && (!next || *other < *next)) {
             next = other;
         }
--- a/src/relay/internal/upstreamdirectory.cpp
+++ b/src/relay/internal/upstreamdirectory.cpp
@@ -46,6 +46,7 @@
         auto upstream = std::make_unique<Upstream>();
         upstream->listing = listing;
         upstream->hasSaidLeaving = hasSaidLeaving;
+        upstream->isEvacuated = m_evacuatedZones.contains(listing.zone);
         applyRest(*upstream);
         insertIntoPool(*upstream);
         m_upstreams.emplace(listing.id, std::move(upstream));
@@ -55,9 +56,11 @@
     eraseFromPool(*known);
     known->listing = listing;
     known->hasSaidLeaving = hasSaidLeaving;
+    known->isEvacuated = m_evacuatedZones.contains(listing.zone);
     applyRest(*known);
     insertIntoPool(*known);
     if (before.incarnation != listing.incarnation || before.address != listing.address) {
+        known->coldUntil = {};
         known->consecutiveFailures = 0;
         known->avoidedUntil = {};
         known->isOnTrial = false;
@@ -115,9 +118,7 @@
 {
     model::TimePoint earliest = model::TimePoint::max();
     for (const Upstream *upstream : inPool(pool)) {
-        if (!upstream->isLeaving()) {
-            earliest = std::min(earliest, std::max(now, upstream->restUntil));
-        }
+        earliest = std::min(earliest, upstream->opensAt(now));
     }
     return earliest;
 }
@@ -127,8 +128,8 @@
 {
     model::TimePoint next = model::TimePoint::max();
     for (const Upstream *upstream : inPool(pool)) {
-        if (!upstream->isLeaving() && now < upstream->restUntil) {
-            next = std::min(next, upstream->restUntil);
+        if (const model::TimePoint opensAt = upstream->opensAt(now); opensAt > now) {
+            next = std::min(next, opensAt);
         }
     }
     return next;
@@ -144,9 +145,14 @@
 void UpstreamDirectory::noteStarted(Upstream &upstream, model::TimePoint now)
 {
     ++upstream.inFlight;
+    upstream.lastStartedAt = now;
     if (upstream.isReturning && now >= upstream.restUntil) {
         ++upstream.inFlightSinceRest;
     }
+    if (upstream.isCold(now)) {
+        upstream.coldSentAt = now;
+        upstream.coldTurnAt = now + upstream.coldInterval;
+    }
 }
 
 void UpstreamDirectory::noteEnded(const model::UpstreamId &id, model::TimePoint startedAt)
--- a/src/relay/relayconfiguration.h
+++ b/src/relay/relayconfiguration.h
@@ -90,12 +90,22 @@
     friend bool operator==(const EngineRule &, const EngineRule &) = default;
 };
 
+//! What upstreams of a pool tolerate for a while after they start.
+struct ColdStartRule {
+    model::Duration duration {}; //!< How long an upstream is cold after a start.
+    //! From all daemons together; an upstream may crash at a higher rate.
+    double requestsPerSecond = 0.0;
+
+    friend bool operator==(const ColdStartRule &, const ColdStartRule &) = default;
+};
+
 struct PoolRule {
     model::PoolId id;
     std::string healthPath;
     uint32_t maxConnections = 0; //!< Connections that one upstream accepts from all clients.
     std::optional<BatchRule> batch;
     std::optional<EngineRule> engine;
+    std::optional<ColdStartRule> coldStart; //!< Empty if upstreams start warm.
 
     friend bool operator==(const PoolRule &, const PoolRule &) = default;
 };
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -28,6 +28,8 @@
     model::DaemonId daemon;
     model::ZoneId zone;
     RetryBudgetOptions retries;
+    double coldOvershoot = 1.0; //!< See ColdStartOptions.
+    double coldSlack = 0.0;
     uint64_t seed = 1;
 };
 
@@ -49,6 +51,7 @@
     uint64_t releasedParts = 0;
     uint64_t leavingNotices = 0;
     uint64_t restNotices = 0;
+    uint64_t coldCalls = 0; //!< Requests and batches sent to cold upstreams.
     observability::Histogram firstEvents; //!< From a request's arrival to its stream's first event.
     observability::Histogram answers; //!< From a request's arrival to the end of its answer.
 };
@@ -79,7 +82,7 @@
         return m_directory;
     }
     //! Sets the daemons that are alive, including this one.
-    void setPeers(std::vector<PeerDaemon> peers);
+    void setPeers(std::vector<PeerDaemon> peers, model::TimePoint now);
     //! Begins a planned shutdown that ends after \a limit. From now on only requests that are
     //! expected to finish by then are accepted, and by then each open request is answered, refused
     //! or, if its answer has begun, aborted.
@@ -111,6 +114,12 @@
     void onPeerLeavingUpstream(const model::UpstreamId &upstream, uint64_t incarnation,
                                model::TimePoint now);
 
+    //! The registry lists an upstream or has changed its entry.
+    ListingChange onUpstreamListed(const UpstreamListing &listing, model::TimePoint now);
+    //! The operator orders that the upstreams of a zone get no work, or takes the order back.
+    void onZoneEvacuated(const model::ZoneId &zone, model::TimePoint now);
+    void onZoneRestored(const model::ZoneId &zone, model::TimePoint now);
+
     //! The attempt was ended before its upstream received any byte of the request.
     void onAttemptRecalled(model::AttemptId attempt, model::TimePoint now);
 
@@ -308,6 +317,8 @@
     //! When a pool is expected to have an upstream that takes work; \a otherwise if it has one.
     model::Duration retryAfterOf(const model::PoolId &pool, model::Duration otherwise,
                                  model::TimePoint now) const;
+    void noteCold(const model::UpstreamId &id, model::Duration coldFor, std::string_view source,
+                  model::TimePoint now);
     UpstreamStarts startsOf(const NoticeSource &source, const UpstreamNotice &notice) const;
     void runScheduler(model::TimePoint now);
 
--- a/src/relay/tests/exchangetest.cpp
+++ b/src/relay/tests/exchangetest.cpp
@@ -209,7 +209,8 @@
                              {.id = model::DaemonId("d2")},
                              {.id = model::DaemonId("d3")},
                              {.id = model::DaemonId("d4")},
-                             {.id = model::DaemonId("d5")}});
+                             {.id = model::DaemonId("d5")}},
+                            fixture.now);
     int sent = 0;
     for (int i = 0; i < 100; ++i) {
         fixture.arrive("/safe/x");
--- a/src/relay/tests/restnoticetest.cpp
+++ b/src/relay/tests/restnoticetest.cpp
@@ -32,7 +32,7 @@
             for (size_t peer = 0; peer < knownPeers; ++peer) {
                 peers.push_back({.id = model::DaemonId(absl::StrCat("d", peer)), .address = {}});
             }
-            daemon->setPeers(std::move(peers));
+            daemon->setPeers(std::move(peers), model::TimePoint());
             daemon->upstreams().apply({.id = model::UpstreamId("k0"),
                                        .pool = deskPool,
                                        .address = {.host = "10.0.0.1", .port = 80},
--- a/src/relay/tests/stagestest.cpp
+++ b/src/relay/tests/stagestest.cpp
@@ -20,7 +20,7 @@
     for (int i = 2; i < 20; ++i) {
         const PeerDaemon other {.id = model::DaemonId(absl::StrCat("d", i)),
                                 .address = absl::StrCat("10.0.0.", i, ":1")};
-        fixture.system.setPeers({self, other});
+        fixture.system.setPeers({self, other}, fixture.now);
         fixture.arrive("/staged/x");
         const bool isForwarded = fixture.count<ForwardJob>() > 0;
         fixture.system.onCallerDisconnected(model::RequestId(fixture.lastRequest), fixture.now);
@@ -134,12 +134,12 @@
                          .address = absl::StrCat("10.0.0.", i, ":1"),
                          .linkMbps = i == 17 ? 200U : 10U});
     }
-    fixture.system.setPeers(peers);
+    fixture.system.setPeers(peers, fixture.now);
     fixture.arrive("/staged/x");
     CHECK(fixture.take<ForwardJob>().peer.id == model::DaemonId("d17"));
     // Without the fast one, all daemons have equal links.
     std::erase_if(peers, [](const PeerDaemon &peer) { return peer.linkMbps == 200; });
-    fixture.system.setPeers(peers);
+    fixture.system.setPeers(peers, fixture.now);
     fixture.arrive("/staged/x");
     CHECK(fixture.count<ForwardJob>() + fixture.count<RunBatch>() == 1);
 }
@@ -290,7 +290,7 @@
         RelaySystem system({.daemon = peer.id});
         system.setConfiguration(RelayFixture::configuration(1));
         system.upstreams().apply({.id = model::UpstreamId("s"), .pool = stagePool});
-        system.setPeers(peers);
+        system.setPeers(peers, model::TimePoint());
         system.onRequestArrived({.request = model::RequestId(1),
                                  .callerId = model::CallerRequestId("c"),
                                  .host = "example",
--- a/src/relay/upstreamdirectory.h
+++ b/src/relay/upstreamdirectory.h
@@ -2,6 +2,7 @@
 #define CITRONPICK_RELAY_UPSTREAMDIRECTORY_H
 
 #include <memory>
+#include <set>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
@@ -9,6 +10,7 @@
 #include "config/settings.h"
 #include "model/ids.h"
 #include "model/time.h"
+#include "relay/coldstartlimit.h"
 #include "relay/noticetable.h"
 
 namespace citronpick::relay
@@ -22,6 +24,7 @@
     model::ZoneId zone;
     uint32_t slots = 1;
     bool isLeaving = false;
+    model::Duration coldFor {}; //!< How long it stays cold after the registration.
     //! Changes with each restart of an upstream under the same id.
     uint64_t incarnation = 0;
 
@@ -33,6 +36,7 @@
     UpstreamListing listing;
     uint32_t inFlight = 0; //!< Unfinished requests or batches of this daemon.
     uint64_t inFlightTokens = 0; //!< Prompt tokens of the unfinished requests.
+    model::TimePoint lastStartedAt; //!< When this daemon last sent it work.
     uint32_t consecutiveFailures = 0;
     //! Batches are not sent before this time; requests only if no other upstream is usable.
     model::TimePoint avoidedUntil;
@@ -43,12 +47,39 @@
     //! No work that began after the rest has succeeded yet.
     bool isReturning = false;
     uint32_t inFlightSinceRest = 0; //!< Unfinished requests or batches that began after the rest.
+    bool isEvacuated = false; //!< The operator has ordered its availability zone to be emptied.
+    //! It takes little until then; TimePoint() if it has not been cold.
+    model::TimePoint coldUntil;
+    //! When this daemon may next send to it while it is cold; TimePoint::max() if other daemons do.
+    model::TimePoint coldTurnAt;
+    model::TimePoint coldSentAt; //!< When this daemon last sent to it while it was cold.
+    //! Minimum time between two calls of this daemon while the upstream is cold.
+    model::Duration coldInterval {};
 
     //! Whether it gets no new work until it starts again.
     bool isLeaving() const
     {
         return listing.isLeaving || hasSaidLeaving;
     }
+    //! Whether it gets no new work for an unknown time.
+    bool isClosed() const
+    {
+        return isLeaving() || isEvacuated;
+    }
+    bool isCold(model::TimePoint now) const
+    {
+        return now < coldUntil;
+    }
+    //! The earliest time at which it takes work of this daemon, failures not considered;
+    //! TimePoint::max() if it is closed.
+    model::TimePoint opensAt(model::TimePoint now) const
+    {
+        if (isClosed()) {
+            return model::TimePoint::max();
+        }
+        const model::TimePoint afterCold = std::min(coldUntil, coldTurnAt);
+        return std::max({now, restUntil, isCold(now) ? afterCold : now});
+    }
 };
 
 //! How a listing differed from the known one.
@@ -65,6 +96,18 @@
 class UpstreamDirectory
 {
 public:
+    explicit UpstreamDirectory(ColdStartOptions coldStarts = {})
+        : m_coldStarts(std::move(coldStarts))
+    {
+    }
+
+    void setConfiguration(RelayConfigurationPtr configuration);
+    //! Sets the daemons that are alive, including this one.
+    void setDaemons(std::vector<model::DaemonId> daemons, model::TimePoint now);
+    //! Applies what depends on the time alone.
+    void run(model::TimePoint now);
+    std::optional<model::TimePoint> nextRun() const;
+
     ListingChange apply(const UpstreamListing &listing);
     //! Returns false if the upstream is not listed.
     bool remove(const model::UpstreamId &id);
@@ -87,18 +130,35 @@
     //! An answer asks for a rest of these starts of the upstream; it need not be listed.
     void noteRest(const model::UpstreamId &id, const UpstreamStarts &starts,
                   model::TimePoint until);
+    //! The upstream is cold until then. Ignored if it is not listed or its pool has no limit for
+    //! cold upstreams.
+    void noteCold(const model::UpstreamId &id, model::TimePoint until);
+    //! The operator orders that a zone's upstreams get no work, or takes the order back. Returns
+    //! false if this is known.
+    bool setEvacuated(const model::ZoneId &zone, bool isEvacuated, model::TimePoint now);
+    const std::set<model::ZoneId> &evacuatedZones() const
+    {
+        return m_evacuatedZones;
+    }
+    std::vector<model::UpstreamId> inZone(const model::ZoneId &zone) const;
     //! Where an upstream that made a statement was reached.
     void noteAddress(const model::UpstreamId &id, const config::Endpoint &address);
     //! Whether no upstream that leaves or rests is known at an address. A listed upstream goes
     //! before those that were reached there earlier.
     bool takesCalls(const config::Endpoint &address, model::TimePoint now) const;
     //! The earliest time at which an upstream of a pool takes work again: \a now if one does
-    //! already, TimePoint::max() if all leave or none is listed. Failures are not considered.
+    //! already, TimePoint::max() if all leave, all are in zones that are emptied or none is listed.
+    //! Failures are not considered.
     model::TimePoint availableFrom(const model::PoolId &pool, model::TimePoint now) const;
-    //! When the next rest of an upstream of a pool ends; TimePoint::max() if none rests.
+    //! When the next upstream of a pool that rests or is cold takes work of this daemon;
+    //! TimePoint::max() if there is none.
     model::TimePoint nextReturn(const model::PoolId &pool, model::TimePoint now) const;
     //! Number of upstreams that rest.
     size_t restingCount(model::TimePoint now) const;
+    //! Number of upstreams that are cold.
+    size_t coldCount(model::TimePoint now) const;
+    //! Number of upstreams in zones that are emptied.
+    size_t evacuatedCount() const;
 
     //! A request or batch was sent to the upstream.
     static void noteStarted(Upstream &upstream, model::TimePoint now);
@@ -107,6 +167,8 @@
 
     //! The upstream refused or closed a connection, or did not answer.
     void noteFailure(const model::UpstreamId &id, model::TimePoint now);
+    //! The connection to the upstream was refused, timed out or broke.
+    void noteConnectionLost(const model::UpstreamId &id, model::TimePoint now);
     //! A different upstream answers at the address of this one, which is still listed.
     void noteReplaced(const model::UpstreamId &id, model::TimePoint now);
     //! Work that began at \a startedAt succeeds.
@@ -117,18 +179,21 @@
     //! Whether the upstream takes work, apart from its recent failures.
     static bool isAvailable(const Upstream &upstream, model::TimePoint now)
     {
-        return !upstream.isLeaving() && now >= upstream.restUntil;
+        return upstream.opensAt(now) <= now;
     }
 
 private:
     bool isOutdated(const Upstream *known, const UpstreamListing &listing) const;
     void applyRest(Upstream &upstream) const;
+    void applyColdTurn(Upstream &upstream) const;
     void insertIntoPool(Upstream &upstream);
     void eraseFromPool(const Upstream &upstream);
 
     absl::flat_hash_map<model::UpstreamId, std::unique_ptr<Upstream>> m_upstreams;
     absl::flat_hash_map<model::PoolId, std::vector<Upstream *>> m_pools;
     NoticeTable m_notices;
+    ColdStartLimit m_coldStarts;
+    std::set<model::ZoneId> m_evacuatedZones;
 };
 
 } // namespace citronpick::relay
--- a/src/relay/upstreamnotice.h
+++ b/src/relay/upstreamnotice.h
@@ -24,13 +24,14 @@
     bool isLeaving = false; //!< It takes no new work from now on.
     //! How long it wants no work from this daemon; zero if it has not asked for that.
     model::Duration rest {};
+    model::Duration coldFor {}; //!< How long it stays cold; zero if it has not stated that.
     //! Starts of the upstream so recent that the registry may not show them yet. The answer may
     //! come from any of these.
     IncarnationRange recentStarts;
 
     bool isEmpty() const
     {
-        return !isLeaving && rest == model::Duration::zero();
+        return !isLeaving && rest == model::Duration::zero() && coldFor == model::Duration::zero();
     }
 
     friend auto operator<=>(const UpstreamNotice &, const UpstreamNotice &) = default;
