Batch scheduler: idle upstreams are used in turn

Cause: of several idle upstreams the scheduler took the first by id. It went on getting batches while the results of its last one still took up its storage, and others stood idle.

Change: among equals, the upstream that has had no work for longest.

Result: the new load test fails without the change (u0 each time) and passes with it.

--- a/src/relay/internal/batchfilling.cpp
+++ b/src/relay/internal/batchfilling.cpp
@@ -161,14 +161,15 @@
 }
 
 // Chooses an upstream for the most urgent job: one without recent failures, then one in the job's
-// preferred zone.
+// preferred zone, then the one that has had no work for longest. The results of its last batch have
+// most likely been released by now, so that it has storage for the next ones.
 Upstream *BatchScheduler::chooseUpstream(const Pool &pool,
                                          const std::vector<Upstream *> &free) const
 {
     const model::ZoneId &zone = m_jobs.at(pool.waiting.front()).content.preferredZone;
     const auto rank = [&zone](const Upstream *upstream) {
         return std::tuple(upstream->consecutiveFailures, upstream->listing.zone != zone,
-                          upstream->inFlight);
+                          upstream->inFlight, upstream->lastStartedAt);
     };
     return *std::min_element(
         free.begin(), free.end(),
--- a/src/relay/tests/batchloadtest.cpp
+++ b/src/relay/tests/batchloadtest.cpp
@@ -208,3 +208,22 @@
     CHECK(finished.front().result.failure == JobFailure::None);
     CHECK(finished.front().result.forecast.at(0).onTime == milliseconds(360));
 }
+
+// Guards against upstreams that have no storage left, while others that made nothing lately are
+// idle.
+TEST_CASE("Load pattern: batches of a half-used pool rotate over its upstreams")
+{
+    BatchFixture fixture({"a", "a", "a", "b"});
+    std::vector<model::UpstreamId> used;
+    for (int i = 0; i < 6; ++i) {
+        fixture.submit(8, model::seconds(2), "a");
+        const RunBatch batch = fixture.takeBatch();
+        used.push_back(batch.upstream);
+        fixture.advanceTime(milliseconds(360));
+        fixture.answer(batch);
+    }
+    const std::vector<model::UpstreamId> order {model::UpstreamId("u0"), model::UpstreamId("u1"),
+                                                model::UpstreamId("u2"), model::UpstreamId("u0"),
+                                                model::UpstreamId("u1"), model::UpstreamId("u2")};
+    CHECK(used == order);
+}
