Relay: long streams give scarce storage of results back

Cause: the final results of a stream that can resume were kept until its end, seconds, where an upstream stores two or three batches. A stream that resumed after its results had expired was aborted.

Change: where the configuration says that storage is scarce, the results are released when the answer begins, as those of other streams are. When such a stream resumes, its stages run again first, due at once; so they do when an upstream says that results are gone. A stream whose stages fail then is aborted, never refused: refuse() decides that in one place.

--- a/src/relay/internal/relayanswers.cpp
+++ b/src/relay/internal/relayanswers.cpp
@@ -62,9 +62,7 @@
                         " afterMs=", model::toMilliseconds(now - exchange.arrived.startedAt),
                         " targetMs=", model::toMilliseconds(exchange.route->latencyTarget)));
     m_commands.emplace_back(StartStream {.request = exchange.arrived.request, .attempt = id});
-    if (exchange.route->kind == RequestKind::Stream) {
-        // The upstream fetches its inputs before it answers, and a stream that cannot resume is
-        // not sent to another upstream.
+    if (releasesFinalResults(exchange)) {
         releaseResults(exchange.plan.takeAllResults());
     }
 }
--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -31,6 +31,14 @@
         refuseAfterCrash(exchange);
         return;
     }
+    if (exchange.plan.areFinalResultsReleased()) {
+        ++m_counters.stageRestarts;
+        record(EventCode::StagesRestarted, exchange, exchange.route->id.text(),
+               absl::StrCat("why=resumed leftMs=", model::toMilliseconds(exchange.deadline - now)));
+        exchange.plan.restart();
+        advanceExchange(id, now);
+        return;
+    }
     const std::vector<ResultHandle> inputs = exchange.plan.finalResults();
     // A refusal is true only as long as no upstream may have run the request.
     if (mayOutlastShutdown(exchange) && !exchange.mayHaveRun) {
@@ -47,13 +55,6 @@
     }
     const Upstream *choice = m_chooser.choose(criteriaOf(exchange), now);
     if (!choice) {
-        if (exchange.isAnswerStarted) {
-            ++m_counters.answersAborted;
-            record(EventCode::AnswerBroken, exchange, exchange.route->id.text(), "why=no-upstream");
-            m_commands.emplace_back(AbortAnswer {.request = id});
-            closeExchange(id);
-            return;
-        }
         refuse(id, exchange.sentAttempts > 0 ? Refusal::UpstreamsFull : Refusal::NoUpstream,
                retryAfterOf(exchange.pool, emptyPoolRetryAfter, now));
         return;
@@ -219,7 +220,7 @@
     const model::RequestId id = exchange.arrived.request;
     record(EventCode::AttemptRefused, exchange, exchange.triedUpstreams.back().text(),
            absl::StrCat("status=", facts.status));
-    if (facts.status == conflictStatus && !exchange.plan.isEmpty() && !exchange.isAnswerStarted) {
+    if (facts.status == conflictStatus && !exchange.plan.isEmpty()) {
         // A stage result was lost before the upstream could fetch it; the request has not run.
         exchange.triedUpstreams.pop_back();
         --exchange.sentAttempts;
@@ -231,13 +232,6 @@
         startAttempt(exchange, now);
         return;
     }
-    if (exchange.isAnswerStarted) {
-        ++m_counters.answersAborted;
-        record(EventCode::AnswerBroken, exchange, exchange.route->id.text(), "why=not-resumed");
-        m_commands.emplace_back(AbortAnswer {.request = id});
-        closeExchange(id);
-        return;
-    }
     refuse(id, Refusal::UpstreamsFull, retryAfterOf(exchange.pool, fullPoolRetryAfter, now));
 }
 
@@ -324,11 +318,8 @@
         refuse(id, Refusal::UpstreamFailed, model::Duration::zero());
         return;
     }
-    ++m_counters.answersAborted;
-    record(EventCode::AnswerBroken, exchange, upstream.text(),
-           absl::StrCat("why=", model::toAbsl(toString(failure))));
-    m_commands.emplace_back(AbortAnswer {.request = id});
-    closeExchange(id);
+    abortAnswer(exchange, absl::StrCat("why=", model::toAbsl(toString(failure)),
+                                       " upstream=", upstream.text()));
 }
 
 bool RelaySystem::canRetry(const Exchange &exchange, model::TimePoint now)
--- a/src/relay/internal/relayforecast.cpp
+++ b/src/relay/internal/relayforecast.cpp
@@ -121,13 +121,29 @@
     return longest;
 }
 
-// Latest end of a stage with which its request meets its latency target.
-model::TimePoint RelaySystem::dueOf(const Exchange &exchange, uint32_t stage) const
+// Latest end of a stage with which its request meets its latency target. A stream that has begun
+// pauses until its stages have run again, so these are due at once.
+model::TimePoint RelaySystem::dueOf(const Exchange &exchange, uint32_t stage,
+                                    model::TimePoint now) const
 {
+    if (exchange.isAnswerStarted) {
+        return now + stageTime(exchange, stage, Estimate::Minimum);
+    }
     return exchange.arrived.startedAt + exchange.route->latencyTarget
            - timeAfterStage(exchange, stage, Estimate::Typical);
 }
 
+// The results of a stage are useless after this time, because the caller has given up.
+model::TimePoint RelaySystem::deadlineOf(const Exchange &exchange, uint32_t stage,
+                                         model::TimePoint now) const
+{
+    const model::TimePoint eventDeadline
+        = exchange.isAnswerStarted
+              ? std::min(exchange.deadline, now + callerTimeout(*exchange.route))
+              : exchange.firstEventDeadline;
+    return std::max(now, eventDeadline - timeAfterStage(exchange, stage, Estimate::Minimum));
+}
+
 void RelaySystem::noteForecast(const model::PoolId &pool, const QueueForecast &forecast,
                                model::TimePoint now)
 {
@@ -176,7 +192,7 @@
         waitUntilDone[i] = {.onTime = before.onTime + own.onTime, .late = before.late + own.late};
         completion.onTimeWait = std::max(completion.onTimeWait, waitUntilDone[i].onTime);
         completion.lateWait = std::max(completion.lateWait, waitUntilDone[i].late);
-        const bool isInTime = now + waitUntilDone[i].onTime <= dueOf(exchange, i);
+        const bool isInTime = now + waitUntilDone[i].onTime <= dueOf(exchange, i, now);
         completion.canMeetTarget = completion.canMeetTarget && isInTime;
     }
     return completion;
--- a/src/relay/internal/relayquarantine.cpp
+++ b/src/relay/internal/relayquarantine.cpp
@@ -220,10 +220,7 @@
 {
     const model::RequestId id = exchange.arrived.request;
     if (exchange.isAnswerStarted) {
-        ++m_counters.answersAborted;
-        record(EventCode::AnswerBroken, exchange, exchange.route->id.text(), "why=quarantined");
-        m_commands.emplace_back(AbortAnswer {.request = id});
-        closeExchange(id);
+        abortAnswer(exchange, "why=quarantined");
         return;
     }
     exchange.mayHaveRun = exchange.mayHaveRun || exchange.attempt.value() != 0;
--- a/src/relay/internal/relaystages.cpp
+++ b/src/relay/internal/relaystages.cpp
@@ -44,19 +44,39 @@
     }
 }
 
+bool RelaySystem::isStorageScarce(const Exchange &exchange, uint32_t stage)
+{
+    const StageRule &rule = exchange.route->stages[stage];
+    const PoolRule *producer = exchange.configuration->findPool(rule.pool);
+    return producer && producer->batch
+           && rule.resultBytes * producer->batch->maxItems * ampleStorageBatches
+                  > producer->batch->resultStorageBytes;
+}
+
 // Inputs are kept until their job is done, in case a piece has to run again, unless the upstreams
 // that store them would then have no space for the results of the next batches.
 bool RelaySystem::releasesInputs(const Exchange &exchange, uint32_t stage)
 {
-    const std::vector<StageRule> &stages = exchange.route->stages;
-    const std::vector<uint32_t> &after = stages[stage].after;
-    const bool isStorageScarce = std::any_of(after.begin(), after.end(), [&](uint32_t before) {
-        const PoolRule *producer = exchange.configuration->findPool(stages[before].pool);
-        return producer && producer->batch
-               && stages[before].resultBytes * producer->batch->maxItems * ampleStorageBatches
-                      > producer->batch->resultStorageBytes;
-    });
-    return isStorageScarce && exchange.plan.isOnlyUserOfInputs(stage);
+    const std::vector<uint32_t> &after = exchange.route->stages[stage].after;
+    return std::any_of(after.begin(), after.end(),
+                       [&](uint32_t before) { return isStorageScarce(exchange, before); })
+           && exchange.plan.isOnlyUserOfInputs(stage);
+}
+
+// An upstream fetches the results before it answers. A stream that cannot resume is not sent to
+// another upstream. One that can is sent again so rarely that its stages then run again, if its
+// results would take up scarce storage as long as it lasts.
+bool RelaySystem::releasesFinalResults(const Exchange &exchange)
+{
+    if (exchange.route->kind == RequestKind::Stream) {
+        return true;
+    }
+    for (uint32_t i = 0; i < exchange.route->stages.size(); ++i) {
+        if (exchange.plan.pieceCount(i) > 0 && isStorageScarce(exchange, i)) {
+            return true;
+        }
+    }
+    return false;
 }
 
 StageJob RelaySystem::jobFor(const Exchange &exchange, uint32_t stage, model::TimePoint now) const
@@ -71,10 +91,8 @@
                   .pieceCount = exchange.plan.pieceCount(stage),
                   .inputs = exchange.plan.inputsOf(stage),
                   .priority = exchange.priority,
-                  .due = dueOf(exchange, stage),
-                  .deadline
-                  = std::max(now, exchange.firstEventDeadline
-                                      - timeAfterStage(exchange, stage, Estimate::Minimum)),
+                  .due = dueOf(exchange, stage, now),
+                  .deadline = deadlineOf(exchange, stage, now),
                   .preferredZone = inputsZone.isEmpty() ? exchange.expectedZone : inputsZone,
                   .inputsExpireAt = exchange.plan.inputsExpiry(stage),
                   .releasesInputs = releasesInputs(exchange, stage)};
--- a/src/relay/internal/relaysystem.cpp
+++ b/src/relay/internal/relaysystem.cpp
@@ -250,6 +250,10 @@
     if (!exchange) {
         return;
     }
+    if (exchange->isAnswerStarted) {
+        abortAnswer(*exchange, absl::StrCat("why=", model::toAbsl(toString(refusal))));
+        return;
+    }
     ++m_counters.refused;
     if (refusal == Refusal::TooLate && exchange->isLimitedByShutdown) {
         refusal = Refusal::Stopping;
@@ -270,6 +274,15 @@
     closeExchange(id);
 }
 
+void RelaySystem::abortAnswer(const Exchange &exchange, std::string detail)
+{
+    const model::RequestId id = exchange.arrived.request;
+    ++m_counters.answersAborted;
+    record(EventCode::AnswerBroken, exchange, exchange.route->id.text(), std::move(detail));
+    m_commands.emplace_back(AbortAnswer {.request = id});
+    closeExchange(id);
+}
+
 void RelaySystem::onCallerDisconnected(model::RequestId id, model::TimePoint now)
 {
     Exchange *exchange = find(id);
@@ -313,12 +326,12 @@
         }
         return;
     }
+    if (now < exchange->deadline && exchange->isAnswerStarted && !exchange->jobs.empty()) {
+        // The stages run again for the rest of the answer; their jobs have deadlines of their own.
+        return;
+    }
     if (exchange->isAnswerStarted) {
-        ++m_counters.answersAborted;
-        record(EventCode::AnswerBroken, *exchange, exchange->route->id.text(),
-               exchange->isLimitedByShutdown ? "why=stopping" : "why=timed-out");
-        m_commands.emplace_back(AbortAnswer {.request = id});
-        closeExchange(id);
+        abortAnswer(*exchange, exchange->isLimitedByShutdown ? "why=stopping" : "why=timed-out");
         return;
     }
     refuse(id, exchange->sentAttempts == 0 ? Refusal::TooLate : Refusal::TimedOut,
--- a/src/relay/internal/stageplan.cpp
+++ b/src/relay/internal/stageplan.cpp
@@ -186,6 +186,12 @@
     return all;
 }
 
+bool StagePlan::areFinalResultsReleased() const
+{
+    return std::any_of(m_stages.begin(), m_stages.end(),
+                       [](const Stage &stage) { return !stage.hasSuccessor && stage.isReleased; });
+}
+
 void StagePlan::restart()
 {
     for (Stage &stage : m_stages) {
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -248,7 +248,9 @@
     // Arrival
     std::optional<Refusal> admit(Exchange &exchange, model::TimePoint now) const;
     model::PoolId poolOf(const Exchange &exchange) const;
+    //! Ends a request that is not answered; aborts its answer if that has begun.
     void refuse(model::RequestId request, Refusal refusal, model::Duration retryAfter);
+    void abortAnswer(const Exchange &exchange, std::string detail);
     //! How long callers are assumed to wait for the first or the next event of a stream.
     static model::Duration callerTimeout(const RouteRule &route);
     static model::TimePoint firstEventDeadlineOf(const Exchange &exchange);
@@ -260,6 +262,9 @@
 
     // Stages
     void advanceExchange(model::RequestId request, model::TimePoint now);
+    //! Whether the upstreams that make a stage's results have storage for a few batches only.
+    static bool isStorageScarce(const Exchange &exchange, uint32_t stage);
+    static bool releasesFinalResults(const Exchange &exchange);
     static bool releasesInputs(const Exchange &exchange, uint32_t stage);
     StageJob jobFor(const Exchange &exchange, uint32_t stage, model::TimePoint now) const;
     void submit(const LocalStage &owner, StageJob job, model::TimePoint now);
@@ -279,7 +284,9 @@
     QueueForecast forecastOf(const model::PoolId &pool, model::TimePoint now) const;
     QueueWait queueWait(const Exchange &exchange, uint32_t stage, model::TimePoint now) const;
     CompletionEstimate estimateCompletion(const Exchange &exchange, model::TimePoint now) const;
-    model::TimePoint dueOf(const Exchange &exchange, uint32_t stage) const;
+    model::TimePoint dueOf(const Exchange &exchange, uint32_t stage, model::TimePoint now) const;
+    model::TimePoint deadlineOf(const Exchange &exchange, uint32_t stage,
+                                model::TimePoint now) const;
     std::optional<model::Duration> excessWait(const Exchange &exchange, model::TimePoint now) const;
     void updateStageTime(const model::PoolId &pool, const JobResult &result);
     model::Duration engineTime(const Exchange &exchange, Estimate estimate) const;
--- a/src/relay/stageplan.h
+++ b/src/relay/stageplan.h
@@ -52,6 +52,9 @@
     std::vector<ResultHandle> takeUnneeded();
     //! All results that takeUnneeded() and takeAllResults() have not returned yet.
     std::vector<ResultHandle> takeAllResults();
+    //! Whether results that an upstream needs to run the request have been returned by
+    //! takeAllResults().
+    bool areFinalResultsReleased() const;
     //! Discards all results so that every stage has to run again.
     void restart();
 
