Relay: questions to silent coordinators don't read freed memory

Change: the coordinators and pools to ask are copied first.

Result: the new test fails on under AddressSanitizer (heap-use-after-free) and passes with the change in the release build.

--- a/src/relay/internal/relaycoordination.cpp
+++ b/src/relay/internal/relaycoordination.cpp
@@ -150,7 +150,8 @@
 void RelaySystem::checkPeers(model::TimePoint now)
 {
     std::vector<JobId> stuck;
-    std::map<model::DaemonId, const ForwardedJob *> unresponsive;
+    // Copies, as an inquiry adds a row to m_forwardedJobs.
+    std::map<model::DaemonId, std::pair<PeerDaemon, model::PoolId>> unresponsive;
     for (const auto &[id, forward] : m_forwardedJobs) {
         const auto answered = m_peerAnsweredAt.find(forward.peer.id);
         const model::TimePoint last = answered == m_peerAnsweredAt.end()
@@ -159,11 +160,11 @@
         if (now - last >= peerTimeout) {
             stuck.push_back(id);
         } else if (now - last >= inquiryDelay) {
-            unresponsive.emplace(forward.peer.id, &forward);
+            unresponsive.try_emplace(forward.peer.id, forward.peer, forward.content.pool);
         }
     }
-    for (const auto &[id, forward] : unresponsive) {
-        sendInquiry(forward->peer, forward->content.pool, now);
+    for (const auto &[id, inquiry] : unresponsive) {
+        sendInquiry(inquiry.first, inquiry.second, now);
     }
     std::sort(stuck.begin(), stuck.end());
     for (const JobId job : stuck) {
--- a/src/relay/tests/stagestest.cpp
+++ b/src/relay/tests/stagestest.cpp
@@ -308,3 +308,43 @@
     }
     CHECK(coordinators.size() == 1);
 }
+
+// Guards against memory that is read after it was freed: questions to several silent coordinators
+// are kept in the table that names the coordinators.
+TEST_CASE("Several coordinators that are silent at once are each asked once")
+{
+    RelayFixture fixture;
+    ConfigurationContent content = RelayFixture::configuration(2)->content();
+    constexpr int pools = 14;
+    content.routes[4].stages.clear();
+    for (int i = 0; i < pools; ++i) {
+        PoolRule pool = content.pools[2];
+        pool.id = model::PoolId(absl::StrCat("stages-", i));
+        content.routes[4].stages.push_back({.pool = pool.id});
+        content.pools.push_back(std::move(pool));
+    }
+    fixture.system.setConfiguration(std::make_shared<RelayConfiguration>(std::move(content)));
+    std::vector<PeerDaemon> peers;
+    for (int i = 1; i <= 20; ++i) {
+        peers.push_back({.id = model::DaemonId(absl::StrCat("d", i)),
+                         .address = absl::StrCat("10.0.0.", i, ":1")});
+    }
+    fixture.system.setPeers(peers, fixture.now);
+    for (int i = 0; i < pools; ++i) {
+        fixture.listUpstream(model::PoolId(absl::StrCat("stages-", i)), absl::StrCat("x", i));
+    }
+    fixture.arrive("/staged/x");
+    std::set<std::string> coordinators;
+    while (fixture.count<ForwardJob>() > 0) {
+        coordinators.insert(fixture.take<ForwardJob>().peer.address);
+    }
+    REQUIRE(coordinators.size() > 5);
+    fixture.advanceTime(milliseconds(800));
+    std::set<std::string> asked;
+    while (fixture.count<ForwardJob>() > 0) {
+        const auto inquiry = fixture.take<ForwardJob>();
+        CHECK(inquiry.content.isInquiry);
+        CHECK(asked.insert(inquiry.peer.address).second);
+    }
+    CHECK(asked == coordinators);
+}
