Cold upstreams: what waits, what is late and what would spin

Cause, found by review: - Calls that wait for a connection to an upstream that crashed all reach it in the moment in which it is back; nothing recalled them. - Jobs that wait for a cold upstream whose avoidance is over, and releases held back for one, made the event loop run without pause: both looked at a time that had passed. - Releases went to cold upstreams on top of the requests that have a turn. - An entry that is written again with the same statement was taken for known, so that an upstream that turned cold again counted as warm. - A lower rate in a new configuration didn't hold for upstreams that are cold. - The first turn was not counted from the last request before.

Releases wait until their upstream is warm. The scheduler leaves waits for a turn to nextReturn. Turns are counted from the last request of any kind.

The held releases are not covered by a test of their own.

--- a/src/daemon/internal/batchrunner.cpp
+++ b/src/daemon/internal/batchrunner.cpp
@@ -130,13 +130,14 @@
 }
 
 // An upstream that leaves takes its results with it, those in a zone that is emptied expire, and
-// after a long rest, or at one that is no longer listed, they have expired.
+// after a long rest or cold time, or at one that is no longer listed, they have expired.
 void BatchRunner::postpone(const relay::Upstream *upstream, const config::Endpoint &producer,
                            std::vector<relay::ResultHandle> handles, model::TimePoint now)
 {
-    const bool isWorthwhile = upstream && !upstream->isClosed()
-                              && upstream->restUntil - now <= maxReleaseDelay
-                              && handles.size() <= maxPostponedHandles;
+    const model::TimePoint opensAt
+        = upstream ? upstream->takesReleasesFrom(now) : model::TimePoint::max();
+    const bool isWorthwhile
+        = opensAt <= now + maxReleaseDelay && handles.size() <= maxPostponedHandles;
     m_host.record({.code = observability::EventCode::ReleaseHeld,
                    .request = {},
                    .subject = config::toText(producer),
@@ -147,7 +148,7 @@
         return;
     }
     m_releases[producer] = std::move(handles);
-    m_nextFlush = std::min(m_nextFlush, upstream->restUntil);
+    m_nextFlush = std::min(m_nextFlush, opensAt);
 }
 
 void BatchRunner::onHead(uint64_t call, const net::MessageHead &head)
--- a/src/relay/coldstartlimit.h
+++ b/src/relay/coldstartlimit.h
@@ -38,6 +38,7 @@
     void setConfiguration(RelayConfigurationPtr configuration)
     {
         m_configuration = std::move(configuration);
+        m_hasChanged = true;
     }
     //! Sets the daemons that are alive, including this one.
     void setDaemons(std::vector<model::DaemonId> daemons, model::TimePoint now);
--- a/src/relay/internal/batchscheduler.cpp
+++ b/src/relay/internal/batchscheduler.cpp
@@ -139,8 +139,11 @@
         consider(pool.zoneWaitUntil);
         consider(pool.nextReturn);
         for (const Upstream *upstream : m_directory.inPool(id)) {
-            // A rest that lasts longer is considered by nextReturn.
-            const bool isAvoided = upstream->avoidedUntil > upstream->restUntil;
+            // A rest or a wait for a turn at a cold upstream that lasts longer is considered by
+            // nextReturn.
+            const model::TimePoint opensAt = std::max(
+                upstream->restUntil, std::min(upstream->coldUntil, upstream->coldTurnAt));
+            const bool isAvoided = upstream->avoidedUntil > opensAt;
             if (upstream->inFlight == 0 && isAvoided && !upstream->isClosed()) {
                 consider(upstream->avoidedUntil);
             }
--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -249,6 +249,7 @@
     m_directory.noteFailure(attempt.upstream, now);
     if (failure == AttemptFailure::NotSent || failure == AttemptFailure::Broken) {
         m_directory.noteConnectionLost(attempt.upstream, now);
+        handleSuspects(now);
     }
     record(EventCode::AttemptLost, exchange, attempt.upstream.text(),
            absl::StrCat("why=", model::toAbsl(toString(failure)),
--- a/src/relay/internal/relaynotices.cpp
+++ b/src/relay/internal/relaynotices.cpp
@@ -107,20 +107,38 @@
     if (!upstream || wasCold || !upstream->isCold(now)) {
         return;
     }
+    onBecameCold(*upstream, source, now);
+}
+
+// Calls that wait for a connection would all reach the upstream in the moment in which it is back.
+void RelaySystem::onBecameCold(const Upstream &upstream, std::string_view source,
+                               model::TimePoint now)
+{
+    m_commands.emplace_back(RecallCalls {.upstream = upstream.listing.id});
     m_commands.emplace_back(observability::Event {
         .code = EventCode::UpstreamCold,
         .request = {},
-        .subject = id.text(),
+        .subject = upstream.listing.id.text(),
         .detail
-        = absl::StrCat("source=", model::toAbsl(source), " coldMs=", model::toMilliseconds(coldFor),
-                       " sender=", upstream->coldTurnAt < model::TimePoint::max() ? "yes" : "no")});
+        = absl::StrCat("source=", model::toAbsl(source),
+                       " coldMs=", model::toMilliseconds(upstream.coldUntil - now),
+                       " sender=", upstream.coldTurnAt < model::TimePoint::max() ? "yes" : "no")});
+}
+
+void RelaySystem::handleSuspects(model::TimePoint now)
+{
+    for (const model::UpstreamId &id : m_directory.takeSuspects()) {
+        if (const Upstream *upstream = m_directory.find(id)) {
+            onBecameCold(*upstream, "connection", now);
+        }
+    }
 }
 
 ListingChange RelaySystem::onUpstreamListed(const UpstreamListing &listing, model::TimePoint now)
 {
     const ListingChange change = m_directory.apply(listing);
-    const bool isKnown = change == ListingChange::None || change == ListingChange::Outdated;
-    if (!isKnown && listing.coldFor > model::Duration::zero()) {
+    // An entry that was only written again has a later statement.
+    if (change != ListingChange::Outdated && listing.coldFor > model::Duration::zero()) {
         noteCold(listing.id, listing.coldFor, "registry", now);
     }
     return change;
--- a/src/relay/internal/relaystages.cpp
+++ b/src/relay/internal/relaystages.cpp
@@ -110,6 +110,7 @@
 
 void RelaySystem::handleSchedulerOutput(model::TimePoint now)
 {
+    handleSuspects(now);
     for (BatchCommand &command : m_scheduler.takeCommands()) {
         std::visit(model::Overloaded {
                        [this](RunBatch &batch) {
--- a/src/relay/internal/upstreamdirectory.cpp
+++ b/src/relay/internal/upstreamdirectory.cpp
@@ -95,10 +95,11 @@
     m_notices.setAddress(id, address);
 }
 
+// Releases would come on top of the requests that a cold upstream gets.
 bool UpstreamDirectory::takesCalls(const config::Endpoint &address, model::TimePoint now) const
 {
     const Upstream *upstream = findByAddress(address);
-    return upstream ? isAvailable(*upstream, now) : !m_notices.isClosed(address, now);
+    return upstream ? upstream->takesReleasesFrom(now) <= now : !m_notices.isClosed(address, now);
 }
 
 void UpstreamDirectory::applyRest(Upstream &upstream) const
@@ -150,7 +151,6 @@
         ++upstream.inFlightSinceRest;
     }
     if (upstream.isCold(now)) {
-        upstream.coldSentAt = now;
         upstream.coldTurnAt = now + upstream.coldInterval;
     }
 }
--- a/src/relay/internal/upstreamstates.cpp
+++ b/src/relay/internal/upstreamstates.cpp
@@ -59,9 +59,13 @@
 {
     const Upstream *upstream = find(id);
     const ColdStartRule *rule = upstream ? m_coldStarts.ruleOf(upstream->listing.pool) : nullptr;
-    if (rule) {
-        noteCold(id, now + assumedRestartTime + rule->duration);
+    if (!rule) {
+        return;
+    }
+    if (!upstream->isCold(now)) {
+        m_suspects.push_back(id);
     }
+    noteCold(id, now + assumedRestartTime + rule->duration);
 }
 
 void UpstreamDirectory::applyColdTurn(Upstream &upstream) const
@@ -73,7 +77,7 @@
         return;
     }
     upstream.coldInterval = *interval;
-    upstream.coldTurnAt = upstream.coldSentAt + *interval;
+    upstream.coldTurnAt = upstream.lastStartedAt + *interval;
 }
 
 // The upstreams of a zone that is taken back have had no work and may have become cold meanwhile.
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -326,6 +326,9 @@
                                  model::TimePoint now) const;
     void noteCold(const model::UpstreamId &id, model::Duration coldFor, std::string_view source,
                   model::TimePoint now);
+    void onBecameCold(const Upstream &upstream, std::string_view source, model::TimePoint now);
+    //! Handles upstreams that became cold because a connection to them was lost.
+    void handleSuspects(model::TimePoint now);
     UpstreamStarts startsOf(const NoticeSource &source, const UpstreamNotice &notice) const;
     void runScheduler(model::TimePoint now);
 
--- a/src/relay/upstreamdirectory.h
+++ b/src/relay/upstreamdirectory.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
@@ -52,7 +53,6 @@
     model::TimePoint coldUntil;
     //! When this daemon may next send to it while it is cold; TimePoint::max() if other daemons do.
     model::TimePoint coldTurnAt;
-    model::TimePoint coldSentAt; //!< When this daemon last sent to it while it was cold.
     //! Minimum time between two calls of this daemon while the upstream is cold.
     model::Duration coldInterval {};
 
@@ -80,6 +80,11 @@
         const model::TimePoint afterCold = std::min(coldUntil, coldTurnAt);
         return std::max({now, restUntil, isCold(now) ? afterCold : now});
     }
+    //! The earliest time at which it takes releases of results; TimePoint::max() if it is closed.
+    model::TimePoint takesReleasesFrom(model::TimePoint now) const
+    {
+        return isClosed() ? model::TimePoint::max() : std::max({now, restUntil, coldUntil});
+    }
 };
 
 //! How a listing differed from the known one.
@@ -143,8 +148,9 @@
     std::vector<model::UpstreamId> inZone(const model::ZoneId &zone) const;
     //! Where an upstream that made a statement was reached.
     void noteAddress(const model::UpstreamId &id, const config::Endpoint &address);
-    //! Whether no upstream that leaves or rests is known at an address. A listed upstream goes
-    //! before those that were reached there earlier.
+    //! Whether no upstream that leaves, rests, is cold or is in a zone that is emptied is known at
+    //! an address, so that it takes releases of results. A listed upstream goes before those that
+    //! were reached there earlier.
     bool takesCalls(const config::Endpoint &address, model::TimePoint now) const;
     //! The earliest time at which an upstream of a pool takes work again: \a now if one does
     //! already, TimePoint::max() if all leave, all are in zones that are emptied or none is listed.
@@ -169,6 +175,11 @@
     void noteFailure(const model::UpstreamId &id, model::TimePoint now);
     //! The connection to the upstream was refused, timed out or broke.
     void noteConnectionLost(const model::UpstreamId &id, model::TimePoint now);
+    //! Upstreams that have become cold by a lost connection since the last call.
+    std::vector<model::UpstreamId> takeSuspects()
+    {
+        return std::exchange(m_suspects, {});
+    }
     //! A different upstream answers at the address of this one, which is still listed.
     void noteReplaced(const model::UpstreamId &id, model::TimePoint now);
     //! Work that began at \a startedAt succeeds.
@@ -193,6 +204,7 @@
     absl::flat_hash_map<model::PoolId, std::vector<Upstream *>> m_pools;
     NoticeTable m_notices;
     ColdStartLimit m_coldStarts;
+    std::vector<model::UpstreamId> m_suspects; //!< See takeSuspects().
     std::set<model::ZoneId> m_evacuatedZones;
 };
 
