Callers that keep no limits: a budget of the relay mode

Cause: bodies, answers and bytes read ahead were bounded for one connection only, so that callers multiplied them by the number of connections. A rejected body was kept until its connection had lingered, empty input buffers kept their size, and silent connections kept all others out. Change: net::HeldBytesBudget counts what ExchangeServer and ExchangeRunner hold, by holder, also what the kernel has received for paused connections. Above half of the limit reading stops for what holds more than 32 KB, less of an answer is held back, and what makes no progress for a second is refused (503, not run) or closed, those that hold most for longest first; above the limit at once, and a whole body without room is refused before it is passed on. Silent connections give way at the greatest number. The limit follows from the new setting memoryMb, connections from maxDescriptors. Stages of peers, readiness, lookups and metrics have limits of their own.

--- a/src/config/internal/relaysettings.cpp
+++ b/src/config/internal/relaysettings.cpp
@@ -1,5 +1,7 @@
 #include "config/relaysettings.h"
 
+#include <algorithm>
+
 #include "config/internal/checkedjson.h"
 #include "config/internal/schemas.h"
 
@@ -65,6 +67,17 @@
 
 } // namespace
 
+size_t callerConnections(const RelaySettings &settings)
+{
+    if (settings.maxDescriptors == 0) {
+        return settings.maxConnections;
+    }
+    // The rest is for files, upstreams, peers, lookups and the registry.
+    constexpr size_t callerParts = 3;
+    constexpr size_t allParts = 4;
+    return std::min(settings.maxConnections, settings.maxDescriptors * callerParts / allParts);
+}
+
 bool isRelaySettings(std::string_view text)
 {
     const Json document = Json::parse(text, nullptr, false);
@@ -98,6 +111,8 @@
         .registrySilence = millisecondsAt(document, "registrySilenceMs", defaults.registrySilence),
         .entryLifetime = millisecondsAt(document, "entryLifetimeMs", defaults.entryLifetime),
         .maxConnections = document.value("maxConnections", defaults.maxConnections),
+        .memoryMb = document.value("memoryMb", defaults.memoryMb),
+        .maxDescriptors = document.value("maxDescriptors", defaults.maxDescriptors),
         .linkMbps = static_cast<uint32_t>(document.value("linkMbps", 0.0)),
         .retryRatio = retries.value("ratio", defaults.retryRatio),
         .retrySlack = retries.value("slack", defaults.retrySlack),
--- a/src/config/internal/schemas.cpp
+++ b/src/config/internal/schemas.cpp
@@ -113,6 +113,8 @@
       }
     },
     "maxConnections": { "type": "integer", "minimum": 1, "maximum": 1000000 },
+    "memoryMb": { "type": "integer", "minimum": 64, "maximum": 1048576 },
+    "maxDescriptors": { "type": "integer", "minimum": 256, "maximum": 10000000 },
     "retries": {
       "type": "object", "additionalProperties": false,
       "properties": {
--- a/src/config/relaysettings.h
+++ b/src/config/relaysettings.h
@@ -24,6 +24,9 @@
     model::Duration registrySilence = model::milliseconds(2300);
     model::Duration entryLifetime = model::seconds(1); //!< Cache time of daemon addresses.
     size_t maxConnections = 3000;
+    size_t memoryMb = 512; //!< Memory of the instance for this process.
+    //! Descriptors of the process; zero when unknown.
+    size_t maxDescriptors = 0;
     uint32_t linkMbps = 0; //!< Link speed of the instance; zero when unknown.
     double retryRatio = 0.2; //!< Retries allowed per request of a pool, fleet-wide.
     double retrySlack = 50.0; //!< Retries allowed per window in addition to the ratio.
@@ -40,6 +43,9 @@
     friend bool operator==(const RelaySettings &, const RelaySettings &) = default;
 };
 
+//! Greatest number of caller connections: maxConnections, but only a part of the descriptors.
+size_t callerConnections(const RelaySettings &settings);
+
 //! Whether a settings file holds RelaySettings, recognized by its "mode" key, rather than Settings.
 bool isRelaySettings(std::string_view text);
 
--- a/src/daemon/internal/controlapi.cpp
+++ b/src/daemon/internal/controlapi.cpp
@@ -9,12 +9,15 @@
 constexpr uint16_t success = 200;
 constexpr uint16_t notFound = 404;
 constexpr uint16_t unavailable = 503;
+//! Requests for readiness, addresses and metrics have no body.
+constexpr size_t maxBodyBytes = 4U << 10U;
+constexpr size_t maxHeldBytes = 8U << 20U;
 constexpr const char *metricsPath = "/metrics";
 
 } // namespace
 
 ControlApi::Listener::Listener(net::EventLoop &loop, ControlApi &api)
-    : server(loop, *this, {})
+    : server(loop, *this, {.maxBodyBytes = maxBodyBytes, .maxHeldBytes = maxHeldBytes})
     , m_api(api)
 {
 }
--- a/src/daemon/internal/exchangerunner.cpp
+++ b/src/daemon/internal/exchangerunner.cpp
@@ -14,10 +14,10 @@
 {
 
 //! If more bytes than this are buffered for a slow caller, reading from the upstream is paused.
-constexpr size_t maxBufferedBytes = 256U << 10U;
+constexpr size_t calmBufferedBytes = 256U << 10U;
 //! Answers that are not streams are held back up to this size, so that a broken one can be replaced
 //! by that of another upstream. Larger answers are forwarded while they arrive.
-constexpr size_t maxHeldBytes = 1U << 20U;
+constexpr size_t calmHeldBackBytes = 1U << 20U;
 //! A longer event does not occur; such bytes are not a stream of events.
 constexpr size_t maxEventBytes = 256U << 10U;
 //! The relay system cancels a call that exceeds its deadline; the call timeout ends this period
@@ -111,7 +111,8 @@
 void ExchangeRunner::onDrained(uint64_t exchange)
 {
     const auto relayed = m_relayedAttempts.find(model::RequestId(exchange));
-    if (relayed == m_relayedAttempts.end() || m_server.buffered(exchange) > maxBufferedBytes / 2) {
+    if (relayed == m_relayedAttempts.end()
+        || m_server.buffered(exchange) > maxBufferedBytes() / 2) {
         return;
     }
     if (const Attempt *attempt = find(relayed->second)) {
@@ -167,6 +168,7 @@
         return;
     }
     m_calls.erase(it->second.call);
+    m_server.heldBytes().update(it->second.held, {});
     const auto relayed = m_relayedAttempts.find(it->second.request);
     if (relayed != m_relayedAttempts.end() && relayed->second == id) {
         m_relayedAttempts.erase(relayed);
@@ -232,7 +234,8 @@
     }
     if (!attempt->isRelaying) {
         attempt->unsentBody.append(bytes);
-        if (attempt->unsentBody.size() > maxHeldBytes) {
+        account(*attempt);
+        if (attempt->unsentBody.size() > maxHeldBackBytes()) {
             m_system.onAnswerBufferFull(id, net::EventLoop::now());
             m_host.execute();
         }
@@ -247,11 +250,28 @@
     if (attempt->events.feed(bytes)) {
         m_system.onAttemptProgress(id, attempt->splitter.lastEventId(), net::EventLoop::now());
     }
-    if (m_server.buffered(attempt->request.value()) > maxBufferedBytes) {
+    if (m_server.buffered(attempt->request.value()) > maxBufferedBytes()) {
         setPaused(id, *attempt, true);
     }
 }
 
+void ExchangeRunner::account(Attempt &attempt)
+{
+    m_server.heldBytes().update(attempt.held, {0, 0, 0, attempt.unsentBody.capacity()});
+}
+
+size_t ExchangeRunner::maxBufferedBytes()
+{
+    const net::HeldBytesBudget &budget = m_server.heldBytes();
+    return budget.isAboveHighMark() ? budget.smallShare() : calmBufferedBytes;
+}
+
+size_t ExchangeRunner::maxHeldBackBytes()
+{
+    const net::HeldBytesBudget &budget = m_server.heldBytes();
+    return budget.isAboveHighMark() ? budget.smallShare() : calmHeldBackBytes;
+}
+
 void ExchangeRunner::failMalformed(model::AttemptId id, const Attempt &attempt)
 {
     const std::string lastEventId = attempt.splitter.lastEventId();
@@ -333,6 +353,7 @@
     attempt->isRelaying = true;
     m_relayedAttempts[command.request] = command.attempt;
     const std::string held = std::exchange(attempt->unsentBody, {});
+    account(*attempt);
     const bool hasEvents = attempt->events.feed(held);
     write(*attempt, held);
     if (hasEvents) {
--- a/src/daemon/internal/exchangerunner.h
+++ b/src/daemon/internal/exchangerunner.h
@@ -61,6 +61,7 @@
         config::Endpoint address;
         uint64_t call = 0;
         net::MessageHead head;
+        net::HeldBytes held {}; //!< Reported for unsentBody.
         std::string unsentBody; //!< Answer body that has not been relayed to the caller yet.
         bool isRelaying = false;
         bool forwardsWholeEvents = false;
@@ -72,6 +73,12 @@
     Attempt *attemptOf(uint64_t call, model::AttemptId &id);
     //! True for a stream of events that ended with its connection, but not behind an event.
     static bool wasCutOff(const Attempt &attempt);
+    //! Must be called after each change of the bytes that the attempt holds.
+    void account(Attempt &attempt);
+    //! Bytes buffered for one caller above which reading from its upstream is paused.
+    size_t maxBufferedBytes();
+    //! Bytes of an answer that may be held back for a repeat.
+    size_t maxHeldBackBytes();
     void write(Attempt &attempt, std::string_view bytes);
     void setPaused(model::AttemptId id, const Attempt &attempt, bool isPaused);
     void failMalformed(model::AttemptId id, const Attempt &attempt);
--- a/src/daemon/internal/peerjobs.cpp
+++ b/src/daemon/internal/peerjobs.cpp
@@ -16,13 +16,15 @@
 constexpr model::Duration jobTimeout = model::seconds(30);
 //! Exceeds the result of the largest job, which holds a short handle for each piece.
 constexpr uint64_t maxResultBytes = 1U << 20U;
+//! Above this, large jobs of peers are refused.
+constexpr size_t maxHeldBytes = 32U << 20U;
 constexpr uint16_t success = 200;
 
 } // namespace
 
 PeerJobs::PeerJobs(net::EventLoop &loop, net::UpstreamClient &client, net::MessageAuth &auth,
                    relay::RelaySystem &system, IRelayHost &host, uint16_t port)
-    : m_server(loop, *this, {})
+    : m_server(loop, *this, {.maxHeldBytes = maxHeldBytes})
     , m_client(client)
     , m_auth(auth)
     , m_system(system)
--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -34,6 +34,8 @@
 constexpr const char *stageKeySuffix = ":stage";
 //! Time for sending buffered answers after the last request has ended.
 constexpr model::Duration flushPeriod = model::milliseconds(200);
+//! Callers that are refused or closed for room are logged together, once in this interval.
+constexpr model::Duration roomReportInterval = model::seconds(1);
 
 } // namespace
 
@@ -126,7 +128,8 @@
                                                      m_settings.daemon, incarnation);
     m_exchanges = std::make_unique<ExchangeRunner>(
         m_loop, m_client, m_format, *m_relay, *this,
-        net::ExchangeLimits {.maxConnections = m_settings.maxConnections});
+        net::ExchangeLimits {.maxConnections = config::callerConnections(m_settings),
+                             .maxHeldBytes = net::heldBytesLimit(m_settings.memoryMb)});
     m_batches = std::make_unique<BatchRunner>(m_client, m_format, *m_relay, *this);
     m_peerJobs = std::make_unique<PeerJobs>(m_loop, m_client, *m_stageAuth, *m_relay, *this,
                                             m_settings.stagePort);
@@ -177,6 +180,7 @@
         requestListingFromPeer(now);
         checkReady(now);
         checkDrain(now);
+        reportRoom(now);
         m_logLimiter.addDropped(observability::takeDroppedLines());
         if (const uint64_t suppressed = m_logLimiter.takeSuppressed(now)) {
             observability::writeLog(m_settings.daemon.text(),
@@ -333,6 +337,25 @@
     }
 }
 
+void RelayDaemon::reportRoom(model::TimePoint now)
+{
+    const net::RoomCounters &room = m_exchanges->server().roomCounters();
+    if (now < m_nextRoomReport || room == m_reportedRoom) {
+        return;
+    }
+    const net::HeldBytesBudget &budget = m_exchanges->server().heldBytes();
+    record({.code = EventCode::RoomMade,
+            .request = {},
+            .subject = m_settings.daemon.text(),
+            .detail = absl::StrCat("refused=", room.refused - m_reportedRoom.refused,
+                                   " slowReaders=", room.slowReaders - m_reportedRoom.slowReaders,
+                                   " silent=", room.silent - m_reportedRoom.silent,
+                                   " unaccepted=", room.unaccepted - m_reportedRoom.unaccepted,
+                                   " heldBytes=", budget.total(), " limit=", budget.limit())});
+    m_reportedRoom = room;
+    m_nextRoomReport = now + roomReportInterval;
+}
+
 void RelayDaemon::reload(const config::RelaySettings &settings)
 {
     m_settings.entryLifetime = settings.entryLifetime;
@@ -349,6 +372,8 @@
 {
     return relayMetricsPage({.relay = *m_relay,
                              .fleet = *m_fleet,
+                             .heldBytes = m_exchanges->server().heldBytes(),
+                             .room = m_exchanges->server().roomCounters(),
                              .connections = m_exchanges->server().connectionCount(),
                              .upstreamConnects = m_client.connectsStarted(),
                              .suppressedLines = m_logLimiter.suppressedTotal(),
--- a/src/daemon/internal/relaymetrics.cpp
+++ b/src/daemon/internal/relaymetrics.cpp
@@ -51,6 +51,41 @@
     return {.name = name, .help = help, .type = MetricType::Histogram, .metric = {metric}};
 }
 
+//! Values of one metric by one label.
+MetricFamily labelled(const char *name, const char *help, MetricType type, const char *label,
+                      const std::vector<std::pair<const char *, uint64_t>> &values)
+{
+    MetricFamily result {.name = name, .help = help, .type = type, .metric = {}};
+    for (const auto &[text, value] : values) {
+        ClientMetric metric;
+        metric.label = {{.name = label, .value = text}};
+        metric.counter.value = static_cast<double>(value);
+        metric.gauge.value = static_cast<double>(value);
+        result.metric.push_back(metric);
+    }
+    return result;
+}
+
+MetricFamily heldBytes(const net::HeldBytesBudget &budget)
+{
+    return labelled("citronpick_relay_held_bytes", "Bytes held for callers", MetricType::Gauge,
+                    "holder",
+                    {{"input", budget.held(net::Holder::Input)},
+                     {"heads", budget.held(net::Holder::Heads)},
+                     {"bodies", budget.held(net::Holder::Bodies)},
+                     {"answers", budget.held(net::Holder::Answers)}});
+}
+
+MetricFamily closedForRoom(const net::RoomCounters &room)
+{
+    return labelled("citronpick_relay_room_total", "Callers refused or closed to make room",
+                    MetricType::Counter, "reason",
+                    {{"refused", room.refused},
+                     {"slow-reader", room.slowReaders},
+                     {"silent", room.silent},
+                     {"unaccepted", room.unaccepted}});
+}
+
 } // namespace
 
 std::string relayMetricsPage(const RelayMetricsSource &source)
@@ -105,6 +140,12 @@
         gauge("citronpick_relay_open_requests", "Requests in progress",
               source.relay.requestCount()),
         gauge("citronpick_relay_connections", "Open caller connections", source.connections),
+        heldBytes(source.heldBytes),
+        gauge("citronpick_relay_held_bytes_peak", "Most bytes held for callers at a time",
+              source.heldBytes.peak()),
+        gauge("citronpick_relay_held_bytes_limit", "Limit on bytes held for callers",
+              source.heldBytes.limit()),
+        closedForRoom(source.room),
         gauge("citronpick_relay_upstreams", "Upstreams in the registry",
               source.relay.upstreams().size()),
         gauge("citronpick_fleet_members", "Daemons considered alive",
--- a/src/daemon/internal/relaymetrics.h
+++ b/src/daemon/internal/relaymetrics.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "fleet/fleetsystem.h"
+#include "net/exchangeserver.h"
 #include "relay/relaysystem.h"
 
 namespace citronpick::daemon
@@ -13,6 +14,8 @@
 struct RelayMetricsSource {
     const relay::RelaySystem &relay;
     const fleet::FleetSystem &fleet;
+    const net::HeldBytesBudget &heldBytes;
+    const net::RoomCounters &room;
     size_t connections = 0;
     uint64_t upstreamConnects = 0;
     uint64_t suppressedLines = 0;
--- a/src/daemon/internal/relayregistry.cpp
+++ b/src/daemon/internal/relayregistry.cpp
@@ -189,7 +189,8 @@
                                      .maxBodyBytes = limits.maxBodyBytes,
                                      .headTimeout = limits.headTimeout,
                                      .idleTimeout = limits.idleTimeout,
-                                     .maxConnections = m_settings.maxConnections});
+                                     .maxConnections = config::callerConnections(m_settings),
+                                     .maxHeldBytes = net::heldBytesLimit(m_settings.memoryMb)});
     m_fleet->setRevision(configuration->revision(), model::hash64(text));
     record({.code = EventCode::ConfigurationAccepted,
             .request = {},
--- a/src/daemon/relaydaemon.h
+++ b/src/daemon/relaydaemon.h
@@ -13,6 +13,7 @@
 #include "fleet/fleetsystem.h"
 #include "model/random.h"
 #include "net/eventloop.h"
+#include "net/exchangeserver.h"
 #include "net/httpclient.h"
 #include "net/messageauth.h"
 #include "net/upstreamclient.h"
@@ -87,6 +88,7 @@
     void refreshPeers();
     void checkReady(model::TimePoint now);
     void checkDrain(model::TimePoint now);
+    void reportRoom(model::TimePoint now);
     model::Duration timeToNextRun(model::TimePoint now) const;
 
     net::EventLoop &m_loop;
@@ -111,6 +113,8 @@
     model::TimePoint m_nextListingRequest;
     uint64_t m_membersDigest = 0; //!< Of the members last passed on.
     model::Random m_random;
+    net::RoomCounters m_reportedRoom;
+    model::TimePoint m_nextRoomReport;
     bool m_isExecuting = false;
     bool m_wasReady = false;
     std::optional<model::TimePoint> m_drainingSince;
--- a/src/net/exchangeserver.h
+++ b/src/net/exchangeserver.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "net/eventloop.h"
+#include "net/heldbytes.h"
 #include "net/listensocket.h"
 #include "net/messageparser.h"
 
@@ -47,10 +48,21 @@
     //! Between requests; also from the first byte of a request to the end of its body.
     model::Duration idleTimeout = model::seconds(15);
     size_t maxConnections = 3000;
+    size_t maxHeldBytes = 128U << 20U; //!< For all connections together.
 
     friend bool operator==(const ExchangeLimits &, const ExchangeLimits &) = default;
 };
 
+//! Connections that an ExchangeServer refused or closed to make room for others.
+struct RoomCounters {
+    uint64_t refused = 0; //!< Requests that had not run.
+    uint64_t slowReaders = 0;
+    uint64_t silent = 0; //!< Connections that had not sent a request.
+    uint64_t unaccepted = 0; //!< Connections beyond their greatest number.
+
+    friend bool operator==(const RoomCounters &, const RoomCounters &) = default;
+};
+
 /*!
  * HTTP/1.1 server that exposes the connection events of each exchange to its handler.
  *
@@ -96,6 +108,10 @@
     //! Whether bytes of a complete response have not been passed to the network yet.
     bool hasUnsentResponses() const;
 
+    //! Bytes held for the callers of this server; its handler reports what it holds for them.
+    HeldBytesBudget &heldBytes();
+    const RoomCounters &roomCounters() const;
+
     size_t connectionCount() const;
     size_t exchangeCount() const;
 
--- a/src/net/internal/exchangeserver.cpp
+++ b/src/net/internal/exchangeserver.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <vector>
 
@@ -27,6 +28,32 @@
 constexpr model::Duration unacknowledgedTimeout = model::seconds(8);
 //! A lingering connection discards no more bytes than this.
 constexpr size_t maxLingerBytes = 1U << 20U;
+//! Above the high mark, a connection without progress for this long is refused or closed.
+constexpr model::Duration stalledPeriod = model::seconds(1);
+//! A request and its copy for the upstream.
+constexpr size_t copiesOfBody = 2;
+
+// Frees the memory of an empty buffer, because most connections stay open without traffic.
+void releaseIfEmpty(h2o_buffer_t *&input)
+{
+    if (input->size == 0) {
+        h2o_buffer_dispose(&input);
+        h2o_buffer_init(&input, &h2o_socket_buffer_prototype);
+    }
+}
+
+// Short texts need no memory of their own.
+size_t heapBytes(const std::string &text)
+{
+    return text.capacity() > std::string().capacity() ? text.capacity() : 0;
+}
+
+size_t unreadBytes(h2o_socket_t *socket)
+{
+    int bytes = 0;
+    const int result = ioctl(h2o_socket_get_fd(socket), FIONREAD, &bytes);
+    return result == 0 && bytes > 0 ? static_cast<size_t>(bytes) : 0;
+}
 
 } // namespace
 
@@ -37,6 +64,7 @@
         : m_loop(loop)
         , m_handler(handler)
         , m_limits(limits)
+        , m_heldBytes(limits.maxHeldBytes)
     {
     }
 
@@ -88,14 +116,111 @@
         bool isReadPaused = false;
         bool closesAfterWrite = false;
         bool isLingering = false;
-        size_t lingerBytes = 0; //!< Bytes discarded while lingering.
+        bool isRejected = false; //!< What follows is discarded.
+        size_t lingerBytes = 0; //!< Bytes discarded after a rejection or while lingering.
+        size_t dispatchedBytes = 0; //!< Body of the request that awaits its response.
+        HeldBytes held {}; //!< As reported to the budget.
         bool hasSentContinue = false;
         bool hadExchange = false;
         //! When the current timeout began: at the accept, the first byte of a request, the end of a
         //! response, or the start of lingering.
         model::TimePoint timeoutStart;
+        model::TimePoint takenAt; //!< When the caller last took bytes, or a write began.
+
+        bool isReceiving() const
+        {
+            return exchange == 0 && !isLingering && !isRejected && !parser.isAtStart();
+        }
+        bool isSilent() const
+        {
+            return !hadExchange && exchange == 0 && !isWriting && !parser.isHeadComplete();
+        }
     };
 
+    // Must be called after each change of what the connection holds.
+    void account(Connection &connection)
+    {
+        const h2o_buffer_t *input = connection.socket->input;
+        const size_t unread = connection.isReadPaused ? unreadBytes(connection.socket) : 0;
+        const size_t inputBytes = input->size == 0 ? 0 : input->capacity;
+        m_heldBytes.update(
+            connection.held,
+            {inputBytes + unread, connection.parser.headBytes(),
+             heapBytes(connection.request.body) + copiesOfBody * connection.dispatchedBytes,
+             heapBytes(connection.queued) + heapBytes(connection.sending)});
+    }
+
+    void pauseReading(Connection &connection)
+    {
+        connection.isReadPaused = true;
+        h2o_socket_read_stop(connection.socket);
+    }
+
+    // Refuses or closes the connections that hold most for longest, but none that waits for its
+    // response.
+    void makeRoom(model::Duration minAge)
+    {
+        const model::TimePoint now = EventLoop::now();
+        std::vector<RoomCandidate> candidates;
+        for (const auto &[id, connection] : m_connections) {
+            const bool isReceiving = connection->isReceiving();
+            const model::Duration age
+                = now - (isReceiving ? connection->timeoutStart : connection->takenAt);
+            const size_t bytes = sumOf(connection->held);
+            if ((isReceiving || connection->isWriting) && age >= minAge
+                && bytes > m_heldBytes.smallShare()) {
+                candidates.push_back({.id = id, .bytes = bytes, .age = age});
+            }
+        }
+        std::sort(candidates.begin(), candidates.end(), holdsMore);
+        for (const RoomCandidate &candidate : candidates) {
+            if (!m_heldBytes.isAboveHighMark()) {
+                return;
+            }
+            closeForRoom(candidate.id);
+        }
+    }
+
+    void closeForRoom(uint64_t id)
+    {
+        const auto it = m_connections.find(id);
+        if (it == m_connections.end()) {
+            return;
+        }
+        Connection &connection = *it->second;
+        if (connection.isReceiving()) {
+            ++m_roomCounters.refused;
+            rejectForRoom(connection);
+        } else if (connection.isWriting) {
+            ++m_roomCounters.slowReaders;
+            destroy(connection);
+        }
+    }
+
+    void rejectForRoom(Connection &connection)
+    {
+        constexpr uint16_t unavailable = 503;
+        reject(connection, unavailable, {{.name = "retry-after", .value = "1"}});
+    }
+
+    // At the greatest number of connections, those that never sent a request give way.
+    bool closeOldestSilent()
+    {
+        Connection *oldest = nullptr;
+        for (const auto &[id, connection] : m_connections) {
+            if (connection->isSilent()
+                && (!oldest || connection->timeoutStart < oldest->timeoutStart)) {
+                oldest = connection.get();
+            }
+        }
+        if (!oldest) {
+            return false;
+        }
+        ++m_roomCounters.silent;
+        destroy(*oldest);
+        return true;
+    }
+
     void listen(ListenSocket socket)
     {
         m_listener = h2o_evloop_socket_create(m_loop.handle(), socket.release(),
@@ -130,7 +255,8 @@
 
     void acceptConnection(h2o_socket_t *socket)
     {
-        if (m_connections.size() >= m_limits.maxConnections) {
+        if (m_connections.size() >= m_limits.maxConnections && !closeOldestSilent()) {
+            ++m_roomCounters.unaccepted;
             h2o_socket_close(socket);
             return;
         }
@@ -146,14 +272,20 @@
     static void onRead(h2o_socket_t *socket, const char *error)
     {
         Connection &connection = *static_cast<Connection *>(socket->data);
-        connection.owner.handleReadable(connection, error != nullptr);
+        Impl &self = connection.owner;
+        self.handleReadable(connection, error != nullptr);
+        if (self.m_heldBytes.isAboveLimit()) {
+            self.makeRoom(model::Duration::zero());
+        }
     }
 
     void handleReadable(Connection &connection, bool hasEnded)
     {
-        if (connection.isLingering) {
+        if (connection.isLingering || connection.isRejected) {
             connection.lingerBytes += connection.socket->input->size;
             h2o_buffer_consume(&connection.socket->input, connection.socket->input->size);
+            releaseIfEmpty(connection.socket->input);
+            account(connection);
             if (hasEnded || connection.lingerBytes > maxLingerBytes) {
                 destroy(connection);
             }
@@ -165,9 +297,9 @@
         }
         if (connection.exchange != 0) {
             if (connection.socket->input->size > maxPipelinedBytes) {
-                connection.isReadPaused = true;
-                h2o_socket_read_stop(connection.socket);
+                pauseReading(connection);
             }
+            account(connection);
             return;
         }
         parseInput(connection);
@@ -186,6 +318,8 @@
         }
         const size_t consumed = connection.parser.feed({input->bytes, input->size});
         h2o_buffer_consume(&input, consumed);
+        releaseIfEmpty(input);
+        account(connection);
         if (connection.parser.error() != ParseError::None) {
             constexpr uint16_t badRequest = 400;
             constexpr uint16_t headTooLarge = 431;
@@ -208,11 +342,22 @@
             connection.hasSentContinue = true;
             connection.queued += "HTTP/1.1 100 Continue\r\n\r\n";
             flush(connection);
+        } else if (m_heldBytes.isAboveHighMark()
+                   && sumOf(connection.held) > m_heldBytes.smallShare()) {
+            pauseReading(connection);
         }
     }
 
     void dispatchRequest(Connection &connection)
     {
+        const size_t bodyBytes = connection.request.body.size();
+        const bool isSmall = bodyBytes <= m_heldBytes.smallShare();
+        if (!isSmall && !m_heldBytes.hasRoomFor(bodyBytes)) {
+            ++m_roomCounters.refused;
+            rejectForRoom(connection);
+            return;
+        }
+        connection.dispatchedBytes = bodyBytes;
         connection.exchange = ++m_lastExchange;
         connection.hadExchange = true;
         m_exchanges[connection.exchange] = &connection;
@@ -222,16 +367,28 @@
         IncomingRequest request = std::move(connection.request);
         connection.request = {};
         connection.hasSentContinue = false;
+        if (connection.socket->input->size > maxPipelinedBytes) {
+            pauseReading(connection);
+        }
+        account(connection);
         m_handler.onRequest(connection.exchange, std::move(request));
     }
 
-    void reject(Connection &connection, uint16_t status)
+    void reject(Connection &connection, uint16_t status, const Headers &headers = {})
     {
         connection.exchange = ++m_lastExchange;
         m_exchanges[connection.exchange] = &connection;
         connection.isHeadRequest = connection.request.head.method == "HEAD";
         connection.closesAfterWrite = true;
-        respond(connection.exchange, status, {}, {});
+        connection.isRejected = true;
+        // An assignment would keep the memory of the body.
+        IncomingRequest released;
+        std::swap(connection.request, released);
+        h2o_buffer_consume(&connection.socket->input, connection.socket->input->size);
+        releaseIfEmpty(connection.socket->input);
+        // What still arrives is discarded.
+        resumeReading(connection);
+        respond(connection.exchange, status, headers, {});
     }
 
     Connection *find(uint64_t exchange) const
@@ -325,6 +482,7 @@
     {
         m_exchanges.erase(connection.exchange);
         connection.exchange = 0;
+        connection.dispatchedBytes = 0;
         connection.parser.reset();
         connection.timeoutStart = EventLoop::now();
         flush(connection);
@@ -332,6 +490,7 @@
 
     void flush(Connection &connection)
     {
+        account(connection);
         if (connection.isWriting) {
             return;
         }
@@ -342,6 +501,7 @@
         connection.sending.swap(connection.queued);
         connection.queued.clear();
         connection.isWriting = true;
+        connection.takenAt = EventLoop::now();
         h2o_iovec_t buffer = h2o_iovec_init(connection.sending.data(), connection.sending.size());
         h2o_socket_write(connection.socket, &buffer, 1, &Impl::onWritten);
     }
@@ -355,7 +515,8 @@
             return;
         }
         // Releases the memory as well, because most connections stay open without traffic.
-        connection.sending = {};
+        std::string().swap(connection.sending);
+        connection.takenAt = EventLoop::now();
         Impl &self = connection.owner;
         const uint64_t exchange = connection.exchange;
         self.flush(connection);
@@ -399,6 +560,7 @@
         const auto it = m_connections.find(connection.id);
         const std::unique_ptr<Connection> owned = std::move(it->second);
         m_connections.erase(it);
+        m_heldBytes.update(owned->held, {});
         h2o_socket_close(owned->socket);
         if (exchange != 0) {
             m_handler.onCallerDisconnected(exchange);
@@ -407,6 +569,10 @@
 
     void sweep(model::TimePoint now)
     {
+        controlReading();
+        if (m_heldBytes.isAboveHighMark()) {
+            makeRoom(m_heldBytes.isAboveLimit() ? model::Duration::zero() : stalledPeriod);
+        }
         std::vector<Connection *> expired;
         for (const auto &[id, connection] : m_connections) {
             if (now >= connection->timeoutStart + timeoutOf(*connection)) {
@@ -425,6 +591,23 @@
         }
     }
 
+    // Bytes that arrive while reading is paused are counted here.
+    void controlReading()
+    {
+        std::vector<Connection *> resumed;
+        for (const auto &[id, connection] : m_connections) {
+            if (connection->isReadPaused) {
+                account(*connection);
+                if (connection->exchange == 0 && !m_heldBytes.isAboveHighMark()) {
+                    resumed.push_back(connection.get());
+                }
+            }
+        }
+        for (Connection *connection : resumed) {
+            resumeReading(*connection);
+        }
+    }
+
     model::Duration timeoutOf(const Connection &connection) const
     {
         // In effect no timeout, while a request awaits its response or bytes are being sent.
@@ -445,6 +628,8 @@
     EventLoop &m_loop;
     IExchangeHandler &m_handler;
     ExchangeLimits m_limits;
+    HeldBytesBudget m_heldBytes;
+    RoomCounters m_roomCounters;
     h2o_socket_t *m_listener = nullptr;
     absl::flat_hash_map<uint64_t, std::unique_ptr<Connection>> m_connections;
     absl::flat_hash_map<uint64_t, Connection *> m_exchanges;
@@ -473,6 +658,7 @@
 void ExchangeServer::setLimits(const ExchangeLimits &limits)
 {
     m_impl->m_limits = limits;
+    m_impl->m_heldBytes.setLimit(limits.maxHeldBytes);
 }
 
 void ExchangeServer::closeAfterResponses()
@@ -530,6 +716,16 @@
                        [](const auto &entry) { return entry.second->isWriting; });
 }
 
+HeldBytesBudget &ExchangeServer::heldBytes()
+{
+    return m_impl->m_heldBytes;
+}
+
+const RoomCounters &ExchangeServer::roomCounters() const
+{
+    return m_impl->m_roomCounters;
+}
+
 size_t ExchangeServer::connectionCount() const
 {
     return m_impl->m_connections.size();
--- a/src/net/internal/messageparser.cpp
+++ b/src/net/internal/messageparser.cpp
@@ -255,6 +255,11 @@
     return m_impl->m_isHeadComplete;
 }
 
+size_t MessageParser::headBytes() const
+{
+    return m_impl->m_isHeadComplete ? 0 : m_impl->m_headBytes;
+}
+
 bool MessageParser::isAtStart() const
 {
     return !m_impl->m_isStarted;
--- a/src/net/internal/socketoptions.cpp
+++ b/src/net/internal/socketoptions.cpp
@@ -15,7 +15,10 @@
     // Keep-alive probes detect a peer that became unreachable while the connection was idle.
     constexpr int probeIdleSeconds = 1;
     constexpr int probeIntervalSeconds = 1;
+    // Bytes that were received and not yet read count towards the memory of the process.
+    constexpr int receiveBufferBytes = 64 << 10;
     const int descriptor = h2o_socket_get_fd(socket);
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof(receiveBufferBytes));
     setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedTimeoutMs,
                sizeof(unacknowledgedTimeoutMs));
--- a/tests/callers/callercrowd.cpp
+++ b/tests/callers/callercrowd.cpp
@@ -60,15 +60,16 @@
 
 std::string settingsText(const config::RelaySettings &settings)
 {
-    return absl::StrCat(R"({ "mode": "relay", "daemon": "crowd", "zone": "a", "callers": ")",
-                        config::toText(settings.callers), R"(", "readiness": ")",
-                        config::toText(settings.readiness), R"(", "directory": ")",
-                        config::toText(settings.directory), R"(", "fleet": ")",
-                        config::toText(settings.fleet),
-                        R"(", "fleetKey": "crowd-key", "fleetPorts": [)", settings.stagePort, ", ",
-                        settings.metricsPort, R"(], "registry": ")",
-                        config::toText(settings.registry), R"(", "maxConnections": )",
-                        CallerCrowd::maxConnections, R"(, "log": {"level": "error"} })");
+    return absl::StrCat(
+        R"({ "mode": "relay", "daemon": "crowd", "zone": "a", "callers": ")",
+        config::toText(settings.callers), R"(", "readiness": ")",
+        config::toText(settings.readiness), R"(", "directory": ")",
+        config::toText(settings.directory), R"(", "fleet": ")", config::toText(settings.fleet),
+        R"(", "fleetKey": "crowd-key", "fleetPorts": [)", settings.stagePort, ", ",
+        settings.metricsPort, R"(], "registry": ")", config::toText(settings.registry),
+        R"(", "maxConnections": )", CallerCrowd::maxConnections, R"(, "memoryMb": )",
+        CallerCrowd::memoryMb, R"(, "maxDescriptors": )", CallerCrowd::maxDescriptors,
+        R"(, "log": {"level": "error"} })");
 }
 
 std::string headerOf(std::string_view message, std::string_view name)
