Relay: queued stages go to the coordinator once it is known

Cause: after a restart of all daemons, each knows itself and schedules alone. What it had queued by the time it learnt of the others stayed with it, and a daemon that was wrongly taken for the coordinator kept the jobs of its peers, so several schedulers went on meeting at the same upstreams. Jobs sent last to a stuck coordinator waited for a timeout of their own. Pointers to rows of a hash map were kept while rows were added to it.

Change: a daemon passes jobs that have not begun on to a coordinator that becomes known, and a peer's job to a better coordinator, once. All jobs of a stuck coordinator are sent elsewhere at once. Event 816, and metrics for jobs passed on, batches refused, pieces without storage and results not used.

The kept pointers have no test of their own: the fault depends on how the map grows.

--- a/src/daemon/internal/stagejobcodec.cpp
+++ b/src/daemon/internal/stagejobcodec.cpp
@@ -28,6 +28,9 @@
     if (job.inputsExpireAt != model::TimePoint::max()) {
         document["inputsLeftUs"] = (job.inputsExpireAt - now).count();
     }
+    if (job.isRelayed) {
+        document["isRelayed"] = true;
+    }
     if (job.isInquiry) {
         document["isInquiry"] = true;
     }
@@ -54,6 +57,7 @@
         if (document.contains("inputsLeftUs")) {
             job.inputsExpireAt = now + model::Duration(document.at("inputsLeftUs").get<int64_t>());
         }
+        job.isRelayed = document.value("isRelayed", false);
         job.isInquiry = document.value("isInquiry", false);
         if (job.isInquiry != (job.pieceCount == 0) || job.pieceCount > relay::maxPiecesPerStage) {
             return absl::InvalidArgumentError(
--- a/src/daemon/tests/codectest.cpp
+++ b/src/daemon/tests/codectest.cpp
@@ -110,7 +110,8 @@
                                .deadline = sent + model::seconds(4),
                                .preferredZone = model::ZoneId("z"),
                                .inputsExpireAt = sent + model::seconds(2),
-                               .releasesInputs = true};
+                               .releasesInputs = true,
+                               .isRelayed = true};
     auto decoded = decodeStageJob(encodeStageJob(job, sent), received);
     REQUIRE(decoded.ok());
     CHECK(decoded->due == received + model::seconds(1));
--- a/src/observability/event.h
+++ b/src/observability/event.h
@@ -86,6 +86,7 @@
     CoordinatorAvoided = 813,
     AnswerBegan = 814,
     ReleaseHeld = 815,
+    StageMoved = 816,
     LinesSuppressed = 901,
 };
 
--- a/src/observability/internal/event.cpp
+++ b/src/observability/internal/event.cpp
@@ -85,6 +85,7 @@
     EventDescription {CoordinatorAvoided, Warning, "coordinator-avoided"},
     EventDescription {AnswerBegan, Info, "answer-began"},
     EventDescription {ReleaseHeld, Info, "release-held"},
+    EventDescription {StageMoved, Info, "stage-moved"},
     EventDescription {LinesSuppressed, Warning, "lines-suppressed"},
 };
 
--- a/src/relay/batchscheduler.h
+++ b/src/relay/batchscheduler.h
@@ -34,6 +34,12 @@
 
 using BatchCommand = std::variant<RunBatch, CancelBatch>;
 
+//! Totals since the start of the daemon.
+struct BatchCounters {
+    uint64_t piecesWithoutStorage = 0; //!< Pieces whose results an upstream could not store.
+    uint64_t unusedResults = 0; //!< Results that were discarded before their job was done.
+};
+
 struct FinishedJob {
     JobId job;
     JobResult result;
@@ -76,9 +82,17 @@
     //! Results of cancelled or failed jobs, and job inputs that all pieces have fetched.
     std::vector<ResultHandle> takeResultsToRelease();
 
+    //! The content of a job that has not ended; null for another one.
+    const StageJob *find(JobId job) const;
+    //! Jobs all of whose pieces are queued, in the order of their arrival.
+    std::vector<JobId> jobsNotBegun() const;
     size_t queuedPieces(const model::PoolId &pool) const;
     //! Expected queue wait of a job that arrives now; zero for a pool that is not scheduled here.
     QueueForecast forecastOf(const model::PoolId &pool, model::TimePoint now) const;
+    const BatchCounters &counters() const
+    {
+        return m_counters;
+    }
     size_t jobCount() const
     {
         return m_jobs.size();
@@ -218,6 +232,7 @@
     std::vector<BatchCommand> m_commands;
     std::vector<FinishedJob> m_finished;
     std::vector<ResultHandle> m_resultsToRelease;
+    BatchCounters m_counters;
 };
 
 } // namespace citronpick::relay
--- a/src/relay/internal/batchscheduler.cpp
+++ b/src/relay/internal/batchscheduler.cpp
@@ -107,6 +107,7 @@
     std::erase(m_pools[it->second.content.pool].waiting, job);
     for (Piece &piece : it->second.pieces) {
         if (piece.state == PieceState::Done && !piece.handle.empty()) {
+            ++m_counters.unusedResults;
             m_resultsToRelease.push_back(std::move(piece.handle));
         }
     }
@@ -306,6 +307,24 @@
     return std::exchange(m_resultsToRelease, {});
 }
 
+const StageJob *BatchScheduler::find(JobId job) const
+{
+    const auto it = m_jobs.find(job);
+    return it == m_jobs.end() ? nullptr : &it->second.content;
+}
+
+std::vector<JobId> BatchScheduler::jobsNotBegun() const
+{
+    std::vector<JobId> found;
+    for (const auto &[id, job] : m_jobs) {
+        if (job.queued == job.pieces.size()) {
+            found.push_back(id);
+        }
+    }
+    std::sort(found.begin(), found.end());
+    return found;
+}
+
 size_t BatchScheduler::queuedPieces(const model::PoolId &pool) const
 {
     const auto it = m_pools.find(pool);
--- a/src/relay/internal/relaycoordination.cpp
+++ b/src/relay/internal/relaycoordination.cpp
@@ -1,9 +1,11 @@
 #include <algorithm>
 #include <map>
+#include <set>
 
 #include <absl/strings/str_cat.h>
 
 #include "model/hash.h"
+#include "model/overloaded.h"
 #include "relay/relaysystem.h"
 
 // Chooses the daemon that schedules each pool and exchanges stage jobs with the other daemons.
@@ -57,36 +59,68 @@
     return best && best->id != m_options.daemon ? best : nullptr;
 }
 
-void RelaySystem::submit(const LocalStage &owner, StageJob job, model::TimePoint now)
+void RelaySystem::submit(const JobOwner &owner, StageJob job, model::TimePoint now)
 {
-    const PeerDaemon *coordinator = coordinatorOf(job.pool, now);
-    if (!coordinator) {
-        submitLocally(owner, std::move(job), now);
+    if (const PeerDaemon *coordinator = coordinatorOf(job.pool, now)) {
+        forward(owner, *coordinator, std::move(job), now);
         return;
     }
+    submitLocally(owner, std::move(job), now);
+}
+
+void RelaySystem::forward(const JobOwner &owner, const PeerDaemon &peer, StageJob job,
+                          model::TimePoint now)
+{
     const JobId id(forwardedBit | ++m_lastForward);
     ++m_counters.forwardedJobs;
-    find(owner.request)->jobs.push_back(id);
-    m_commands.emplace_back(ForwardJob {.job = id, .peer = *coordinator, .content = job});
+    addToOwner(owner, id);
+    job.isRelayed = job.isRelayed || std::holds_alternative<PeerExchange>(owner);
+    m_commands.emplace_back(ForwardJob {.job = id, .peer = peer, .content = job});
     m_forwardedJobs.emplace(
-        id, ForwardedJob {
-                .owner = owner, .peer = *coordinator, .content = std::move(job), .sentAt = now});
+        id, ForwardedJob {.owner = owner, .peer = peer, .content = std::move(job), .sentAt = now});
 }
 
-void RelaySystem::submitLocally(const LocalStage &owner, StageJob job, model::TimePoint now)
+void RelaySystem::submitLocally(const JobOwner &owner, StageJob job, model::TimePoint now)
 {
     const JobId id = m_scheduler.submit(std::move(job), now);
     m_jobOwners.emplace(id, owner);
-    find(owner.request)->jobs.push_back(id);
+    addToOwner(owner, id);
     handleSchedulerOutput(now);
 }
 
+void RelaySystem::addToOwner(const JobOwner &owner, JobId job)
+{
+    std::visit(
+        model::Overloaded {
+            [&](const LocalStage &local) { find(local.request)->jobs.push_back(job); },
+            [&](const PeerExchange &peer) { m_peerJobs.insert_or_assign(peer.exchange, job); },
+        },
+        owner);
+}
+
+bool RelaySystem::takeFromOwner(const JobOwner &owner, JobId job)
+{
+    return std::visit(
+        model::Overloaded {
+            [&](const LocalStage &local) {
+                Exchange *exchange = find(local.request);
+                return exchange && std::erase(exchange->jobs, job) > 0;
+            },
+            [&](const PeerExchange &peer) { return m_peerJobs.erase(peer.exchange) > 0; },
+        },
+        owner);
+}
+
+// The peer may know fewer members than this daemon. Its job is passed on once only, so that daemons
+// whose lists differ do not pass it round.
 void RelaySystem::onPeerJob(uint64_t exchange, StageJob job, model::TimePoint now)
 {
-    const JobId id = m_scheduler.submit(std::move(job), now);
-    m_jobOwners.emplace(id, PeerExchange {.exchange = exchange});
-    m_peerJobs.emplace(exchange, id);
-    handleSchedulerOutput(now);
+    const PeerExchange owner {.exchange = exchange};
+    if (job.isInquiry || job.isRelayed) {
+        submitLocally(owner, std::move(job), now);
+        return;
+    }
+    submit(owner, std::move(job), now);
 }
 
 void RelaySystem::onPeerDisconnected(uint64_t exchange)
@@ -95,9 +129,40 @@
     if (it == m_peerJobs.end()) {
         return;
     }
-    m_scheduler.cancel(it->second);
-    m_jobOwners.erase(it->second);
+    const JobId job = it->second;
     m_peerJobs.erase(it);
+    cancelJob(job);
+}
+
+// A daemon that has just started knows no others and schedules for itself. Its queue would go on
+// competing with the coordinator for the upstreams long after it has learnt of it.
+void RelaySystem::moveQueuedJobs(model::TimePoint now)
+{
+    std::map<model::PoolId, const PeerDaemon *> coordinators;
+    for (const JobId job : m_scheduler.jobsNotBegun()) {
+        const StageJob *content = m_scheduler.find(job);
+        const auto owner = m_jobOwners.find(job);
+        const auto [known, isNew] = coordinators.emplace(content->pool, nullptr);
+        if (isNew) {
+            known->second = coordinatorOf(content->pool, now);
+        }
+        const PeerDaemon *coordinator = known->second;
+        if (!coordinator || content->isRelayed || owner == m_jobOwners.end()) {
+            continue;
+        }
+        const JobOwner movedOwner = owner->second;
+        StageJob moved = *content;
+        cancelJob(job);
+        takeFromOwner(movedOwner, job);
+        ++m_counters.movedJobs;
+        m_commands.emplace_back(observability::Event {
+            .code = EventCode::StageMoved,
+            .request = moved.request,
+            .subject = coordinator->id.text(),
+            .detail = absl::StrCat("pool=", moved.pool.text(), " stage=", moved.stage,
+                                   " members=", m_peers.size())});
+        forward(movedOwner, *coordinator, std::move(moved), now);
+    }
 }
 
 void RelaySystem::onForwardAnswered(JobId job, JobResult result, model::TimePoint now)
@@ -113,14 +178,12 @@
     if (forward.content.isInquiry) {
         return;
     }
-    const bool isRetriedHere = result.failure == JobFailure::NoUpstream;
-    if (isRetriedHere && find(forward.owner.request)) {
-        // A coordinator that has just started may not have received the list of upstreams.
-        std::erase(find(forward.owner.request)->jobs, job);
+    // A coordinator that has just started may not have received the list of upstreams.
+    if (result.failure == JobFailure::NoUpstream && takeFromOwner(forward.owner, job)) {
         submitLocally(forward.owner, forward.content, now);
         return;
     }
-    onStageFinished(forward.owner, job, std::move(result), now);
+    finishJob(forward.owner, job, std::move(result), now);
 }
 
 void RelaySystem::onForwardFailed(JobId job, model::TimePoint now)
@@ -136,21 +199,28 @@
         return;
     }
     m_peerAvoidedUntil[forward.peer.id] = now + peerAvoidanceTime;
-    Exchange *exchange = find(forward.owner.request);
-    if (!exchange) {
+    if (!takeFromOwner(forward.owner, job)) {
         return;
     }
-    std::erase(exchange->jobs, job);
-    record(EventCode::CoordinatorAvoided, *exchange, forward.peer.id.text(),
-           absl::StrCat("pool=", forward.content.pool.text(),
-                        " afterMs=", model::toMilliseconds(now - forward.sentAt)));
-    submit(forward.owner, forward.content, now);
+    m_commands.emplace_back(observability::Event {
+        .code = EventCode::CoordinatorAvoided,
+        .request = forward.content.request,
+        .subject = forward.peer.id.text(),
+        .detail = absl::StrCat("pool=", forward.content.pool.text(),
+                               " afterMs=", model::toMilliseconds(now - forward.sentAt))});
+    // The next coordinator may not have noticed yet that this one fails, and would pass the job
+    // back.
+    StageJob again = forward.content;
+    again.isRelayed = true;
+    submit(forward.owner, std::move(again), now);
 }
 
 void RelaySystem::checkPeers(model::TimePoint now)
 {
     std::vector<JobId> stuck;
-    std::map<model::DaemonId, const ForwardedJob *> unresponsive;
+    std::set<model::DaemonId> stuckPeers;
+    // Inquiries are added to m_forwardedJobs, so that its rows may move.
+    std::map<model::DaemonId, std::pair<PeerDaemon, model::PoolId>> unresponsive;
     for (const auto &[id, forward] : m_forwardedJobs) {
         const auto answered = m_peerAnsweredAt.find(forward.peer.id);
         const model::TimePoint last = answered == m_peerAnsweredAt.end()
@@ -158,14 +228,24 @@
                                           : std::max(forward.sentAt, answered->second);
         if (now - last >= peerTimeout) {
             stuck.push_back(id);
+            stuckPeers.insert(forward.peer.id);
         } else if (now - last >= inquiryDelay) {
-            unresponsive.emplace(forward.peer.id, &forward);
+            unresponsive.try_emplace(forward.peer.id, forward.peer, forward.content.pool);
         }
     }
-    for (const auto &[id, forward] : unresponsive) {
-        sendInquiry(forward->peer, forward->content.pool, now);
+    for (const auto &[id, inquired] : unresponsive) {
+        if (!stuckPeers.contains(id)) {
+            sendInquiry(inquired.first, inquired.second, now);
+        }
+    }
+    // The younger jobs of a stuck peer would only wait as long in vain.
+    for (const auto &[id, forward] : m_forwardedJobs) {
+        if (stuckPeers.contains(forward.peer.id)) {
+            stuck.push_back(id);
+        }
     }
     std::sort(stuck.begin(), stuck.end());
+    stuck.erase(std::unique(stuck.begin(), stuck.end()), stuck.end());
     for (const JobId job : stuck) {
         m_commands.emplace_back(CancelForwardedJob {.job = job});
         onForwardFailed(job, now);
@@ -184,8 +264,10 @@
     StageJob inquiry {
         .pool = pool, .pieceCount = 0, .due = now, .deadline = now, .isInquiry = true};
     m_commands.emplace_back(ForwardJob {.job = id, .peer = peer, .content = inquiry});
-    m_forwardedJobs.emplace(
-        id, ForwardedJob {.owner = {}, .peer = peer, .content = std::move(inquiry), .sentAt = now});
+    m_forwardedJobs.emplace(id, ForwardedJob {.owner = LocalStage {},
+                                              .peer = peer,
+                                              .content = std::move(inquiry),
+                                              .sentAt = now});
 }
 
 } // namespace citronpick::relay
--- a/src/relay/internal/relaystages.cpp
+++ b/src/relay/internal/relaystages.cpp
@@ -40,7 +40,7 @@
         if (!exchange || exchange->wasRestarted != wasRestarted) {
             return;
         }
-        submit({.request = id, .stage = stage}, jobFor(*exchange, stage, now), now);
+        submit(LocalStage {.request = id, .stage = stage}, jobFor(*exchange, stage, now), now);
     }
 }
 
@@ -129,20 +129,25 @@
         }
         const JobOwner owner = it->second;
         m_jobOwners.erase(it);
-        std::visit(model::Overloaded {
-                       [&](const LocalStage &local) {
-                           onStageFinished(local, finished.job, std::move(finished.result), now);
-                       },
-                       [&](const PeerExchange &peer) {
-                           m_peerJobs.erase(peer.exchange);
-                           m_commands.emplace_back(AnswerPeer {
-                               .exchange = peer.exchange, .result = std::move(finished.result)});
-                       },
-                   },
-                   owner);
+        finishJob(owner, finished.job, std::move(finished.result), now);
     }
 }
 
+void RelaySystem::finishJob(const JobOwner &owner, JobId job, JobResult result,
+                            model::TimePoint now)
+{
+    std::visit(
+        model::Overloaded {
+            [&](const LocalStage &local) { onStageFinished(local, job, std::move(result), now); },
+            [&](const PeerExchange &peer) {
+                m_peerJobs.erase(peer.exchange);
+                m_commands.emplace_back(
+                    AnswerPeer {.exchange = peer.exchange, .result = std::move(result)});
+            },
+        },
+        owner);
+}
+
 void RelaySystem::onStageFinished(const LocalStage &owner, JobId job, JobResult result,
                                   model::TimePoint now)
 {
@@ -213,13 +218,18 @@
 void RelaySystem::cancelJobs(Exchange &exchange)
 {
     for (const JobId job : std::exchange(exchange.jobs, {})) {
-        if (m_forwardedJobs.erase(job) > 0) {
-            m_commands.emplace_back(CancelForwardedJob {.job = job});
-        } else {
-            m_scheduler.cancel(job);
-            m_jobOwners.erase(job);
-        }
+        cancelJob(job);
+    }
+}
+
+void RelaySystem::cancelJob(JobId job)
+{
+    if (m_forwardedJobs.erase(job) > 0) {
+        m_commands.emplace_back(CancelForwardedJob {.job = job});
+        return;
     }
+    m_scheduler.cancel(job);
+    m_jobOwners.erase(job);
 }
 
 void RelaySystem::onBatchAnswered(BatchId batch, const std::vector<ItemOutcome> &outcomes,
@@ -231,6 +241,7 @@
 
 void RelaySystem::onBatchRefused(BatchId batch, model::TimePoint now)
 {
+    ++m_counters.refusedBatches;
     m_scheduler.onRefused(batch, now);
     handleSchedulerOutput(now);
 }
--- a/src/relay/internal/relaysystem.cpp
+++ b/src/relay/internal/relaysystem.cpp
@@ -128,6 +128,7 @@
     }
     m_directory.setDaemons(std::move(daemons), now);
     m_budget.setDaemons(static_cast<uint32_t>(m_peers.size()));
+    moveQueuedJobs(now);
 }
 
 RelaySystem::Exchange *RelaySystem::find(model::RequestId request)
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -46,6 +46,8 @@
     uint64_t batches = 0;
     uint64_t batchedPieces = 0;
     uint64_t forwardedJobs = 0;
+    uint64_t movedJobs = 0; //!< Queued jobs passed on to a coordinator that became known later.
+    uint64_t refusedBatches = 0; //!< Batches that upstreams had no room for.
     uint64_t stageRestarts = 0;
     uint64_t quarantinedParts = 0;
     uint64_t releasedParts = 0;
@@ -156,6 +158,10 @@
     {
         return m_exchanges.size();
     }
+    const BatchCounters &batchCounters() const
+    {
+        return m_scheduler.counters();
+    }
     const RelayCounters &counters() const
     {
         return m_counters;
@@ -228,7 +234,7 @@
         model::TimePoint at;
     };
     struct ForwardedJob {
-        LocalStage owner;
+        JobOwner owner;
         PeerDaemon peer;
         StageJob content;
         model::TimePoint sentAt;
@@ -267,8 +273,16 @@
     static bool releasesFinalResults(const Exchange &exchange);
     static bool releasesInputs(const Exchange &exchange, uint32_t stage);
     StageJob jobFor(const Exchange &exchange, uint32_t stage, model::TimePoint now) const;
-    void submit(const LocalStage &owner, StageJob job, model::TimePoint now);
-    void submitLocally(const LocalStage &owner, StageJob job, model::TimePoint now);
+    void submit(const JobOwner &owner, StageJob job, model::TimePoint now);
+    void submitLocally(const JobOwner &owner, StageJob job, model::TimePoint now);
+    void forward(const JobOwner &owner, const PeerDaemon &peer, StageJob job, model::TimePoint now);
+    //! Passes jobs that have not begun on to the coordinator that is now known for their pool.
+    void moveQueuedJobs(model::TimePoint now);
+    void addToOwner(const JobOwner &owner, JobId job);
+    //! Returns false if the request that the job belongs to has ended.
+    bool takeFromOwner(const JobOwner &owner, JobId job);
+    void finishJob(const JobOwner &owner, JobId job, JobResult result, model::TimePoint now);
+    void cancelJob(JobId job);
     const PeerDaemon *coordinatorOf(const model::PoolId &pool, model::TimePoint now) const;
     void onStageFinished(const LocalStage &owner, JobId job, JobResult result,
                          model::TimePoint now);
--- a/src/relay/stagejob.h
+++ b/src/relay/stagejob.h
@@ -70,6 +70,8 @@
     model::ZoneId preferredZone; //!< Where the job should run; empty for any zone.
     model::TimePoint inputsExpireAt = model::TimePoint::max(); //!< Earliest expiry of an input.
     bool releasesInputs = false; //!< The inputs may be released as soon as they were fetched.
+    //! Was passed on or sent again: the daemon that receives it does not pass it on.
+    bool isRelayed = false;
     bool isInquiry = false; //!< Has no pieces and only requests the pool's forecast.
 
     friend bool operator==(const StageJob &, const StageJob &) = default;
