Batch scheduler: inputs of pieces that may find no storage are kept

Cause: the inputs of four fifths of a batch are released while it runs. A piece among them whose result then finds no storage takes its chain back to the first stage, and the results made so far are thrown away.

Change: an upstream that had too little storage for its last batch is expected to store as many results of the next one. Inputs of the pieces beyond that are kept until the batch ends, until it has stored more.

Result: the new load test fails without the change (inputs gone) and passes with it.

--- a/src/relay/internal/batchresults.cpp
+++ b/src/relay/internal/batchresults.cpp
@@ -34,17 +34,30 @@
     const double made
         = 1.0
           - static_cast<double>(failed) / static_cast<double>(std::max<size_t>(1, outcomes.size()));
+    m_counters.piecesWithoutStorage += failed;
     Pool &pool = m_pools[batch.pool];
     pool.storedFraction += storedFractionWeight * (made - pool.storedFraction);
     Upstream *upstream = m_directory.find(batch.upstream);
-    if (upstream && failed > 0 && 2 * failed >= outcomes.size()) {
+    if (!upstream) {
+        return;
+    }
+    if (failed > 0) {
+        const auto first
+            = std::find_if(outcomes.begin(), outcomes.end(), [](const ItemOutcome &outcome) {
+                  return outcome.failure == ItemFailure::NoStorage;
+              });
+        upstream->storedResults = static_cast<size_t>(first - outcomes.begin());
+    } else if (upstream->storedResults && outcomes.size() > *upstream->storedResults) {
+        upstream->storedResults = std::nullopt;
+    }
+    if (failed > 0 && 2 * failed >= outcomes.size()) {
         upstream->avoidedUntil = std::max(upstream->avoidedUntil, now + fullStoragePause);
     }
 }
 
 // Upstreams have little storage for results, so inputs are released once they are fetched, while
 // the pieces that use them still run. If such a piece fails, the stages before it have to run
-// again.
+// again. That is most likely for pieces whose results will not be stored, so their inputs are kept.
 void BatchScheduler::releaseFetchedInputs(model::TimePoint now)
 {
     for (auto &[id, batch] : m_batches) {
@@ -54,7 +67,11 @@
         batch.areInputsFetched = true;
         const BatchRule *rule = ruleOf(batch.pool);
         const double most = safeBatchShare * static_cast<double>(rule ? rule->maxItems : 1);
-        const size_t safe = std::min(batch.pieces.size(), static_cast<size_t>(most));
+        size_t safe = std::min(batch.pieces.size(), static_cast<size_t>(most));
+        if (const Upstream *upstream = m_directory.find(batch.upstream);
+            upstream && upstream->storedResults) {
+            safe = std::min(safe, *upstream->storedResults);
+        }
         for (size_t i = 0; i < safe; ++i) {
             const PieceRef &piece = batch.pieces[i];
             const auto job = m_jobs.find(piece.job);
@@ -86,6 +103,7 @@
     const auto it = m_jobs.find(ref.job);
     if (it == m_jobs.end()) {
         if (outcome.failure == ItemFailure::None) {
+            ++m_counters.unusedResults;
             m_resultsToRelease.push_back(outcome.handle);
         }
         return;
--- a/src/relay/tests/batchloadtest.cpp
+++ b/src/relay/tests/batchloadtest.cpp
@@ -227,3 +227,41 @@
                                                 model::UpstreamId("u1"), model::UpstreamId("u2")};
     CHECK(used == order);
 }
+
+// Guards against chains that start again from their first stage because the inputs of a piece were
+// released before the upstream found that it cannot store the result.
+TEST_CASE("Load pattern: inputs of pieces that found no storage the last time are kept")
+{
+    BatchFixture fixture;
+    const auto submit = [&fixture](const std::string &request) {
+        fixture.scheduler.submit({.pool = pool,
+                                  .request = model::CallerRequestId(request),
+                                  .stage = 1,
+                                  .inputs = {request},
+                                  .due = fixture.now + model::seconds(2),
+                                  .deadline = fixture.now + model::seconds(8),
+                                  .releasesInputs = true},
+                                 fixture.now);
+    };
+    const auto answerWithStorageForTwo = [&fixture](const RunBatch &batch) {
+        std::vector<ItemOutcome> outcomes(batch.items.size(), {.failure = ItemFailure::NoStorage});
+        outcomes[0] = {.failure = ItemFailure::None, .handle = "h0"};
+        outcomes[1] = {.failure = ItemFailure::None, .handle = "h1"};
+        fixture.scheduler.onAnswered(batch.batch, outcomes, fixture.now);
+    };
+    fixture.submit(4);
+    const RunBatch first = fixture.takeBatch();
+    for (const char *request : {"a", "b", "c", "d"}) {
+        submit(request);
+    }
+    answerWithStorageForTwo(first);
+    fixture.advanceTime(milliseconds(80));
+    const RunBatch second = fixture.takeBatch();
+    REQUIRE(second.items.size() >= 4);
+    fixture.scheduler.takeFinished();
+    fixture.advanceTime(milliseconds(150));
+    answerWithStorageForTwo(second);
+    for (const FinishedJob &finished : fixture.scheduler.takeFinished()) {
+        CHECK(finished.result.failure == JobFailure::None);
+    }
+}
--- a/src/relay/upstreamdirectory.h
+++ b/src/relay/upstreamdirectory.h
@@ -2,6 +2,7 @@
 #define CITRONPICK_RELAY_UPSTREAMDIRECTORY_H
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -38,6 +39,9 @@
     uint64_t inFlightTokens = 0; //!< Prompt tokens of the unfinished requests.
     model::TimePoint lastStartedAt; //!< When this daemon last sent it work.
     uint32_t consecutiveFailures = 0;
+    //! Results that it could store of the last batch for which it had too little storage; nullopt
+    //! once it has stored more.
+    std::optional<size_t> storedResults;
     //! Batches are not sent before this time; requests only if no other upstream is usable.
     model::TimePoint avoidedUntil;
     bool isOnTrial = false; //!< Failed recently; gets one request at a time until one succeeds.
