--- a/src/observability/event.h
+++ b/src/observability/event.h
@@ -87,6 +87,7 @@
     AnswerBegan = 814,
     ReleaseHeld = 815,
     RoomMade = 816,
+    StageMoved = 817,
     LinesSuppressed = 901,
 };
 
--- a/src/observability/internal/event.cpp
+++ b/src/observability/internal/event.cpp
@@ -86,6 +86,7 @@
     EventDescription {AnswerBegan, Info, "answer-began"},
     EventDescription {ReleaseHeld, Info, "release-held"},
     EventDescription {RoomMade, Warning, "room-made"},
+    EventDescription {StageMoved, Info, "stage-moved"},
     EventDescription {LinesSuppressed, Warning, "lines-suppressed"},
 };
 
