Relay: what callers lose least by gives way in pools of stages

A late request then waits behind all requests that are on time, also less urgent ones, in each pool of its chain, and the sum of these waits refuses it on arrival.

Change: callerloss.h holds the measure (priority, lateness, deadline, work left and spent). The batch scheduler uses it for what becomes late and for the order of the queue: a late job goes before less urgent ones, one with finished stages before one without. Forecasts follow that order. Times of stages are measured by priority. Each priority keeps a twentieth of a pool. Retry-After is spread. Metrics by priority and reason, and the expected waits in the log line.

--- a/src/daemon/internal/relaymetrics.cpp
+++ b/src/daemon/internal/relaymetrics.cpp
@@ -1,6 +1,8 @@
 #include "daemon/internal/relaymetrics.h"
 
 #include <limits>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include <prometheus/metric_family.h>
@@ -51,6 +53,35 @@
     return {.name = name, .help = help, .type = MetricType::Histogram, .metric = {metric}};
 }
 
+MetricFamily refusalsByPriority(const relay::RelayCounters &counters)
+{
+    MetricFamily result {.name = "citronpick_relay_refusals_by_priority_total",
+                         .help = "Requests refused by this daemon, by priority and reason",
+                         .type = MetricType::Counter};
+    for (const auto &[key, count] : counters.refusedByPriority) {
+        ClientMetric metric;
+        metric.label = {{"priority", std::to_string(key.first)},
+                        {"reason", std::string(relay::toString(key.second))}};
+        metric.counter.value = static_cast<double>(count);
+        result.metric.push_back(std::move(metric));
+    }
+    return result;
+}
+
+MetricFamily lateStagesByPriority(const relay::RelayCounters &counters)
+{
+    MetricFamily result {.name = "citronpick_relay_late_stages_total",
+                         .help = "Stages that were queued as late, by priority",
+                         .type = MetricType::Counter};
+    for (const auto &[priority, count] : counters.lateStagesByPriority) {
+        ClientMetric metric;
+        metric.label = {{"priority", std::to_string(priority)}};
+        metric.counter.value = static_cast<double>(count);
+        result.metric.push_back(std::move(metric));
+    }
+    return result;
+}
+
 } // namespace
 
 std::string relayMetricsPage(const RelayMetricsSource &source)
@@ -62,6 +93,8 @@
                 counters.answersForwarded),
         counter("citronpick_relay_refusals_total", "Requests refused by this daemon",
                 counters.refused),
+        refusalsByPriority(counters),
+        lateStagesByPriority(counters),
         counter("citronpick_relay_broken_total", "Answers aborted before the end",
                 counters.answersAborted),
         counter("citronpick_relay_abandoned_total",
--- a/src/daemon/internal/stagejobcodec.cpp
+++ b/src/daemon/internal/stagejobcodec.cpp
@@ -21,6 +21,7 @@
                    {"key", job.key},
                    {"inputs", job.inputs},
                    {"priority", job.priority},
+                   {"spentUs", job.workSpent.count()},
                    {"dueUs", (job.due - now).count()},
                    {"leftUs", (job.deadline - now).count()},
                    {"zone", job.preferredZone.text()},
@@ -55,6 +56,8 @@
             job.inputsExpireAt = now + model::Duration(document.at("inputsLeftUs").get<int64_t>());
         }
         job.isInquiry = document.value("isInquiry", false);
+        // Absent in jobs of daemons of an earlier version.
+        job.workSpent = model::Duration(document.value("spentUs", int64_t {0}));
         if (job.isInquiry != (job.pieceCount == 0) || job.pieceCount > relay::maxPiecesPerStage) {
             return absl::InvalidArgumentError(
                 "stage job has no pieces, too many pieces, or pieces although it is an inquiry");
--- a/src/daemon/tests/codectest.cpp
+++ b/src/daemon/tests/codectest.cpp
@@ -106,6 +106,7 @@
                                .key = "k",
                                .inputs = {"a", "b"},
                                .priority = 1,
+                               .workSpent = model::milliseconds(70),
                                .due = sent + model::seconds(1),
                                .deadline = sent + model::seconds(4),
                                .preferredZone = model::ZoneId("z"),
--- a/src/relay/batchscheduler.h
+++ b/src/relay/batchscheduler.h
@@ -2,6 +2,7 @@
 #define CITRONPICK_RELAY_BATCHSCHEDULER_H
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <optional>
 #include <variant>
@@ -9,6 +10,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include "relay/callerloss.h"
 #include "relay/relayconfiguration.h"
 #include "relay/stagejob.h"
 #include "relay/upstreamdirectory.h"
@@ -133,6 +135,7 @@
     //! Expected time at which the first upstream of each zone becomes free; the current time for a
     //! zone that has a free upstream.
     using ZoneFreeTimes = std::map<model::ZoneId, model::TimePoint>;
+    using PiecesByPriority = std::array<double, QueueForecast::priorities>;
     struct Pool {
         std::vector<JobId> waiting; //!< Jobs with queued pieces.
         //! End of the wait of queued jobs for an upstream in their preferred zone.
@@ -143,10 +146,11 @@
         model::TimePoint nextForecast;
         QueueForecast forecast; //!< Calculated at forecastAt.
         model::TimePoint forecastAt;
-        //! Pieces of on-time jobs started since the last forecast.
-        double startedOnTimePieces = 0.0;
-        double recentOnTimePieces = 0.0; //!< Exponentially decaying sum of startedOnTimePieces.
-        double onTimePiecesPerSecond = 0.0; //!< Sustained load of on-time pieces, without bursts.
+        //! Pieces started since the last forecast, by priority.
+        PiecesByPriority startedPieces {};
+        PiecesByPriority startedOnTimePieces {}; //!< The part of them that was on time.
+        PiecesByPriority recentPieces {}; //!< Exponentially decaying sum of startedPieces.
+        PiecesByPriority recentOnTimePieces {}; //!< The same of startedOnTimePieces.
         //! Moving average of the fraction of pieces whose results the upstream could store.
         double storedFraction = 1.0;
         //! Moving average of the actual batch time divided by the configured one.
@@ -157,7 +161,8 @@
         model::Duration fullBatchTime {};
         double maxItems = 0.0; //!< Pieces in a full batch.
         double secondsPerPiece = 0.0; //!< With full batches on all upstreams.
-        double secondsPerLatePiece = 0.0; //!< With the capacity that on-time jobs leave.
+        //! With the capacity that on-time jobs which are at least as urgent leave, by priority.
+        PiecesByPriority secondsPerLatePiece {};
     };
 
     void dispatch(const model::PoolId &id, Pool &pool, model::TimePoint now);
@@ -171,10 +176,16 @@
                         model::TimePoint now);
     PoolRate rateOf(const model::PoolId &id, const Pool &pool, const BatchRule &rule,
                     model::TimePoint now) const;
-    static void updateOnTimeLoad(Pool &pool, const PoolRate &rate, model::TimePoint now);
+    static size_t priorityIndex(const Job &job);
+    //! Updates the sustained load and the rates that it leaves for late jobs.
+    static void updateLoad(Pool &pool, PoolRate &rate, model::TimePoint now);
+    CallerStake stakeOf(const Job &job, const BatchRule &rule, model::TimePoint now) const;
+    //! Moves jobs that have waited long to the front if their priority got too small a share.
+    void promoteUnderserved(Pool &pool, model::TimePoint now);
     model::TimePoint firstFreeAt(const model::PoolId &id, const Pool &pool, const BatchRule &rule,
                                  model::TimePoint now) const;
-    void deprioritizeJobs(Pool &pool, const PoolRate &rate, model::TimePoint firstFreeAt);
+    void deprioritizeJobs(Pool &pool, const BatchRule &rule, const PoolRate &rate,
+                          model::TimePoint firstFreeAt, model::TimePoint now);
     void shedLateJobs(Pool &pool, const BatchRule &rule, const PoolRate &rate,
                       model::TimePoint now);
     void forecastWaits(Pool &pool, const BatchRule &rule, const PoolRate &rate,
--- a/src/relay/internal/batchfilling.cpp
+++ b/src/relay/internal/batchfilling.cpp
@@ -44,8 +44,10 @@
     std::vector<Upstream *> free = freeUpstreams(id, *rule, now);
     while (!pool.waiting.empty() && !free.empty()) {
         sortWaiting(pool, *rule, {}, now);
+        promoteUnderserved(pool, now);
         Upstream &upstream = *chooseUpstream(pool, free);
         sortWaiting(pool, *rule, upstream.listing.zone, now);
+        promoteUnderserved(pool, now);
         const ZoneFreeTimes freeAt = zoneFreeTimes(id, pool, free, now);
         std::vector<PieceRef> pieces = fillBatch(pool, *rule, upstream, freeAt, now);
         const bool isIdle = pieces.empty();
@@ -108,37 +110,41 @@
 }
 
 // Sorts the waiting jobs. Jobs with some completed pieces come first, because their results occupy
-// storage and cannot be used yet. Jobs that can still meet their target follow in order of their
-// due time. Late jobs get the remaining capacity, sorted by priority and then by deadline. The
-// expiry of inputs and results counts as a deadline.
+// storage and cannot be used yet. The others follow in their service order; jobs that can still
+// meet their target in order of their due time, late ones in order of their deadline. The expiry of
+// inputs and results counts as a deadline.
 void BatchScheduler::sortWaiting(Pool &pool, const BatchRule &rule, const model::ZoneId &zone,
                                  model::TimePoint now)
 {
     struct Rank {
         bool hasNoResults = false;
-        bool isLate = false;
-        uint32_t priority = 0; //!< Zero for on-time jobs.
+        ServiceOrder order;
         model::TimePoint at;
         JobId id;
 
         auto operator<=>(const Rank &) const = default;
     };
+    std::optional<uint32_t> mostUrgentLate;
+    for (const JobId id : pool.waiting) {
+        const Job &job = m_jobs.at(id);
+        if (isQueuedAsLate(job, rule, now)) {
+            mostUrgentLate
+                = std::min(mostUrgentLate.value_or(job.content.priority), job.content.priority);
+        }
+    }
     std::vector<Rank> ranks;
     for (const JobId id : pool.waiting) {
         const Job &job = m_jobs.at(id);
-        const bool isLate = isQueuedAsLate(job, rule, now);
+        const CallerStake stake = stakeOf(job, rule, now);
         const model::ZoneId &wanted = job.content.preferredZone;
         const bool isElsewhere = !zone.isEmpty() && !wanted.isEmpty() && wanted != zone;
-        const model::TimePoint last = std::min(job.content.deadline, job.expiresAt());
-        ranks.push_back(
-            {.hasNoResults = job.done == 0,
-             .isLate = isLate,
-             .priority = isLate ? job.content.priority : 0,
-             .at = (isLate ? last : job.content.due)
-                   + (isElsewhere ? otherZonePenalty : model::Duration::zero())
-                   + (isLate ? model::Duration::zero()
-                             : priorityStep * static_cast<int64_t>(job.content.priority)),
-             .id = id});
+        const model::TimePoint at
+            = stake.isLate ? stake.deadline
+                           : job.content.due + priorityStep * static_cast<int64_t>(stake.priority);
+        ranks.push_back({.hasNoResults = job.done == 0,
+                         .order = serviceOrder(stake, mostUrgentLate),
+                         .at = at + (isElsewhere ? otherZonePenalty : model::Duration::zero()),
+                         .id = id});
     }
     std::sort(ranks.begin(), ranks.end());
     std::transform(ranks.begin(), ranks.end(), pool.waiting.begin(),
--- a/src/relay/internal/batchforecast.cpp
+++ b/src/relay/internal/batchforecast.cpp
@@ -21,9 +21,9 @@
 //! Time constant for averaging the load of on-time jobs: several batches, but shorter than a load
 //! peak.
 constexpr model::Duration loadTimeConstant = model::seconds(2);
-//! Minimum part of a pool's throughput that late jobs are assumed to get, even if on-time jobs use
-//! all of it.
-constexpr double minLateShare = 0.05;
+//! Minimum part of a pool's throughput for the jobs of each priority that have waited for longer
+//! than loadTimeConstant.
+constexpr double minPriorityShare = 0.05;
 //! Keeps rates finite for pools whose configuration contains no times.
 constexpr model::Duration minBatchTime = model::milliseconds(1);
 
@@ -48,11 +48,8 @@
     }
     pool.nextForecast = now + forecastInterval;
     PoolRate rate = rateOf(id, pool, rule, now);
-    updateOnTimeLoad(pool, rate, now);
-    rate.secondsPerLatePiece = 1.0
-                               / std::max(minLateShare / rate.secondsPerPiece,
-                                          1.0 / rate.secondsPerPiece - pool.onTimePiecesPerSecond);
-    deprioritizeJobs(pool, rate, firstFreeAt(id, pool, rule, now));
+    updateLoad(pool, rate, now);
+    deprioritizeJobs(pool, rule, rate, firstFreeAt(id, pool, rule, now), now);
     sortWaiting(pool, rule, {}, now);
     shedLateJobs(pool, rule, rate, now);
     forecastWaits(pool, rule, rate, now);
@@ -76,16 +73,58 @@
     return rate;
 }
 
-// The pieces of one full batch on every upstream may have arrived in a single burst, so only pieces
-// beyond that number count as sustained load.
-void BatchScheduler::updateOnTimeLoad(Pool &pool, const PoolRate &rate, model::TimePoint now)
+size_t BatchScheduler::priorityIndex(const Job &job)
+{
+    return std::min<size_t>(job.content.priority, QueueForecast::priorities - 1);
+}
+
+// Late jobs get the capacity that on-time jobs leave which are at least as urgent. The pieces of
+// one full batch on every upstream may have arrived in a single burst, so only pieces beyond that
+// number count as sustained load.
+void BatchScheduler::updateLoad(Pool &pool, PoolRate &rate, model::TimePoint now)
 {
     const double timeConstant = model::toSeconds(loadTimeConstant);
     const double decay = std::exp(-model::toSeconds(now - pool.forecastAt) / timeConstant);
-    pool.recentOnTimePieces
-        = decay * pool.recentOnTimePieces + std::exchange(pool.startedOnTimePieces, 0.0);
     const double round = model::toSeconds(rate.fullBatchTime) / rate.secondsPerPiece;
-    pool.onTimePiecesPerSecond = std::max(0.0, pool.recentOnTimePieces - round) / timeConstant;
+    double onTime = 0.0;
+    for (size_t i = 0; i < pool.recentPieces.size(); ++i) {
+        pool.recentPieces[i]
+            = decay * pool.recentPieces[i] + std::exchange(pool.startedPieces[i], 0.0);
+        pool.recentOnTimePieces[i]
+            = decay * pool.recentOnTimePieces[i] + std::exchange(pool.startedOnTimePieces[i], 0.0);
+        onTime += pool.recentOnTimePieces[i];
+        const double load = std::max(0.0, onTime - round) / timeConstant;
+        const double left = 1.0 / rate.secondsPerPiece - load;
+        rate.secondsPerLatePiece[i] = 1.0 / std::max(minPriorityShare / rate.secondsPerPiece, left);
+    }
+}
+
+CallerStake BatchScheduler::stakeOf(const Job &job, const BatchRule &rule,
+                                    model::TimePoint now) const
+{
+    const double pieces = job.queued;
+    const double batches = pieces / static_cast<double>(std::max(1U, rule.maxItems));
+    return {.priority = job.content.priority,
+            .isLate = isQueuedAsLate(job, rule, now),
+            .deadline = std::min(job.content.deadline, job.expiresAt()),
+            .work = model::scaled(rule.itemTime, pieces) + model::scaled(rule.callTime, batches),
+            .workSpent = job.content.workSpent};
+}
+
+// In a long overload, urgent jobs alone could use all of the capacity.
+void BatchScheduler::promoteUnderserved(Pool &pool, model::TimePoint now)
+{
+    PiecesByPriority recent = pool.recentPieces;
+    double all = 0.0;
+    for (size_t i = 0; i < recent.size(); ++i) {
+        recent[i] += pool.startedPieces[i];
+        all += recent[i];
+    }
+    std::stable_partition(pool.waiting.begin(), pool.waiting.end(), [&](JobId id) {
+        const Job &job = m_jobs.at(id);
+        return now - job.submittedAt >= loadTimeConstant
+               && recent[priorityIndex(job)] < minPriorityShare * all;
+    });
 }
 
 model::TimePoint BatchScheduler::firstFreeAt(const model::PoolId &id, const Pool &pool,
@@ -105,12 +144,12 @@
 }
 
 // Chooses which jobs can be on time by the Moore-Hodgson algorithm, extended by priorities: jobs
-// are planned in order of their due time, and whenever one would miss it, the least urgent and then
-// the largest job planned so far is deprioritized. At equal priority this maximises the number of
-// on-time jobs. With the order by due time alone, every job would finish at the last moment and a
-// load peak would make all late.
-void BatchScheduler::deprioritizeJobs(Pool &pool, const PoolRate &rate,
-                                      model::TimePoint firstFreeAt)
+// are planned in order of their due time, and whenever one would miss it, the job planned so far
+// whose caller loses least is deprioritized: the least urgent, then usually the largest one. At
+// equal priority this maximises the number of on-time jobs. With the order by due time alone, every
+// job would finish at the last moment and a load peak would make all late.
+void BatchScheduler::deprioritizeJobs(Pool &pool, const BatchRule &rule, const PoolRate &rate,
+                                      model::TimePoint firstFreeAt, model::TimePoint now)
 {
     std::vector<std::pair<model::TimePoint, JobId>> byDue;
     for (const JobId id : pool.waiting) {
@@ -118,10 +157,9 @@
         byDue.emplace_back(m_jobs.at(id).content.due, id);
     }
     std::sort(byDue.begin(), byDue.end());
-    const auto isDeprioritizedFirst = [this](JobId left, JobId right) {
-        const Job &a = m_jobs.at(left);
-        const Job &b = m_jobs.at(right);
-        return std::pair(a.content.priority, a.queued) < std::pair(b.content.priority, b.queued);
+    const auto isDeprioritizedFirst = [&](JobId left, JobId right) {
+        return givesWayBefore(stakeOf(m_jobs.at(right), rule, now),
+                              stakeOf(m_jobs.at(left), rule, now));
     };
     std::vector<JobId> planned; // A heap with the job that is deprioritized next on top.
     double pieces = 0.0;
@@ -149,10 +187,14 @@
 void BatchScheduler::shedLateJobs(Pool &pool, const BatchRule &rule, const PoolRate &rate,
                                   model::TimePoint now)
 {
-    model::Duration wait = std::max(model::Duration::zero(), pool.availableFrom - now);
+    const model::Duration pause = std::max(model::Duration::zero(), pool.availableFrom - now);
+    model::Duration queueWait {};
+    std::array<model::Duration, QueueForecast::priorities> shareWaits {};
     std::vector<std::pair<JobId, model::Duration>> unreachable;
     for (const JobId job : pool.waiting) {
         const Job &entry = m_jobs.at(job);
+        const size_t priority = priorityIndex(entry);
+        const model::Duration wait = pause + std::min(queueWait, shareWaits[priority]);
         const bool isLate = isQueuedAsLate(entry, rule, now);
         const bool isInTime
             = now + wait + rule.callTime < entry.content.deadline && now + wait < entry.expiresAt();
@@ -160,7 +202,9 @@
             unreachable.emplace_back(job, wait);
             continue;
         }
-        wait += timeOf(entry.queued, isLate ? rate.secondsPerLatePiece : rate.secondsPerPiece);
+        queueWait += timeOf(entry.queued,
+                            isLate ? rate.secondsPerLatePiece[priority] : rate.secondsPerPiece);
+        shareWaits[priority] += timeOf(entry.queued, rate.secondsPerPiece / minPriorityShare);
     }
     for (const auto &[job, wait] : unreachable) {
         finish(job, {.failure = JobFailure::Late, .retryAfter = std::max(wait, minRetryAfter)},
@@ -168,28 +212,30 @@
     }
 }
 
+// Follows the order of sortWaiting(): a job waits for all that are at least as urgent and on time,
+// then for late ones; late jobs that are more urgent are ahead of all. Its own priority gets its
+// minimum share whatever is ahead.
 void BatchScheduler::forecastWaits(Pool &pool, const BatchRule &rule, const PoolRate &rate,
                                    model::TimePoint now)
 {
-    std::array<double, QueueForecast::priorities> onTime {};
-    std::array<double, QueueForecast::priorities> late {};
+    PiecesByPriority onTime {};
+    PiecesByPriority late {};
     for (const JobId id : pool.waiting) {
         const Job &job = m_jobs.at(id);
-        auto &ahead = isQueuedAsLate(job, rule, now) ? late : onTime;
-        ahead[std::min<size_t>(job.content.priority, ahead.size() - 1)] += job.queued;
-    }
-    double allOnTime = 0.0;
-    double moreUrgent = 0.0;
-    double lateUpTo = 0.0;
-    for (const double pieces : onTime) {
-        allOnTime += pieces;
+        (isQueuedAsLate(job, rule, now) ? late : onTime)[priorityIndex(job)] += job.queued;
     }
+    double onTimeUpTo = 0.0;
+    model::Duration lateBefore {};
     for (size_t i = 0; i < onTime.size(); ++i) {
-        moreUrgent += onTime[i];
-        lateUpTo += late[i];
-        pool.forecast.waits[i] = {.onTime = timeOf(moreUrgent, rate.secondsPerPiece),
-                                  .late = timeOf(allOnTime, rate.secondsPerPiece)
-                                          + timeOf(lateUpTo, rate.secondsPerLatePiece)};
+        onTimeUpTo += onTime[i];
+        const model::Duration onTimeWait = timeOf(onTimeUpTo, rate.secondsPerPiece);
+        const model::Duration lateWait = lateBefore + timeOf(late[i], rate.secondsPerLatePiece[i]);
+        const model::Duration shareWait
+            = loadTimeConstant
+              + timeOf(onTime[i] + late[i], rate.secondsPerPiece / minPriorityShare);
+        pool.forecast.waits[i] = {.onTime = onTimeWait + lateBefore,
+                                  .late = std::min(onTimeWait + lateWait, shareWait)};
+        lateBefore = lateWait;
     }
     pool.forecastAt = now;
 }
--- a/src/relay/internal/batchscheduler.cpp
+++ b/src/relay/internal/batchscheduler.cpp
@@ -177,7 +177,10 @@
                       .pool = id};
     for (const PieceRef &piece : pieces) {
         const StageJob &job = m_jobs.at(piece.job).content;
-        pool.startedOnTimePieces += isQueuedAsLate(m_jobs.at(piece.job), rule, now) ? 0.0 : 1.0;
+        const size_t priority = priorityIndex(m_jobs.at(piece.job));
+        pool.startedPieces[priority] += 1.0;
+        pool.startedOnTimePieces[priority]
+            += isQueuedAsLate(m_jobs.at(piece.job), rule, now) ? 0.0 : 1.0;
         command.items.push_back({.request = job.request,
                                  .stage = job.stage,
                                  .piece = piece.piece,
--- a/src/relay/internal/relayforecast.cpp
+++ b/src/relay/internal/relayforecast.cpp
@@ -43,7 +43,7 @@
     const uint32_t pieces = std::min(exchange.plan.pieceCount(stage), pool->batch->maxItems);
     const model::Duration least
         = pool->batch->callTime + pool->batch->itemTime * static_cast<int64_t>(pieces);
-    const auto measured = m_stageTimes.find(pool->id);
+    const auto measured = m_stageTimes.find({pool->id, exchange.priority});
     const bool isMeasured = estimate == Estimate::Typical && measured != m_stageTimes.end();
     return isMeasured ? std::max(least, model::scaled(measured->second, typicalStageTimeFactor))
                       : least;
@@ -51,9 +51,11 @@
 
 // Updates the average time of a stage, which includes its queue wait. The average determines when
 // earlier stages are due, so a request that cannot be in time is already queued as late in its
-// first stage, before work is spent on the others.
-void RelaySystem::updateStageTime(const model::PoolId &pool, const JobResult &result)
+// first stage, before work is spent on the others. More urgent requests wait less, so each priority
+// has its own average.
+void RelaySystem::updateStageTime(const Exchange &exchange, uint32_t stage, const JobResult &result)
 {
+    const model::PoolId &pool = exchange.route->stages[stage].pool;
     if (result.failure != JobFailure::None) {
         return;
     }
@@ -63,7 +65,7 @@
     }
     const model::Duration took
         = std::min(result.duration, rule->batch->callTime * maxStageTimeInBatches);
-    const auto [it, isNew] = m_stageTimes.emplace(pool, took);
+    const auto [it, isNew] = m_stageTimes.emplace(std::pair(pool, exchange.priority), took);
     // Late jobs wait for others, so their long times do not measure the pool. Their short times are
     // included, because otherwise an estimate that is too high would make every job late and never
     // be corrected.
@@ -73,6 +75,24 @@
     it->second += model::scaled(took - it->second, stageTimeWeight);
 }
 
+model::Duration RelaySystem::workBefore(const Exchange &exchange, uint32_t stage)
+{
+    model::Duration work {};
+    const std::vector<StageRule> &stages = exchange.route->stages;
+    for (const uint32_t before : stages[stage].after) {
+        const PoolRule *pool = exchange.configuration->findPool(stages[before].pool);
+        if (pool && pool->batch) {
+            const double pieces = exchange.plan.pieceCount(before);
+            const double batches
+                = pieces / static_cast<double>(std::max(1U, pool->batch->maxItems));
+            work += model::scaled(pool->batch->itemTime, pieces)
+                    + model::scaled(pool->batch->callTime, batches);
+        }
+        work += workBefore(exchange, before);
+    }
+    return work;
+}
+
 // Time from sending the request until the first event of its answer.
 model::Duration RelaySystem::engineTime(const Exchange &exchange, Estimate estimate) const
 {
@@ -204,7 +224,7 @@
 std::optional<model::Duration> RelaySystem::excessWait(const Exchange &exchange,
                                                        model::TimePoint now) const
 {
-    const CompletionEstimate completion = estimateCompletion(exchange, now);
+    const CompletionEstimate &completion = exchange.expected;
     if (completion.canMeetTarget && !exchange.isLimitedByShutdown) {
         return std::nullopt;
     }
--- a/src/relay/internal/relaystages.cpp
+++ b/src/relay/internal/relaystages.cpp
@@ -91,6 +91,7 @@
                   .pieceCount = exchange.plan.pieceCount(stage),
                   .inputs = exchange.plan.inputsOf(stage),
                   .priority = exchange.priority,
+                  .workSpent = workBefore(exchange, stage),
                   .due = dueOf(exchange, stage, now),
                   .deadline = deadlineOf(exchange, stage, now),
                   .preferredZone = inputsZone.isEmpty() ? exchange.expectedZone : inputsZone,
@@ -152,7 +153,10 @@
         return;
     }
     std::erase(exchange->jobs, job);
-    updateStageTime(exchange->route->stages[owner.stage].pool, result);
+    updateStageTime(*exchange, owner.stage, result);
+    if (result.wasLate) {
+        ++m_counters.lateStagesByPriority[exchange->priority];
+    }
     record(EventCode::StageFinished, *exchange, absl::StrCat("stage-", owner.stage),
            absl::StrCat("outcome=", model::toAbsl(toString(result.failure)),
                         " pieces=", result.handles.size(),
--- a/src/relay/internal/relaysystem.cpp
+++ b/src/relay/internal/relaysystem.cpp
@@ -237,8 +237,10 @@
         refuse(id, Refusal::NoUpstream, *retryAfter);
         return;
     }
+    exchange.expected = estimateCompletion(exchange, now);
     if (const std::optional<model::Duration> excess = excessWait(exchange, now)) {
-        refuse(id, Refusal::TooLate, std::max(minQueueRetryAfter, *excess));
+        const model::Duration wait = std::max(minQueueRetryAfter, *excess);
+        refuse(id, Refusal::TooLate, spreadRetryAfter(wait, exchange.deadline - now, m_random));
         return;
     }
     advanceExchange(id, now);
@@ -263,11 +265,17 @@
         refusal = Refusal::UpstreamFailed;
         retryAfter = {};
     }
+    if (exchange->route) {
+        ++m_counters.refusedByPriority[{exchange->priority, refusal}];
+    }
     record(EventCode::ExchangeRefused, *exchange,
            exchange->route ? exchange->route->id.text() : exchange->arrived.host,
            absl::StrCat("why=", model::toAbsl(toString(refusal)),
                         " attempts=", exchange->sentAttempts, " unsent=", exchange->unsentAttempts,
                         " retryAfterMs=", model::toMilliseconds(retryAfter),
+                        " priority=", exchange->priority,
+                        " onTimeWaitMs=", model::toMilliseconds(exchange->expected.onTimeWait),
+                        " lateWaitMs=", model::toMilliseconds(exchange->expected.lateWait),
                         " revision=", m_configuration ? m_configuration->revision().value() : 0));
     m_commands.emplace_back(
         RefuseRequest {.request = id, .refusal = refusal, .retryAfter = retryAfter});
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -1,9 +1,11 @@
 #ifndef CITRONPICK_RELAY_RELAYSYSTEM_H
 #define CITRONPICK_RELAY_RELAYSYSTEM_H
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
@@ -52,6 +54,10 @@
     uint64_t leavingNotices = 0;
     uint64_t restNotices = 0;
     uint64_t coldCalls = 0; //!< Requests and batches sent to cold upstreams.
+    //! Refusals by the priority of the request and the reason.
+    std::map<std::pair<uint32_t, Refusal>, uint64_t> refusedByPriority;
+    //! Stages that were queued as late, by the priority of the request.
+    std::map<uint32_t, uint64_t> lateStagesByPriority;
     observability::Histogram firstEvents; //!< From a request's arrival to its stream's first event.
     observability::Histogram answers; //!< From a request's arrival to the end of its answer.
 };
@@ -166,6 +172,12 @@
     }
 
 private:
+    //! Estimate of a request's stages from the forecasts of their queues.
+    struct CompletionEstimate {
+        bool canMeetTarget = true;
+        model::Duration onTimeWait {}; //!< Time until all stages are done if no job is late.
+        model::Duration lateWait {}; //!< Time until all stages are done if they are queued as late.
+    };
     struct Exchange {
         ArrivedRequest arrived;
         RelayConfigurationPtr configuration; //!< The revision in force at arrival.
@@ -178,6 +190,7 @@
         model::TimePoint firstEventDeadline;
         bool isLimitedByShutdown = false; //!< The shutdown shortened one of the two deadlines.
         model::ZoneId expectedZone; //!< Zone of the upstream that is expected to run the request.
+        CompletionEstimate expected; //!< The estimate at arrival.
         StagePlan plan;
         std::vector<JobId> jobs; //!< Unfinished stage jobs, here and at peers.
         bool wasRestarted = false; //!< The stages were restarted once.
@@ -216,12 +229,6 @@
         uint64_t exchange = 0;
     };
     using JobOwner = std::variant<LocalStage, PeerExchange>;
-    //! Estimate of a request's stages from the forecasts of their queues.
-    struct CompletionEstimate {
-        bool canMeetTarget = true;
-        model::Duration onTimeWait {}; //!< Time until all stages are done if no job is late.
-        model::Duration lateWait {}; //!< Time until all stages are done if they are queued as late.
-    };
     //! The last forecast for a pool's queue that the coordinator of the pool sent.
     struct PeerForecast {
         QueueForecast forecast;
@@ -288,7 +295,9 @@
     model::TimePoint deadlineOf(const Exchange &exchange, uint32_t stage,
                                 model::TimePoint now) const;
     std::optional<model::Duration> excessWait(const Exchange &exchange, model::TimePoint now) const;
-    void updateStageTime(const model::PoolId &pool, const JobResult &result);
+    void updateStageTime(const Exchange &exchange, uint32_t stage, const JobResult &result);
+    //! Upstream time of the stages that \a stage depends on.
+    static model::Duration workBefore(const Exchange &exchange, uint32_t stage);
     model::Duration engineTime(const Exchange &exchange, Estimate estimate) const;
     model::Duration streamTime(const RouteRule &route) const;
     void updateStreamTime(const Exchange &exchange, model::TimePoint now);
@@ -369,8 +378,8 @@
     absl::flat_hash_map<JobId, JobOwner> m_jobOwners; //!< Owners of jobs in m_scheduler.
     absl::flat_hash_map<JobId, ForwardedJob> m_forwardedJobs;
     absl::flat_hash_map<uint64_t, JobId> m_peerJobs;
-    //! Moving average of the duration of on-time stage jobs, by pool.
-    absl::flat_hash_map<model::PoolId, model::Duration> m_stageTimes;
+    //! Moving average of the duration of on-time stage jobs, by pool and priority.
+    absl::flat_hash_map<std::pair<model::PoolId, uint32_t>, model::Duration> m_stageTimes;
     //! Moving average of the time from an attempt's start to its first event, by route.
     absl::flat_hash_map<model::RouteId, model::Duration> m_firstEventTimes;
     //! Time from a stream's first event to its end, by route.
--- a/src/relay/retryafter.h
+++ b/src/relay/retryafter.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "model/random.h"
 #include "model/time.h"
 
 namespace citronpick::relay
@@ -24,6 +25,19 @@
     return isKnown ? std::min(availableFrom - now, maxRetryAfter) : otherwise;
 }
 
+//! Callers wait for at most this part of the time that they have left.
+inline constexpr double maxShareOfTimeLeft = 1.0 / 3.0;
+
+//! A time between \a wait and what callers with \a timeLeft wait at most, or twice \a wait if that
+//! is less, so that callers who are refused together do not return together.
+inline model::Duration spreadRetryAfter(model::Duration wait, model::Duration timeLeft,
+                                        model::Random &random)
+{
+    const model::Duration last = std::min(2 * wait, model::scaled(timeLeft, maxShareOfTimeLeft));
+    return wait
+           + model::scaled(std::max(model::Duration::zero(), last - wait), random.uniformDouble());
+}
+
 } // namespace citronpick::relay
 
 #endif // CITRONPICK_RELAY_RETRYAFTER_H
--- a/src/relay/stagejob.h
+++ b/src/relay/stagejob.h
@@ -65,6 +65,7 @@
     std::string key; //!< Identifies the data that a stage without inputs processes.
     std::vector<ResultHandle> inputs;
     uint32_t priority = 0;
+    model::Duration workSpent {}; //!< Upstream time of the request's earlier stages.
     model::TimePoint due; //!< Latest end with which the request still meets its latency target.
     model::TimePoint deadline; //!< The results are useless after this time.
     model::ZoneId preferredZone; //!< Where the job should run; empty for any zone.
