--- a/src/daemon/internal/relaymetrics.cpp
+++ b/src/daemon/internal/relaymetrics.cpp
@@ -1,6 +1,8 @@
 #include "daemon/internal/relaymetrics.h"
 
 #include <limits>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include <prometheus/metric_family.h>
@@ -51,6 +53,70 @@
     return {.name = name, .help = help, .type = MetricType::Histogram, .metric = {metric}};
 }
 
+//! Values of one metric by one label.
+MetricFamily labelled(const char *name, const char *help, MetricType type, const char *label,
+                      const std::vector<std::pair<const char *, uint64_t>> &values)
+{
+    MetricFamily result {.name = name, .help = help, .type = type, .metric = {}};
+    for (const auto &[text, value] : values) {
+        ClientMetric metric;
+        metric.label = {{.name = label, .value = text}};
+        metric.counter.value = static_cast<double>(value);
+        metric.gauge.value = static_cast<double>(value);
+        result.metric.push_back(metric);
+    }
+    return result;
+}
+
+MetricFamily heldBytes(const net::HeldBytesBudget &budget)
+{
+    return labelled("citronpick_relay_held_bytes", "Bytes held for callers", MetricType::Gauge,
+                    "holder",
+                    {{"input", budget.held(net::Holder::Input)},
+                     {"heads", budget.held(net::Holder::Heads)},
+                     {"bodies", budget.held(net::Holder::Bodies)},
+                     {"answers", budget.held(net::Holder::Answers)}});
+}
+
+MetricFamily closedForRoom(const net::RoomCounters &room)
+{
+    return labelled("citronpick_relay_room_total", "Callers refused or closed to make room",
+                    MetricType::Counter, "reason",
+                    {{"refused", room.refused},
+                     {"slow-reader", room.slowReaders},
+                     {"silent", room.silent},
+                     {"unaccepted", room.unaccepted}});
+}
+
+MetricFamily refusalsByPriority(const relay::RelayCounters &counters)
+{
+    MetricFamily result {.name = "citronpick_relay_refusals_by_priority_total",
+                         .help = "Requests refused by this daemon, by priority and reason",
+                         .type = MetricType::Counter};
+    for (const auto &[key, count] : counters.refusedByPriority) {
+        ClientMetric metric;
+        metric.label = {{"priority", std::to_string(key.first)},
+                        {"reason", std::string(relay::toString(key.second))}};
+        metric.counter.value = static_cast<double>(count);
+        result.metric.push_back(std::move(metric));
+    }
+    return result;
+}
+
+MetricFamily lateStagesByPriority(const relay::RelayCounters &counters)
+{
+    MetricFamily result {.name = "citronpick_relay_late_stages_total",
+                         .help = "Stages that were queued as late, by priority",
+                         .type = MetricType::Counter};
+    for (const auto &[priority, count] : counters.lateStagesByPriority) {
+        ClientMetric metric;
+        metric.label = {{"priority", std::to_string(priority)}};
+        metric.counter.value = static_cast<double>(count);
+        result.metric.push_back(std::move(metric));
+    }
+    return result;
+}
+
 } // namespace
 
 std::string relayMetricsPage(const RelayMetricsSource &source)
@@ -62,6 +128,8 @@
                 counters.answersForwarded),
         counter("citronpick_relay_refusals_total", "Requests refused by this daemon",
                 counters.refused),
+        refusalsByPriority(counters),
+        lateStagesByPriority(counters),
         counter("citronpick_relay_broken_total", "Answers aborted before the end",
                 counters.answersAborted),
         counter("citronpick_relay_abandoned_total",
@@ -75,6 +143,17 @@
         counter("citronpick_relay_pieces_total", "Pieces sent in batches", counters.batchedPieces),
         counter("citronpick_relay_forwards_total", "Stages forwarded to other daemons",
                 counters.forwardedJobs),
+        counter("citronpick_relay_moved_jobs_total",
+                "Queued stages passed on to a scheduler that became known later",
+                counters.movedJobs),
+        counter("citronpick_relay_refused_batches_total", "Batches that upstreams refused to start",
+                counters.refusedBatches),
+        counter("citronpick_relay_pieces_without_storage_total",
+                "Pieces whose results upstreams could not store",
+                source.relay.batchCounters().piecesWithoutStorage),
+        counter("citronpick_relay_unused_results_total",
+                "Results of stages that were discarded before their stage was done",
+                source.relay.batchCounters().unusedResults),
         counter("citronpick_relay_stage_restarts_total", "Requests whose stages were restarted",
                 counters.stageRestarts),
         counter("citronpick_relay_quarantined_parts_total",
@@ -105,6 +184,12 @@
         gauge("citronpick_relay_open_requests", "Requests in progress",
               source.relay.requestCount()),
         gauge("citronpick_relay_connections", "Open caller connections", source.connections),
+        heldBytes(source.heldBytes),
+        gauge("citronpick_relay_held_bytes_peak", "Most bytes held for callers at a time",
+              source.heldBytes.peak()),
+        gauge("citronpick_relay_held_bytes_limit", "Limit on bytes held for callers",
+              source.heldBytes.limit()),
+        closedForRoom(source.room),
         gauge("citronpick_relay_upstreams", "Upstreams in the registry",
               source.relay.upstreams().size()),
         gauge("citronpick_fleet_members", "Daemons considered alive",
--- a/src/daemon/tests/codectest.cpp
+++ b/src/daemon/tests/codectest.cpp
@@ -106,11 +106,13 @@
                                .key = "k",
                                .inputs = {"a", "b"},
                                .priority = 1,
+                               .workSpent = model::milliseconds(70),
                                .due = sent + model::seconds(1),
                                .deadline = sent + model::seconds(4),
                                .preferredZone = model::ZoneId("z"),
                                .inputsExpireAt = sent + model::seconds(2),
-                               .releasesInputs = true};
+                               .releasesInputs = true,
+                               .isRelayed = true};
     auto decoded = decodeStageJob(encodeStageJob(job, sent), received);
     REQUIRE(decoded.ok());
     CHECK(decoded->due == received + model::seconds(1));
--- a/src/observability/event.h
+++ b/src/observability/event.h
@@ -86,6 +86,8 @@
     CoordinatorAvoided = 813,
     AnswerBegan = 814,
     ReleaseHeld = 815,
+    RoomMade = 816,
+    StageMoved = 817,
     LinesSuppressed = 901,
 };
 
--- a/src/observability/internal/event.cpp
+++ b/src/observability/internal/event.cpp
@@ -85,6 +85,8 @@
     EventDescription {CoordinatorAvoided, Warning, "coordinator-avoided"},
     EventDescription {AnswerBegan, Info, "answer-began"},
     EventDescription {ReleaseHeld, Info, "release-held"},
+    EventDescription {RoomMade, Warning, "room-made"},
+    EventDescription {StageMoved, Info, "stage-moved"},
     EventDescription {LinesSuppressed, Warning, "lines-suppressed"},
 };
 
--- a/src/relay/internal/batchscheduler.cpp
+++ b/src/relay/internal/batchscheduler.cpp
@@ -107,6 +107,7 @@
     std::erase(m_pools[it->second.content.pool].waiting, job);
     for (Piece &piece : it->second.pieces) {
         if (piece.state == PieceState::Done && !piece.handle.empty()) {
+            ++m_counters.unusedResults;
             m_resultsToRelease.push_back(std::move(piece.handle));
         }
     }
@@ -139,8 +140,11 @@
         consider(pool.zoneWaitUntil);
         consider(pool.nextReturn);
         for (const Upstream *upstream : m_directory.inPool(id)) {
-            // A rest that lasts longer is considered by nextReturn.
-            const bool isAvoided = upstream->avoidedUntil > upstream->restUntil;
+            // A rest or a wait for a turn at a cold upstream that lasts longer is considered by
+            // nextReturn.
+            const model::TimePoint opensAt = std::max(
+                upstream->restUntil, std::min(upstream->coldUntil, upstream->coldTurnAt));
+            const bool isAvoided = upstream->avoidedUntil > opensAt;
             if (upstream->inFlight == 0 && isAvoided && !upstream->isClosed()) {
                 consider(upstream->avoidedUntil);
             }
@@ -177,7 +181,10 @@
                       .pool = id};
     for (const PieceRef &piece : pieces) {
         const StageJob &job = m_jobs.at(piece.job).content;
-        pool.startedOnTimePieces += isQueuedAsLate(m_jobs.at(piece.job), rule, now) ? 0.0 : 1.0;
+        const size_t priority = priorityIndex(m_jobs.at(piece.job));
+        pool.startedPieces[priority] += 1.0;
+        pool.startedOnTimePieces[priority]
+            += isQueuedAsLate(m_jobs.at(piece.job), rule, now) ? 0.0 : 1.0;
         command.items.push_back({.request = job.request,
                                  .stage = job.stage,
                                  .piece = piece.piece,
@@ -306,6 +313,24 @@
     return std::exchange(m_resultsToRelease, {});
 }
 
+const StageJob *BatchScheduler::find(JobId job) const
+{
+    const auto it = m_jobs.find(job);
+    return it == m_jobs.end() ? nullptr : &it->second.content;
+}
+
+std::vector<JobId> BatchScheduler::jobsNotBegun() const
+{
+    std::vector<JobId> found;
+    for (const auto &[id, job] : m_jobs) {
+        if (job.queued == job.pieces.size()) {
+            found.push_back(id);
+        }
+    }
+    std::sort(found.begin(), found.end());
+    return found;
+}
+
 size_t BatchScheduler::queuedPieces(const model::PoolId &pool) const
 {
     const auto it = m_pools.find(pool);
--- a/src/relay/internal/relaystages.cpp
+++ b/src/relay/internal/relaystages.cpp
@@ -40,7 +40,7 @@
         if (!exchange || exchange->wasRestarted != wasRestarted) {
             return;
         }
-        submit({.request = id, .stage = stage}, jobFor(*exchange, stage, now), now);
+        submit(LocalStage {.request = id, .stage = stage}, jobFor(*exchange, stage, now), now);
     }
 }
 
@@ -91,6 +91,7 @@
                   .pieceCount = exchange.plan.pieceCount(stage),
                   .inputs = exchange.plan.inputsOf(stage),
                   .priority = exchange.priority,
+                  .workSpent = workBefore(exchange, stage),
                   .due = dueOf(exchange, stage, now),
                   .deadline = deadlineOf(exchange, stage, now),
                   .preferredZone = inputsZone.isEmpty() ? exchange.expectedZone : inputsZone,
@@ -110,6 +111,7 @@
 
 void RelaySystem::handleSchedulerOutput(model::TimePoint now)
 {
+    handleSuspects(now);
     for (BatchCommand &command : m_scheduler.takeCommands()) {
         std::visit(model::Overloaded {
                        [this](RunBatch &batch) {
@@ -129,20 +131,25 @@
         }
         const JobOwner owner = it->second;
         m_jobOwners.erase(it);
-        std::visit(model::Overloaded {
-                       [&](const LocalStage &local) {
-                           onStageFinished(local, finished.job, std::move(finished.result), now);
-                       },
-                       [&](const PeerExchange &peer) {
-                           m_peerJobs.erase(peer.exchange);
-                           m_commands.emplace_back(AnswerPeer {
-                               .exchange = peer.exchange, .result = std::move(finished.result)});
-                       },
-                   },
-                   owner);
+        finishJob(owner, finished.job, std::move(finished.result), now);
     }
 }
 
+void RelaySystem::finishJob(const JobOwner &owner, JobId job, JobResult result,
+                            model::TimePoint now)
+{
+    std::visit(
+        model::Overloaded {
+            [&](const LocalStage &local) { onStageFinished(local, job, std::move(result), now); },
+            [&](const PeerExchange &peer) {
+                m_peerJobs.erase(peer.exchange);
+                m_commands.emplace_back(
+                    AnswerPeer {.exchange = peer.exchange, .result = std::move(result)});
+            },
+        },
+        owner);
+}
+
 void RelaySystem::onStageFinished(const LocalStage &owner, JobId job, JobResult result,
                                   model::TimePoint now)
 {
@@ -152,7 +159,10 @@
         return;
     }
     std::erase(exchange->jobs, job);
-    updateStageTime(exchange->route->stages[owner.stage].pool, result);
+    updateStageTime(*exchange, owner.stage, result);
+    if (result.wasLate) {
+        ++m_counters.lateStagesByPriority[exchange->priority];
+    }
     record(EventCode::StageFinished, *exchange, absl::StrCat("stage-", owner.stage),
            absl::StrCat("outcome=", model::toAbsl(toString(result.failure)),
                         " pieces=", result.handles.size(),
@@ -213,13 +223,18 @@
 void RelaySystem::cancelJobs(Exchange &exchange)
 {
     for (const JobId job : std::exchange(exchange.jobs, {})) {
-        if (m_forwardedJobs.erase(job) > 0) {
-            m_commands.emplace_back(CancelForwardedJob {.job = job});
-        } else {
-            m_scheduler.cancel(job);
-            m_jobOwners.erase(job);
-        }
+        cancelJob(job);
+    }
+}
+
+void RelaySystem::cancelJob(JobId job)
+{
+    if (m_forwardedJobs.erase(job) > 0) {
+        m_commands.emplace_back(CancelForwardedJob {.job = job});
+        return;
     }
+    m_scheduler.cancel(job);
+    m_jobOwners.erase(job);
 }
 
 void RelaySystem::onBatchAnswered(BatchId batch, const std::vector<ItemOutcome> &outcomes,
@@ -231,6 +246,7 @@
 
 void RelaySystem::onBatchRefused(BatchId batch, model::TimePoint now)
 {
+    ++m_counters.refusedBatches;
     m_scheduler.onRefused(batch, now);
     handleSchedulerOutput(now);
 }
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -1,9 +1,11 @@
 #ifndef CITRONPICK_RELAY_RELAYSYSTEM_H
 #define CITRONPICK_RELAY_RELAYSYSTEM_H
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
@@ -46,12 +48,18 @@
     uint64_t batches = 0;
     uint64_t batchedPieces = 0;
     uint64_t forwardedJobs = 0;
+    uint64_t movedJobs = 0; //!< Queued jobs passed on to a coordinator that became known later.
+    uint64_t refusedBatches = 0; //!< Batches that upstreams had no room for.
     uint64_t stageRestarts = 0;
     uint64_t quarantinedParts = 0;
     uint64_t releasedParts = 0;
     uint64_t leavingNotices = 0;
     uint64_t restNotices = 0;
     uint64_t coldCalls = 0; //!< Requests and batches sent to cold upstreams.
+    //! Refusals by the priority of the request and the reason.
+    std::map<std::pair<uint32_t, Refusal>, uint64_t> refusedByPriority;
+    //! Stages that were queued as late, by the priority of the request.
+    std::map<uint32_t, uint64_t> lateStagesByPriority;
     observability::Histogram firstEvents; //!< From a request's arrival to its stream's first event.
     observability::Histogram answers; //!< From a request's arrival to the end of its answer.
 };
@@ -156,6 +164,10 @@
     {
         return m_exchanges.size();
     }
+    const BatchCounters &batchCounters() const
+    {
+        return m_scheduler.counters();
+    }
     const RelayCounters &counters() const
     {
         return m_counters;
@@ -166,6 +178,12 @@
     }
 
 private:
+    //! Estimate of a request's stages from the forecasts of their queues.
+    struct CompletionEstimate {
+        bool canMeetTarget = true;
+        model::Duration onTimeWait {}; //!< Time until all stages are done if no job is late.
+        model::Duration lateWait {}; //!< Time until all stages are done if they are queued as late.
+    };
     struct Exchange {
         ArrivedRequest arrived;
         RelayConfigurationPtr configuration; //!< The revision in force at arrival.
@@ -178,6 +196,7 @@
         model::TimePoint firstEventDeadline;
         bool isLimitedByShutdown = false; //!< The shutdown shortened one of the two deadlines.
         model::ZoneId expectedZone; //!< Zone of the upstream that is expected to run the request.
+        CompletionEstimate expected; //!< The estimate at arrival.
         StagePlan plan;
         std::vector<JobId> jobs; //!< Unfinished stage jobs, here and at peers.
         bool wasRestarted = false; //!< The stages were restarted once.
@@ -216,19 +235,13 @@
         uint64_t exchange = 0;
     };
     using JobOwner = std::variant<LocalStage, PeerExchange>;
-    //! Estimate of a request's stages from the forecasts of their queues.
-    struct CompletionEstimate {
-        bool canMeetTarget = true;
-        model::Duration onTimeWait {}; //!< Time until all stages are done if no job is late.
-        model::Duration lateWait {}; //!< Time until all stages are done if they are queued as late.
-    };
     //! The last forecast for a pool's queue that the coordinator of the pool sent.
     struct PeerForecast {
         QueueForecast forecast;
         model::TimePoint at;
     };
     struct ForwardedJob {
-        LocalStage owner;
+        JobOwner owner;
         PeerDaemon peer;
         StageJob content;
         model::TimePoint sentAt;
@@ -267,8 +280,16 @@
     static bool releasesFinalResults(const Exchange &exchange);
     static bool releasesInputs(const Exchange &exchange, uint32_t stage);
     StageJob jobFor(const Exchange &exchange, uint32_t stage, model::TimePoint now) const;
-    void submit(const LocalStage &owner, StageJob job, model::TimePoint now);
-    void submitLocally(const LocalStage &owner, StageJob job, model::TimePoint now);
+    void submit(const JobOwner &owner, StageJob job, model::TimePoint now);
+    void submitLocally(const JobOwner &owner, StageJob job, model::TimePoint now);
+    void forward(const JobOwner &owner, const PeerDaemon &peer, StageJob job, model::TimePoint now);
+    //! Passes jobs that have not begun on to the coordinator that is now known for their pool.
+    void moveQueuedJobs(model::TimePoint now);
+    void addToOwner(const JobOwner &owner, JobId job);
+    //! Returns false if the request that the job belongs to has ended.
+    bool takeFromOwner(const JobOwner &owner, JobId job);
+    void finishJob(const JobOwner &owner, JobId job, JobResult result, model::TimePoint now);
+    void cancelJob(JobId job);
     const PeerDaemon *coordinatorOf(const model::PoolId &pool, model::TimePoint now) const;
     void onStageFinished(const LocalStage &owner, JobId job, JobResult result,
                          model::TimePoint now);
@@ -288,7 +309,9 @@
     model::TimePoint deadlineOf(const Exchange &exchange, uint32_t stage,
                                 model::TimePoint now) const;
     std::optional<model::Duration> excessWait(const Exchange &exchange, model::TimePoint now) const;
-    void updateStageTime(const model::PoolId &pool, const JobResult &result);
+    void updateStageTime(const Exchange &exchange, uint32_t stage, const JobResult &result);
+    //! Upstream time of the stages that \a stage depends on.
+    static model::Duration workBefore(const Exchange &exchange, uint32_t stage);
     model::Duration engineTime(const Exchange &exchange, Estimate estimate) const;
     model::Duration streamTime(const RouteRule &route) const;
     void updateStreamTime(const Exchange &exchange, model::TimePoint now);
@@ -326,6 +349,9 @@
                                  model::TimePoint now) const;
     void noteCold(const model::UpstreamId &id, model::Duration coldFor, std::string_view source,
                   model::TimePoint now);
+    void onBecameCold(const Upstream &upstream, std::string_view source, model::TimePoint now);
+    //! Handles upstreams that became cold because a connection to them was lost.
+    void handleSuspects(model::TimePoint now);
     UpstreamStarts startsOf(const NoticeSource &source, const UpstreamNotice &notice) const;
     void runScheduler(model::TimePoint now);
 
@@ -369,8 +395,8 @@
     absl::flat_hash_map<JobId, JobOwner> m_jobOwners; //!< Owners of jobs in m_scheduler.
     absl::flat_hash_map<JobId, ForwardedJob> m_forwardedJobs;
     absl::flat_hash_map<uint64_t, JobId> m_peerJobs;
-    //! Moving average of the duration of on-time stage jobs, by pool.
-    absl::flat_hash_map<model::PoolId, model::Duration> m_stageTimes;
+    //! Moving average of the duration of on-time stage jobs, by pool and priority.
+    absl::flat_hash_map<std::pair<model::PoolId, uint32_t>, model::Duration> m_stageTimes;
     //! Moving average of the time from an attempt's start to its first event, by route.
     absl::flat_hash_map<model::RouteId, model::Duration> m_firstEventTimes;
     //! Time from a stream's first event to its end, by route.
--- a/src/relay/stagejob.h
+++ b/src/relay/stagejob.h
@@ -65,11 +65,14 @@
     std::string key; //!< Identifies the data that a stage without inputs processes.
     std::vector<ResultHandle> inputs;
     uint32_t priority = 0;
+    model::Duration workSpent {}; //!< Upstream time of the request's earlier stages.
     model::TimePoint due; //!< Latest end with which the request still meets its latency target.
     model::TimePoint deadline; //!< The results are useless after this time.
     model::ZoneId preferredZone; //!< Where the job should run; empty for any zone.
     model::TimePoint inputsExpireAt = model::TimePoint::max(); //!< Earliest expiry of an input.
     bool releasesInputs = false; //!< The inputs may be released as soon as they were fetched.
+    //! Was passed on or sent again: the daemon that receives it does not pass it on.
+    bool isRelayed = false;
     bool isInquiry = false; //!< Has no pieces and only requests the pool's forecast.
 
     friend bool operator==(const StageJob &, const StageJob &) = default;
