--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -1,7 +1,6 @@
 #ifndef CITRONPICK_RELAY_RELAYSYSTEM_H
 #define CITRONPICK_RELAY_RELAYSYSTEM_H
 
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -11,11 +10,11 @@
 #include <absl/container/flat_hash_map.h>
 
 #include "model/timerqueue.h"
-#include "observability/histogram.h"
 #include "relay/batchscheduler.h"
 #include "relay/partquarantine.h"
 #include "relay/relaycommands.h"
 #include "relay/relayconfiguration.h"
+#include "relay/relaycounters.h"
 #include "relay/relayevents.h"
 #include "relay/retrybudget.h"
 #include "relay/stageplan.h"
@@ -35,33 +34,6 @@
     uint64_t seed = 1;
 };
 
-//! Counts since the start of the daemon.
-struct RelayCounters {
-    uint64_t arrived = 0;
-    uint64_t answersForwarded = 0;
-    uint64_t refused = 0;
-    uint64_t answersAborted = 0;
-    uint64_t callersDisconnected = 0;
-    uint64_t attempts = 0;
-    uint64_t retries = 0;
-    uint64_t resumes = 0;
-    uint64_t batches = 0;
-    uint64_t batchedPieces = 0;
-    uint64_t forwardedJobs = 0;
-    uint64_t stageRestarts = 0;
-    uint64_t quarantinedParts = 0;
-    uint64_t releasedParts = 0;
-    uint64_t leavingNotices = 0;
-    uint64_t restNotices = 0;
-    uint64_t coldCalls = 0; //!< Requests and batches sent to cold upstreams.
-    //! Refusals by the priority of the request and the reason.
-    std::map<std::pair<uint32_t, Refusal>, uint64_t> refusedByPriority;
-    //! Stages that were queued as late, by the priority of the request.
-    std::map<uint32_t, uint64_t> lateStagesByPriority;
-    observability::Histogram firstEvents; //!< From a request's arrival to its stream's first event.
-    observability::Histogram answers; //!< From a request's arrival to the end of its answer.
-};
-
 /*!
  * Decides how each request is served: its route, account, stages, upstream and answer.
  *
