Soak: zones that are emptied and upstreams that return cold

Cause: no run of real processes gave an order to empty a zone, and no stand-in was ever cold.

The registry's stand-in needed no change.

--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -13,10 +13,13 @@
 constexpr uint64_t mildInterval = 3;
 constexpr uint64_t firstPlannedSeed = 1000;
 constexpr uint64_t firstNoticesSeed = 2000;
+constexpr uint64_t firstEvacuationsSeed = 3000;
 constexpr uint64_t deadlyInterval = 5;
 constexpr uint64_t deadlyStopsInterval = 3;
 //! Requests before a deadly part comes are compared with those after its quarantine.
 constexpr model::Duration deadlyPartFrom = model::seconds(6);
+//! An order to empty a zone is in force everywhere after this time.
+constexpr model::Duration undisturbedTime = model::seconds(4);
 //! Interval between faults that take several steps.
 constexpr model::Duration minStepsGap = model::milliseconds(500);
 constexpr model::Duration stepsGapRange = model::milliseconds(2000);
@@ -62,6 +65,14 @@
         return {FaultKind::SaysLeaving, FaultKind::SaysLeaving, FaultKind::AsksRest,
                 FaultKind::AsksRest,    FaultKind::StoreSilent, FaultKind::StopDaemon,
                 FaultKind::PauseDaemon, FaultKind::KillDaemon,  FaultKind::HangUp};
+    case PlanKind::Evacuations:
+        return {FaultKind::EvacuateZone,       FaultKind::EvacuateZone,
+                FaultKind::ReplicaReturnsCold, FaultKind::ReplicaReturnsCold,
+                FaultKind::StoreBusy,          FaultKind::StoreSilent,
+                FaultKind::StoreDropsHistory,  FaultKind::ConfigurationChanges};
+    case PlanKind::EvacuationsAndStops:
+        return {FaultKind::EvacuateZone, FaultKind::EvacuateZone, FaultKind::ReplicaReturnsCold,
+                FaultKind::StoreLink,    FaultKind::StopDaemon,   FaultKind::KillDaemon};
     }
     return {};
 }
@@ -87,6 +98,9 @@
     if (seed < firstPlannedSeed) {
         return seed % mildInterval == 0 ? PlanKind::Mild : PlanKind::Mixed;
     }
+    if (seed >= firstEvacuationsSeed) {
+        return seed % 2 == 0 ? PlanKind::Evacuations : PlanKind::EvacuationsAndStops;
+    }
     if (seed >= firstNoticesSeed) {
         return seed % 2 == 0 ? PlanKind::Notices : PlanKind::NoticesAndStops;
     }
@@ -143,6 +157,10 @@
         return "says-leaving";
     case FaultKind::AsksRest:
         return "asks-rest";
+    case FaultKind::EvacuateZone:
+        return "evacuate-zone";
+    case FaultKind::ReplicaReturnsCold:
+        return "returns-cold";
     }
     return "unknown";
 }
@@ -167,7 +185,8 @@
         }
         const FaultKind kind = kinds[random.below(static_cast<uint32_t>(kinds.size()))];
         const bool isLong = kind == FaultKind::ReplicaLeaves || kind == FaultKind::StageSlow
-                            || kind == FaultKind::SaysLeaving || kind == FaultKind::AsksRest;
+                            || kind == FaultKind::SaysLeaving || kind == FaultKind::AsksRest
+                            || kind == FaultKind::EvacuateZone;
         const model::Duration shortest = isLong ? minLongDuration : minDuration;
         plan.push_back({.at = at,
                         .duration = shortest + model::scaled(durationRange, random.uniformDouble()),
@@ -190,6 +209,13 @@
     addFaults(plan, kindsOf(kind), model::Random(seed), {minGap, gapRange}, end);
     addFaults(plan, kindsWithStepsOf(kind), model::Random(seed ^ stepsStream),
               {minStepsGap, stepsGapRange}, end);
+    if (kind == PlanKind::Evacuations || kind == PlanKind::EvacuationsAndStops) {
+        // One order lasts. It comes into force everywhere before anything else is disrupted.
+        std::erase_if(plan, [](const PlannedFault &fault) { return fault.at < undisturbedTime; });
+        plan.push_back({.duration = end,
+                        .kind = FaultKind::EvacuateZone,
+                        .target = static_cast<uint32_t>(seed / 2)});
+    }
     if (isDeadly) {
         model::Random random(seed ^ stepsStream);
         plan.push_back({.at = deadlyPartFrom,
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -35,6 +35,8 @@
     DeadlyPart, //!< Requests with one prompt part crash each upstream that answers them.
     SaysLeaving, //!< Answers of replicas state that they leave, while they are listed as ready.
     AsksRest, //!< Replicas turn requests away and ask for a rest.
+    EvacuateZone, //!< The operator orders that replicas of a zone get no work.
+    ReplicaReturnsCold, //!< A replica crashes and is cold after its restart.
 };
 
 //! Which faults a seed gets.
@@ -46,10 +48,13 @@
     DeadlyPartAndStops,
     Notices, //!< Upstreams that state something about themselves, beside outages of the store.
     NoticesAndStops,
+    Evacuations, //!< Zones that are emptied and cold upstreams, beside outages of the store.
+    EvacuationsAndStops,
 };
 
 //! Seeds from 1000 on get plans of planned work only, each fifth with a deadly part. Those from
-//! 2000 on get notices, each second one with stopped and paused daemons.
+//! 2000 on get notices, those from 3000 on emptied zones and cold upstreams, each second one with
+//! stopped daemons.
 PlanKind planKindOf(uint64_t seed);
 
 constexpr model::Duration minDeadlyPlan = model::seconds(28);
--- a/tests/soak/faultplantest.cpp
+++ b/tests/soak/faultplantest.cpp
@@ -62,3 +62,18 @@
         CHECK(plan[i - 1].at <= plan[i].at);
     }
 }
+
+// Guards against seeds that never have an order beside a store or a daemon in trouble.
+TEST_CASE("Plans from seed 3000 on empty zones and bring upstreams back cold beside other faults")
+{
+    for (uint64_t seed = 3000; seed < 3010; ++seed) {
+        std::set<FaultKind> kinds;
+        for (const PlannedFault &fault : planFaults(seed, model::seconds(300))) {
+            kinds.insert(fault.kind);
+        }
+        CAPTURE(seed);
+        CHECK(kinds.contains(FaultKind::EvacuateZone));
+        CHECK(kinds.contains(FaultKind::ReplicaReturnsCold));
+        CHECK(kinds.contains(seed % 2 == 0 ? FaultKind::StoreSilent : FaultKind::KillDaemon));
+    }
+}
--- a/tests/soak/soakfaults.cpp
+++ b/tests/soak/soakfaults.cpp
@@ -52,6 +52,7 @@
     case FaultKind::StageSlow:
     case FaultKind::SaysLeaving:
     case FaultKind::AsksRest:
+    case FaultKind::EvacuateZone:
         return true;
     default:
         return false;
@@ -261,6 +262,12 @@
     case FaultKind::AsksRest:
         beginNotices(fault);
         break;
+    case FaultKind::EvacuateZone:
+        beginEvacuation(fault);
+        break;
+    case FaultKind::ReplicaReturnsCold:
+        replica.standIn->crashSoon();
+        break;
     default:
         break;
     }
@@ -378,6 +385,9 @@
     case FaultKind::AsksRest:
         endNotices(fault);
         break;
+    case FaultKind::EvacuateZone:
+        endEvacuation(fault);
+        break;
     default:
         break;
     }
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -28,6 +28,17 @@
     int64_t acceptMs = 0;
     int64_t limitMs = 0;
 };
+//! While zones are emptied, replicas that have crashed tolerate little and for some seconds.
+constexpr model::Duration coldTime = model::seconds(4);
+constexpr double coldPerSecond = 2.0;
+constexpr uint32_t coldSlack = 1;
+constexpr uint32_t zoneCount = 2;
+
+bool hasOrders(PlanKind plan)
+{
+    return plan == PlanKind::Evacuations || plan == PlanKind::EvacuationsAndStops;
+}
+
 //! The last ones are the default.
 constexpr std::array<DrainSettings, 3> drainSettings = {{{.acceptMs = 1000, .limitMs = 7000},
                                                          {.acceptMs = 2500, .limitMs = 3500},
@@ -50,6 +61,13 @@
     , m_spec(std::move(spec))
     , m_store(m_loop)
 {
+    if (!hasOrders(planKindOf(m_options.seed))) {
+        return;
+    }
+    for (platform::standin::PoolSpec &pool : m_spec.pools) {
+        pool.coldTime = coldTime;
+        pool.coldPerSecond = coldPerSecond;
+    }
 }
 
 absl::Status SoakRun::start()
@@ -91,6 +109,10 @@
             }
             const config::Endpoint address {.host = "127.0.0.1", .port = socket->port()};
             standIn->listen(*std::move(socket));
+            if (hasOrders(plan)) {
+                standIn->setZone(absl::StrCat("z", 1 + i % zoneCount));
+                standIn->setColdLimit(static_cast<size_t>(coldPerSecond) + coldSlack);
+            }
             auto proxy = std::make_unique<FaultProxy>(*std::move(link), address);
             if (!isPlanned) {
                 standIn->setListedAddress(config::toText(proxy->address()));
@@ -120,7 +142,8 @@
         R"(, "fleetKey": "fault-soak-key", "fleetPorts": [)", m_options.basePort + 4, ", ",
         m_options.basePort + 5, R"(], "seeds": [)", seeds, R"(], "registry": ")",
         config::toText(m_daemons[daemon].storeLink->address()), R"(", "drain": { "acceptMs": )",
-        drain.acceptMs, R"(, "limitMs": )", drain.limitMs, " } }");
+        drain.acceptMs, R"(, "limitMs": )", drain.limitMs,
+        R"( }, "coldStarts": { "overshoot": 1, "slack": )", coldSlack, " } }");
 }
 
 void SoakRun::writeSettings(uint32_t daemon)
@@ -164,6 +187,7 @@
         checkLeaving(replica);
     }
     runScheduledPuts();
+    checkOrders();
     runDaemons();
     m_callers->run(m_now);
 }
@@ -263,7 +287,12 @@
     for (const Daemon &daemon : m_daemons) {
         stops += daemon.stoppedLives.size();
     }
-    std::cout << "seed " << m_options.seed << ": stops " << stops << ", crashes "
+    uint64_t coldArrivals = 0;
+    for (const Replica &replica : m_replicas) {
+        coldArrivals += replica.standIn->coldArrivals();
+    }
+    std::cout << "seed " << m_options.seed << ": orders in force " << m_ordersInForce
+              << ", cold arrivals " << coldArrivals << ", stops " << stops << ", crashes "
               << m_ledger.crashes().size() << ", notices " << m_ledger.notices().statements()
               << ", sent " << m_ledger.sent() << ", served " << last.served << ", refused "
               << last.refused << ", failed " << last.failed << "; after the faults " << served
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -1,6 +1,7 @@
 #ifndef CITRONPICK_SOAK_SOAKRUN_H
 #define CITRONPICK_SOAK_SOAKRUN_H
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -50,6 +51,7 @@
         bool isLeaving = false;
         model::TimePoint mustBeIdleFrom = model::TimePoint::max();
         uint64_t lastArrivals = 0;
+        uint64_t arrivalsInOrder = 0; //!< Those before an order for its zone was in force.
     };
     //! The time at which a lasting fault is removed.
     struct ScheduledEnd {
@@ -73,6 +75,12 @@
         const Replica *replica = nullptr;
         bool isReadable = true;
     };
+    //! An order to empty a zone.
+    struct Order {
+        uint32_t faults = 0; //!< Overlapping faults that have given it.
+        model::TimePoint givenAt;
+        bool isInForce = false; //!< All daemons know it.
+    };
     struct Daemon {
         std::unique_ptr<DaemonProcess> process;
         std::unique_ptr<FaultProxy> storeLink;
@@ -112,6 +120,9 @@
     void send(const ScheduledSignal &scheduled);
     void setLeaving(Replica &replica, bool isLeaving);
     void checkLeaving(Replica &replica);
+    void beginEvacuation(const PlannedFault &fault);
+    void endEvacuation(const PlannedFault &fault);
+    void checkOrders();
     void checkStops();
     void logFault(const PlannedFault &fault, const char *what) const;
     Replica &replicaFor(const PlannedFault &fault);
@@ -130,6 +141,8 @@
     std::vector<ScheduledSignal> m_scheduledSignals;
     std::vector<ScheduledPut> m_scheduledPuts;
     std::optional<DeadlyPart> m_deadlyPart;
+    std::map<std::string, Order> m_orders; //!< By zone.
+    size_t m_ordersInForce = 0;
     uint64_t m_configuration = 1;
     model::TimePoint m_now;
     model::TimePoint m_trafficStart;
