Engine choice by first event: switched on by a setting

Change: RelayOptions::placesByFirstEvent, the setting of the same name, false by default. Without it requests go to the same engines as before.

--- a/src/config/internal/relaysettings.cpp
+++ b/src/config/internal/relaysettings.cpp
@@ -119,6 +119,7 @@
         .retryWindow = millisecondsAt(retries, "windowMs", defaults.retryWindow),
         .coldOvershoot = coldStarts.value("overshoot", defaults.coldOvershoot),
         .coldSlack = coldStarts.value("slack", defaults.coldSlack),
+        .placesByFirstEvent = document.value("placesByFirstEvent", defaults.placesByFirstEvent),
         .drain = {.acceptPeriod = millisecondsAt(drain, "acceptMs", defaults.drain.acceptPeriod),
                   .maxDuration = millisecondsAt(drain, "limitMs", defaults.drain.maxDuration)},
         .logLevel = log.value("level", defaults.logLevel),
--- a/src/config/internal/schemas.cpp
+++ b/src/config/internal/schemas.cpp
@@ -105,6 +105,7 @@
     "registrySilenceMs": { "$ref": "#/definitions/milliseconds" },
     "entryLifetimeMs": { "$ref": "#/definitions/milliseconds" },
     "linkMbps": { "type": "number", "minimum": 0, "maximum": 1000000 },
+    "placesByFirstEvent": { "type": "boolean" },
     "coldStarts": {
       "type": "object", "additionalProperties": false,
       "properties": {
--- a/src/config/relaysettings.h
+++ b/src/config/relaysettings.h
@@ -35,6 +35,8 @@
     //! that its pool tolerates, plus the slack.
     double coldOvershoot = 1.0;
     double coldSlack = 0.0;
+    //! Model engines are chosen by the expected time of the first event.
+    bool placesByFirstEvent = false;
     DrainSettings drain {.acceptPeriod = model::milliseconds(6200),
                          .maxDuration = model::milliseconds(7600)};
     std::string logLevel = "info";
--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -98,6 +98,7 @@
                                          .window = m_settings.retryWindow},
                              .coldOvershoot = m_settings.coldOvershoot,
                              .coldSlack = m_settings.coldSlack,
+                             .placesByFirstEvent = m_settings.placesByFirstEvent,
                              .seed = seed});
     fleet::FleetOptions fleetOptions;
     fleetOptions.seeds = m_settings.seeds;
--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -137,7 +137,7 @@
         criteria.affinity = parts[parts.size() - 2].id;
     }
     const PoolRule *pool = exchange.configuration->findPool(exchange.pool);
-    if (pool && pool->engine && !parts.empty()) {
+    if (m_options.placesByFirstEvent && pool && pool->engine && !parts.empty()) {
         criteria.hasEngines = true;
         criteria.sharedParts.assign(parts.begin(), parts.end() - 1);
     }
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -31,6 +31,7 @@
     RetryBudgetOptions retries;
     double coldOvershoot = 1.0; //!< See ColdStartOptions.
     double coldSlack = 0.0;
+    bool placesByFirstEvent = false; //!< Chooses model engines with EnginePlacement.
     uint64_t seed = 1;
 };
 
