--- a/src/net/exchangeserver.h
+++ b/src/net/exchangeserver.h
@@ -108,7 +108,7 @@
     //! Whether bytes of a complete response have not been passed to the network yet.
     bool hasUnsentResponses() const;
 
-    //! Bytes held for the callers of this server; its handler reports what it holds for them.
+    //! Bytes buffered for this server's callers; the handler adds what it buffers itself.
     HeldBytesBudget &heldBytes();
     const RoomCounters &roomCounters() const;
 
--- a/src/net/heldbytes.h
+++ b/src/net/heldbytes.h
@@ -10,7 +10,7 @@
 namespace citronpick::net
 {
 
-//! What bytes are held for.
+//! Purpose for which bytes are buffered.
 enum class Holder : uint8_t {
     Input, //!< Bytes that were read and not yet parsed, or received and not yet read.
     Heads, //!< Heads that are not complete.
@@ -19,7 +19,7 @@
 };
 inline constexpr size_t holderCount = 4;
 
-//! Bytes held for one connection or answer, by holder.
+//! Buffered bytes of one connection or answer, by purpose.
 using HeldBytes = std::array<size_t, holderCount>;
 
 size_t sumOf(const HeldBytes &bytes);
@@ -95,7 +95,7 @@
     HeldBytes m_held {};
 };
 
-//! Share of an instance's memory that may be held for callers.
+//! Limit on bytes buffered for callers on an instance with this much memory.
 size_t heldBytesLimit(size_t memoryMb);
 
 } // namespace citronpick::net
--- a/src/net/internal/exchangeserver.cpp
+++ b/src/net/internal/exchangeserver.cpp
@@ -203,7 +203,7 @@
         reject(connection, unavailable, {{.name = "retry-after", .value = "1"}});
     }
 
-    // At the greatest number of connections, those that never sent a request give way.
+    // At the maximum number of connections, closes the oldest one that never sent a request.
     bool closeOldestSilent()
     {
         Connection *oldest = nullptr;
