Configuration on its way: log lines of fetches, large answers and their parts

From the log one could tell neither whether a copy of the configuration was on its way or lost, nor how many copies there were, nor whether the time went into the transfer or into applying the text.

Added, without a change of logic: 201 says how large the text is and how long applying it took; 205 is written in relay mode too; 206 is the end of each fetch from a peer, and of answers to watches that are large or break off, with bytes, age and the time since the first part arrived.

--- a/src/daemon/internal/fleetapi.cpp
+++ b/src/daemon/internal/fleetapi.cpp
@@ -25,6 +25,8 @@
 //! A reader answers a watch within milliseconds of its end; one that does not is considered lost.
 constexpr model::Duration watchMargin = model::milliseconds(500);
 constexpr model::Duration watchConnectTimeout = model::milliseconds(400);
+//! Smaller answers to watches are not logged.
+constexpr uint64_t largeAnswerBytes = 64U << 10U;
 
 //! Recipient address as the sender signs it and the recipient verifies it.
 std::string recipientAddress(const config::Endpoint &endpoint, std::string_view path)
@@ -135,23 +137,52 @@
     fetchDocument(from, listingPath, {}, handler);
 }
 
+void FleetApi::count(Transfer &transfer, size_t bytes)
+{
+    transfer.answeredAt = transfer.answeredAt.value_or(net::EventLoop::now());
+    transfer.bytes += bytes;
+}
+
+void FleetApi::recordTransfer(const config::Endpoint &from, std::string_view path,
+                              const Transfer &transfer, std::string_view outcome)
+{
+    const model::TimePoint now = net::EventLoop::now();
+    const model::Duration receiving = now - transfer.answeredAt.value_or(now);
+    m_sink.record(
+        {.code = observability::EventCode::DocumentReceived,
+         .request = {},
+         .subject = config::toText(from),
+         .detail = absl::StrCat("document=", model::toAbsl(path),
+                                " outcome=", model::toAbsl(outcome), " bytes=", transfer.bytes,
+                                " age_ms=", model::toMilliseconds(now - transfer.startedAt),
+                                " receiving_ms=", model::toMilliseconds(receiving))});
+}
+
 void FleetApi::fetchDocument(const config::Endpoint &from, const std::string &path,
                              std::string body, const std::function<void(std::string)> &handler)
 {
     std::string stamp;
     net::HttpCall call = signedCall(from, path, std::move(body), stamp);
     call.timeout = documentTimeout;
+    const auto transfer = std::make_shared<Transfer>(Transfer {.startedAt = net::EventLoop::now()});
     net::HttpCallbacks callbacks;
-    callbacks.onResponse = [this, stamp, handler](const net::HttpResponse &answer) {
-        const std::string code = net::headerValue(answer.headers, codeHeader);
-        if (answer.status != 200 || !m_auth.isResponseAuthentic(stamp, *answer.body, code)) {
-            ++m_rejectedCount;
-            return;
-        }
-        handler(*answer.body);
+    callbacks.onProgress = [transfer](size_t bytes) {
+        count(*transfer, bytes);
     };
+    callbacks.onResponse
+        = [this, stamp, handler, from, path, transfer](const net::HttpResponse &answer) {
+              const std::string code = net::headerValue(answer.headers, codeHeader);
+              if (answer.status != 200 || !m_auth.isResponseAuthentic(stamp, *answer.body, code)) {
+                  ++m_rejectedCount;
+                  recordTransfer(from, path, *transfer, "refused");
+                  return;
+              }
+              recordTransfer(from, path, *transfer, "complete");
+              handler(*answer.body);
+          };
     // A failed fetch needs no handling: the callers repeat it, possibly from another daemon.
-    callbacks.onError = [](net::HttpError) {
+    callbacks.onError = [this, from, path, transfer](net::HttpError error) {
+        recordTransfer(from, path, *transfer, net::toString(error));
     };
     m_client.start(call, std::move(callbacks));
 }
@@ -165,16 +196,26 @@
         absl::StrCat(watch.afterRevision, " ", model::toMilliseconds(watch.timeout)), stamp);
     call.connectTimeout = watchConnectTimeout;
     call.timeout = watch.timeout + watchMargin;
+    const auto transfer = std::make_shared<Transfer>(Transfer {.startedAt = net::EventLoop::now()});
     net::HttpCallbacks callbacks;
-    callbacks.onResponse = [this, stamp, handler](const net::HttpResponse &answer) {
+    callbacks.onProgress = [transfer](size_t bytes) {
+        count(*transfer, bytes);
+    };
+    callbacks.onResponse = [this, stamp, handler, peer, transfer](const net::HttpResponse &answer) {
         const std::string code = net::headerValue(answer.headers, codeHeader);
         if (answer.status != 200 || !m_auth.isResponseAuthentic(stamp, *answer.body, code)) {
             handler(absl::UnavailableError("no current content"), registry::PeerError::Outdated);
             return;
         }
+        if (transfer->bytes >= largeAnswerBytes) {
+            recordTransfer(peer, changesPath, *transfer, "complete");
+        }
         handler(*answer.body, registry::PeerError::Outdated);
     };
-    callbacks.onError = [handler](net::HttpError error) {
+    callbacks.onError = [this, handler, peer, transfer](net::HttpError error) {
+        if (transfer->bytes > 0) {
+            recordTransfer(peer, changesPath, *transfer, net::toString(error));
+        }
         handler(absl::UnavailableError(model::toAbsl(net::toString(error))),
                 registry::PeerError::Unreachable);
     };
--- a/src/daemon/internal/fleetapi.h
+++ b/src/daemon/internal/fleetapi.h
@@ -76,6 +76,13 @@
     void onClosed(uint64_t number, bool wasAnswered) override;
 
 private:
+    //! How far the answer to a call has arrived.
+    struct Transfer {
+        model::TimePoint startedAt;
+        std::optional<model::TimePoint> answeredAt;
+        uint64_t bytes = 0;
+    };
+
     void onExchangeAnswer(uint64_t exchange, const std::string &stamp,
                           const net::HttpResponse &answer);
     void fetchDocument(const config::Endpoint &from, const std::string &path, std::string body,
@@ -84,6 +91,9 @@
     net::HttpCall signedCall(const config::Endpoint &to, const std::string &path, std::string body,
                              std::string &stamp);
     void sendDocument(const net::HttpServerRequest &request);
+    static void count(Transfer &transfer, size_t bytes);
+    void recordTransfer(const config::Endpoint &from, std::string_view path,
+                        const Transfer &transfer, std::string_view outcome);
     void receiveWatch(const net::HttpServerRequest &request);
     void respondSigned(uint64_t number, const std::string &stamp, std::string body);
     void reject(uint64_t number, std::string_view reason);
--- a/src/daemon/internal/relayfleet.cpp
+++ b/src/daemon/internal/relayfleet.cpp
@@ -1,3 +1,5 @@
+#include <absl/strings/str_cat.h>
+
 #include "daemon/internal/fleetapi.h"
 #include "daemon/internal/registryreader.h"
 #include "daemon/relaydaemon.h"
@@ -37,6 +39,10 @@
     if (!updates.newerConfigurations.empty() && now >= m_nextConfigurationFetch) {
         m_nextConfigurationFetch = now + configurationFetchInterval;
         const fleet::NewerConfiguration &newer = updates.newerConfigurations.back();
+        record({.code = observability::EventCode::ConfigurationFetched,
+                .request = {},
+                .subject = absl::StrCat("revision-", newer.revision.value()),
+                .detail = absl::StrCat("from=", config::toText(newer.from))});
         m_fleetApi->fetch({.from = newer.from, .revision = newer.revision});
     }
     refreshPeers();
--- a/src/daemon/internal/relayregistry.cpp
+++ b/src/daemon/internal/relayregistry.cpp
@@ -167,6 +167,7 @@
 
 void RelayDaemon::applyConfiguration(const std::string &text, std::string_view source)
 {
+    const model::TimePoint startedAt = net::EventLoop::now();
     auto content = m_format.decodeConfiguration(text);
     if (!content.ok()) {
         record({.code = EventCode::ConfigurationRejected,
@@ -195,8 +196,10 @@
     record({.code = EventCode::ConfigurationAccepted,
             .request = {},
             .subject = absl::StrCat("revision-", configuration->revision().value()),
-            .detail = absl::StrCat("source=", model::toAbsl(source), " before=", before.value(),
-                                   " routes=", configuration->content().routes.size())});
+            .detail = absl::StrCat(
+                "source=", model::toAbsl(source), " before=", before.value(),
+                " routes=", configuration->content().routes.size(), " bytes=", text.size(),
+                " apply_ms=", model::toMilliseconds(net::EventLoop::now() - startedAt))});
 }
 
 void RelayDaemon::onUpstreamChanged(const registry::KeyChanged &changed)
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -17,6 +17,9 @@
 struct HttpCallbacks {
     std::function<void(const HttpResponse &)> onHead; //!< Streamed calls only; the body is empty.
     std::function<void(std::string_view)> onData; //!< Streamed calls only.
+    //! The response head, or \a bodyBytes more of the body, have arrived. May be empty; must not
+    //! cancel the call.
+    std::function<void(size_t bodyBytes)> onProgress;
     std::function<void(HttpResponse)> onResponse;
     std::function<void(HttpError)> onError;
 };
--- a/src/net/internal/httpclient.cpp
+++ b/src/net/internal/httpclient.cpp
@@ -261,6 +261,9 @@
 void HttpClient::Impl::handleHead(Call &call, int status, const h2o_header_t *headers, size_t count)
 {
     call.isHeadReceived = true;
+    if (call.callbacks.onProgress) {
+        call.callbacks.onProgress(0);
+    }
     call.answer.status = static_cast<uint16_t>(status);
     call.answer.headers.reserve(count);
     for (size_t i = 0; i < count; ++i) {
@@ -277,6 +280,9 @@
 {
     const std::string_view bytes(socket->input->bytes, socket->input->size);
     call.bodyBytes += bytes.size();
+    if (call.callbacks.onProgress) {
+        call.callbacks.onProgress(bytes.size());
+    }
     if (call.bodyBytes > call.maxBodyBytes) {
         return false;
     }
--- a/src/observability/event.h
+++ b/src/observability/event.h
@@ -28,6 +28,7 @@
     ConfigurationOlder = 203,
     ConfigurationConflict = 204,
     ConfigurationFetched = 205,
+    DocumentReceived = 206,
     UpstreamSuspected = 301,
     UpstreamEjected = 302,
     UpstreamProbing = 303,
--- a/src/observability/internal/event.cpp
+++ b/src/observability/internal/event.cpp
@@ -27,6 +27,7 @@
     EventDescription {ConfigurationOlder, Warning, "configuration-older"},
     EventDescription {ConfigurationConflict, Error, "configuration-conflict"},
     EventDescription {ConfigurationFetched, Info, "configuration-fetched"},
+    EventDescription {DocumentReceived, Info, "document-received"},
     EventDescription {UpstreamSuspected, Warning, "upstream-suspected"},
     EventDescription {UpstreamEjected, Warning, "upstream-ejected"},
     EventDescription {UpstreamProbing, Info, "upstream-probing"},
