Tests that fail: large configurations in force late, answers given up while they arrive

The second gives a watch an answer that arrives over one second: it fails as if the reader had been lost.

--- a/src/registry/tests/registryfleet.cpp
+++ b/src/registry/tests/registryfleet.cpp
@@ -20,14 +20,16 @@
 
 RegistryFleet::RegistryFleet(const RegistryFleetOptions &options)
     : m_copyAge(options.copyAge)
+    , m_answerBytes(options.answerBytes)
 {
     for (size_t i = 0; i < options.keys; ++i) {
         put("u/" + std::to_string(i), "start");
     }
     for (size_t i = 0; i < options.daemons; ++i) {
-        Daemon daemon {.identity = {.id = model::DaemonId("d" + std::to_string(i)),
-                                    .zone = model::ZoneId("z" + std::to_string(i % options.zones)),
-                                    .linkMbps = i < 3 * options.zones ? 200U : 20U}};
+        Daemon daemon {.identity
+                       = {.id = model::DaemonId("d" + std::to_string(i)),
+                          .zone = model::ZoneId("z" + std::to_string(i % options.zones)),
+                          .linkMbps = i < 3 * options.zones ? 200U : options.narrowLinkMbps}};
         FollowerOptions follower = options.follower;
         follower.source.daemon = daemon.identity.id;
         follower.source.zone = daemon.identity.zone;
@@ -227,6 +229,10 @@
         }
         return;
     }
+    if (daemon.pending->transfer) {
+        continueTransfer(daemon, watch);
+        return;
+    }
     const bool isExpired = m_now >= startedAt + watch.timeout;
     const bool isCurrent = reader->follower->isCurrentReader(m_now);
     if (isCurrent && !isExpired && reader->follower->revision() <= watch.afterRevision) {
@@ -238,8 +244,51 @@
         daemon.pending.reset();
         daemon.follower->onPeerError(PeerError::Outdated, m_now);
     } else if (!changes->changes.items.empty() || isExpired) {
+        startTransfer(daemon, index, *changes);
+    }
+}
+
+void RegistryFleet::startTransfer(Daemon &daemon, size_t reader, PeerChanges changes)
+{
+    if (!m_answerBytes) {
+        daemon.pending.reset();
+        daemon.follower->onPeerChanges(changes, m_now);
+        return;
+    }
+    const auto index = static_cast<size_t>(&daemon - m_daemons.data());
+    const auto bits = static_cast<double>(m_answerBytes(index, changes)) * 8.0;
+    const auto timeOn = [bits](uint32_t linkMbps) {
+        return model::Duration(static_cast<int64_t>(bits / linkMbps));
+    };
+    Daemon &sender = m_daemons[reader];
+    const model::TimePoint sentFrom = std::max(m_now, sender.sendsFrom);
+    sender.sendsFrom = sentFrom + timeOn(sender.identity.linkMbps);
+    const model::TimePoint arrivesAt
+        = std::max(sender.sendsFrom, sentFrom + timeOn(daemon.identity.linkMbps));
+    daemon.pending->transfer = Transfer {.changes = std::move(changes),
+                                         .reader = reader,
+                                         .sentFrom = sentFrom,
+                                         .sentAt = sender.sendsFrom,
+                                         .arrivesAt = arrivesAt};
+}
+
+void RegistryFleet::continueTransfer(Daemon &daemon, const WatchPeer &watch)
+{
+    const Transfer &transfer = *daemon.pending->transfer;
+    if (m_now >= transfer.arrivesAt) {
+        const PeerChanges changes = transfer.changes;
+        daemon.pending.reset();
+        daemon.follower->onPeerChanges(changes, m_now);
+        return;
+    }
+    if (m_now >= daemon.pending->startedAt + watch.timeout + peerTimeout) {
+        // The rest is not sent.
+        const model::TimePoint unsentFrom = std::max(m_now, transfer.sentFrom);
+        if (unsentFrom < transfer.sentAt) {
+            m_daemons[transfer.reader].sendsFrom -= transfer.sentAt - unsentFrom;
+        }
         daemon.pending.reset();
-        daemon.follower->onPeerChanges(*changes, m_now);
+        daemon.follower->onPeerError(PeerError::Unreachable, m_now);
     }
 }
 
@@ -343,6 +392,15 @@
     return value ? it != known.end() && it->second == *value : it == known.end();
 }
 
+bool RegistryFleet::allMatch(const std::string &key,
+                             const std::function<bool(const std::string &)> &condition) const
+{
+    return std::all_of(m_daemons.begin(), m_daemons.end(), [&](const Daemon &daemon) {
+        const auto it = daemon.known.find(key);
+        return !daemon.isAlive || (it != daemon.known.end() && condition(it->second));
+    });
+}
+
 bool RegistryFleet::allHave(const std::string &key, const std::optional<std::string> &value) const
 {
     for (size_t i = 0; i < m_daemons.size(); ++i) {
--- a/src/registry/tests/registryfleet.h
+++ b/src/registry/tests/registryfleet.h
@@ -18,6 +18,10 @@
     FollowerOptions follower {.maxSilence = model::seconds(4)};
     //! Age of the copies that answer reads that allow outdated content.
     model::Duration copyAge {};
+    uint32_t narrowLinkMbps = 20; //!< Of all daemons but three in each zone, which have 200.
+    //! Size of a reader's answer to the daemon with this index. If it is empty, answers take no
+    //! time on the links.
+    std::function<size_t(size_t daemon, const PeerChanges &changes)> answerBytes;
 };
 
 //! Simulates daemons that follow a registry, over simulated time and without a network.
@@ -63,6 +67,9 @@
     //! Whether all running daemons have the key with this value; an empty one means none.
     bool allHave(const std::string &key, const std::optional<std::string> &value) const;
     bool has(size_t daemon, const std::string &key, const std::optional<std::string> &value) const;
+    //! Whether all running daemons have the key with a value for which \a condition holds.
+    bool allMatch(const std::string &key,
+                  const std::function<bool(const std::string &)> &condition) const;
     //! How often a daemon reported a key as removed.
     uint64_t removalsReported() const
     {
@@ -70,10 +77,19 @@
     }
 
 private:
+    //! A reader's answer on its way over both links.
+    struct Transfer {
+        PeerChanges changes;
+        size_t reader = 0;
+        model::TimePoint sentFrom;
+        model::TimePoint sentAt; //!< The reader's link is free again.
+        model::TimePoint arrivesAt;
+    };
     struct PendingCall {
         FollowerCall call;
         model::TimePoint startedAt;
         bool isLost = false; //!< It never gets an answer.
+        std::optional<Transfer> transfer;
     };
     struct Daemon {
         ReaderCandidate identity;
@@ -85,6 +101,7 @@
         bool isUnanswered = false; //!< The registry is silent for this daemon.
         std::set<size_t> cutPeers;
         model::TimePoint diedAt;
+        model::TimePoint sendsFrom; //!< When its link has sent all answers.
     };
 
     void step();
@@ -95,6 +112,8 @@
     void answer(Daemon &daemon, const ReadPage &page);
     void answer(Daemon &daemon, const WatchChanges &watch);
     void answer(Daemon &daemon, const WatchPeer &watch);
+    void startTransfer(Daemon &daemon, size_t reader, PeerChanges changes);
+    void continueTransfer(Daemon &daemon, const WatchPeer &watch);
     static bool reachesRegistry(const Daemon &daemon);
     void change(RegistryItem item);
     //! The registry's keys and revision at an earlier time.
@@ -106,6 +125,7 @@
     std::vector<RegistryItem> m_changes;
     std::vector<std::pair<model::TimePoint, RegistryItem>> m_allChanges;
     model::Duration m_copyAge;
+    std::function<size_t(size_t, const PeerChanges &)> m_answerBytes;
     uint64_t m_revision = 1;
     uint64_t m_historyStart = 0;
     bool m_isRegistryDown = false;
