Fleet: one copy of a newer configuration, or of a listing, is on its way at a time

Cause: a daemon that heard of a newer revision asked a peer for it every 0.3 s, while a fetch might take 3 s and was given up then. The listing for daemons that cannot reach the registry was asked for every 0.5 s in the same way. A copy that was not newer was decoded before its revision was compared.

Change: ConfigurationFetch decides: one fetch at a time, none while the source of registry changes is sending an answer, the newest announcement next. A fetch has 1 s to begin and 0.5 s for each further part. A listing is requested when the last request has ended. Texts that are in force already are not decoded.

--- a/src/daemon/internal/fleetapi.cpp
+++ b/src/daemon/internal/fleetapi.cpp
@@ -25,6 +25,8 @@
 constexpr model::Duration documentTimeout = model::seconds(3);
 //! A reader answers a watch within milliseconds of its end; one that does not is considered lost.
 constexpr model::Duration watchMargin = model::milliseconds(500);
+//! A peer that has not begun to answer a fetch by then is considered lost.
+constexpr model::Duration documentHeadTimeout = model::seconds(1);
 //! A peer whose answer has begun but stands still for this long is considered lost.
 constexpr model::Duration stallTimeout = model::milliseconds(500);
 constexpr model::Duration watchConnectTimeout = model::milliseconds(400);
@@ -122,20 +124,24 @@
         model::makeBody(std::move(body)));
 }
 
-void FleetApi::fetch(const core::FetchConfiguration &command)
+void FleetApi::fetch(const core::FetchConfiguration &command, const std::function<void()> &onEnded)
 {
     fetchDocument(command.from, configurationPath, absl::StrCat(command.revision.value()),
-                  [this](const std::string &text) {
-                      auto file = documents::parseConfigurationAnswer(text);
+                  [this, onEnded](const absl::StatusOr<std::string> &text) {
+                      auto file = text.ok()
+                                      ? documents::parseConfigurationAnswer(*text)
+                                      : absl::StatusOr<config::ConfigurationFile>(text.status());
                       if (file.ok()) {
                           m_sink.post(core::ConfigurationOffered {.file = *std::move(file),
                                                                   .isFromPeer = true});
                       }
+                      if (onEnded) {
+                          onEnded();
+                      }
                   });
 }
 
-void FleetApi::fetchListing(const config::Endpoint &from,
-                            const std::function<void(std::string)> &handler)
+void FleetApi::fetchListing(const config::Endpoint &from, const DocumentHandler &handler)
 {
     fetchDocument(from, listingPath, {}, handler);
 }
@@ -162,10 +168,12 @@
 }
 
 void FleetApi::fetchDocument(const config::Endpoint &from, const std::string &path,
-                             std::string body, const std::function<void(std::string)> &handler)
+                             std::string body, const DocumentHandler &handler)
 {
     std::string stamp;
     net::HttpCall call = signedCall(from, path, std::move(body), stamp);
+    call.headTimeout = documentHeadTimeout;
+    call.stallTimeout = stallTimeout;
     call.timeout = documentTimeout;
     const auto transfer = std::make_shared<Transfer>(Transfer {.startedAt = net::EventLoop::now()});
     net::HttpCallbacks callbacks;
@@ -178,14 +186,15 @@
               if (answer.status != 200 || !m_auth.isResponseAuthentic(stamp, *answer.body, code)) {
                   ++m_rejectedCount;
                   recordTransfer(from, path, *transfer, "refused");
+                  handler(absl::UnavailableError("refused"));
                   return;
               }
               recordTransfer(from, path, *transfer, "complete");
               handler(*answer.body);
           };
-    // A failed fetch needs no handling: the callers repeat it, possibly from another daemon.
-    callbacks.onError = [this, from, path, transfer](net::HttpError error) {
+    callbacks.onError = [this, handler, from, path, transfer](net::HttpError error) {
         recordTransfer(from, path, *transfer, net::toString(error));
+        handler(absl::UnavailableError(model::toAbsl(net::toString(error))));
     };
     m_client.start(call, std::move(callbacks));
 }
@@ -203,11 +212,13 @@
     call.stallTimeout = stallTimeout;
     call.timeout = watch.timeout + documentTimeout;
     const auto transfer = std::make_shared<Transfer>(Transfer {.startedAt = net::EventLoop::now()});
+    m_watchTransfer = transfer;
     net::HttpCallbacks callbacks;
     callbacks.onProgress = [transfer](size_t bytes) {
         count(*transfer, bytes);
     };
     callbacks.onResponse = [this, stamp, handler, peer, transfer](const net::HttpResponse &answer) {
+        m_watchTransfer.reset();
         const std::string code = net::headerValue(answer.headers, codeHeader);
         if (answer.status != 200 || !m_auth.isResponseAuthentic(stamp, *answer.body, code)) {
             handler(absl::UnavailableError("no current content"), registry::PeerError::Outdated);
@@ -219,6 +230,7 @@
         handler(*answer.body, registry::PeerError::Outdated);
     };
     callbacks.onError = [this, handler, peer, transfer](net::HttpError error) {
+        m_watchTransfer.reset();
         if (transfer->bytes > 0) {
             recordTransfer(peer, changesPath, *transfer, net::toString(error));
         }
--- a/src/daemon/internal/fleetapi.h
+++ b/src/daemon/internal/fleetapi.h
@@ -2,6 +2,7 @@
 #define CITRONPICK_DAEMON_INTERNAL_FLEETAPI_H
 
 #include <functional>
+#include <memory>
 #include <optional>
 
 #include "config/revisionstore.h"
@@ -55,11 +56,13 @@
 
     void send(const fleet::SendExchange &command);
     void reply(const fleet::SendReply &command);
-    void fetch(const core::FetchConfiguration &command);
-    //! Fetches a peer's registry listing. \a handler is not called if the peer has none or the
-    //! fetch fails.
-    void fetchListing(const config::Endpoint &from,
-                      const std::function<void(std::string)> &handler);
+    //! Fetches a peer's configuration and delivers it to the sink. \a onEnded is called after that,
+    //! or when the fetch has failed; it may be empty.
+    void fetch(const core::FetchConfiguration &command, const std::function<void()> &onEnded = {});
+    //! Text of a document, or why there is none.
+    using DocumentHandler = std::function<void(const absl::StatusOr<std::string> &text)>;
+    //! Fetches a peer's registry listing.
+    void fetchListing(const config::Endpoint &from, const DocumentHandler &handler);
 
     //! Watches the registry's content through a peer that reads it. \a handler gets the text of the
     //! answer, or why there is none.
@@ -72,6 +75,12 @@
     //! Ends a watch because this daemon has no current content.
     void rejectWatch(uint64_t exchange);
 
+    //! Whether an answer to a watch has begun to arrive and is not complete.
+    bool isWatchAnswerArriving() const
+    {
+        return m_watchTransfer && m_watchTransfer->answeredAt;
+    }
+
     void onRequest(const net::HttpServerRequest &request) override;
     void onClosed(uint64_t number, bool wasAnswered) override;
 
@@ -86,7 +95,7 @@
     void onExchangeAnswer(uint64_t exchange, const std::string &stamp,
                           const net::HttpResponse &answer);
     void fetchDocument(const config::Endpoint &from, const std::string &path, std::string body,
-                       const std::function<void(std::string)> &handler);
+                       const DocumentHandler &handler);
     std::optional<std::string> documentAt(std::string_view path) const;
     net::HttpCall signedCall(const config::Endpoint &to, const std::string &path, std::string body,
                              std::string &stamp);
@@ -106,6 +115,7 @@
     net::MessageAuth m_auth;
     //! Stamps of unanswered requests, by exchange number.
     absl::flat_hash_map<uint64_t, std::string> m_stamps;
+    std::shared_ptr<Transfer> m_watchTransfer; //!< Of the pending watch; null without one.
     uint64_t m_rejectedCount = 0;
 };
 
--- a/src/daemon/internal/registryreader.h
+++ b/src/daemon/internal/registryreader.h
@@ -43,6 +43,12 @@
         return m_follower;
     }
 
+    //! Whether an answer of the registry has begun to arrive and is not complete.
+    bool isAnswerArriving() const
+    {
+        return m_call != 0 && !m_body.empty();
+    }
+
     void onHead(uint64_t call, const net::MessageHead &head) override;
     void onBody(uint64_t call, std::string_view bytes) override;
     void onEnd(uint64_t call) override;
--- a/src/daemon/internal/relayfleet.cpp
+++ b/src/daemon/internal/relayfleet.cpp
@@ -13,8 +13,6 @@
 namespace
 {
 
-//! Minimum interval between two fetches of a newer configuration from a peer.
-constexpr model::Duration configurationFetchInterval = model::milliseconds(300);
 //! A crash report that is older when it arrives does not count against parts of prompts.
 constexpr model::Duration maxPartCrashAge = model::seconds(5);
 //! Callers read no more entries than this from one answer.
@@ -36,18 +34,35 @@
     const fleet::FleetUpdates updates = m_fleet->takeUpdates();
     applyCrashFacts(updates, now);
     applyLeavingFacts(updates, now);
-    if (!updates.newerConfigurations.empty() && now >= m_nextConfigurationFetch) {
-        m_nextConfigurationFetch = now + configurationFetchInterval;
-        const fleet::NewerConfiguration &newer = updates.newerConfigurations.back();
-        record({.code = observability::EventCode::ConfigurationFetched,
-                .request = {},
-                .subject = absl::StrCat("revision-", newer.revision.value()),
-                .detail = absl::StrCat("from=", config::toText(newer.from))});
-        m_fleetApi->fetch({.from = newer.from, .revision = newer.revision});
-    }
+    fetchConfiguration(updates, now);
     refreshPeers();
 }
 
+void RelayDaemon::fetchConfiguration(const fleet::FleetUpdates &updates, model::TimePoint now)
+{
+    for (const fleet::NewerConfiguration &newer : updates.newerConfigurations) {
+        m_configurationFetch.onAnnounced(newer);
+    }
+    const bool isAnswerArriving
+        = m_fleetApi->isWatchAnswerArriving() || m_registry->isAnswerArriving();
+    const std::optional<fleet::NewerConfiguration> newer
+        = m_configurationFetch.take(revisionInForce(), isAnswerArriving, now);
+    if (!newer) {
+        return;
+    }
+    record({.code = observability::EventCode::ConfigurationFetched,
+            .request = {},
+            .subject = absl::StrCat("revision-", newer->revision.value()),
+            .detail = absl::StrCat("from=", config::toText(newer->from))});
+    m_fleetApi->fetch({.from = newer->from, .revision = newer->revision},
+                      [this] { m_configurationFetch.onEnded(); });
+}
+
+model::Revision RelayDaemon::revisionInForce() const
+{
+    return m_relay->configuration() ? m_relay->configuration()->revision() : model::Revision();
+}
+
 void RelayDaemon::applyCrashFacts(const fleet::FleetUpdates &updates, model::TimePoint now)
 {
     for (const auto &[crash, age] : updates.crashes) {
@@ -132,7 +147,10 @@
                        m_fleet->onExchangeFailed(failed.exchange, now);
                    },
                    [&](const core::ConfigurationOffered &offered) {
-                       applyConfiguration(offered.file.text, "peer");
+                       // The same configuration may have arrived from the registry meanwhile.
+                       if (offered.file.revision > revisionInForce()) {
+                           applyConfiguration(offered.file.text, "peer");
+                       }
                    },
                    [](const auto &) {
                        // The other events occur only in a Daemon, which runs pipelines itself.
--- a/src/daemon/internal/relayregistry.cpp
+++ b/src/daemon/internal/relayregistry.cpp
@@ -45,7 +45,7 @@
 void RelayDaemon::requestListingFromPeer(model::TimePoint now)
 {
     const registry::RegistryFollower &follower = m_registry->follower();
-    if (follower.isReachable() || now < m_nextListingRequest) {
+    if (follower.isReachable() || m_isListingPending || now < m_nextListingRequest) {
         return;
     }
     m_nextListingRequest = now + listingRequestInterval;
@@ -59,8 +59,13 @@
         return;
     }
     const config::Endpoint &peer = peers[m_random.below(static_cast<uint32_t>(peers.size()))];
-    m_fleetApi->fetchListing(peer, [this, peer](const std::string &text) {
-        const auto listing = decodeListing(text);
+    m_isListingPending = true;
+    m_fleetApi->fetchListing(peer, [this, peer](const absl::StatusOr<std::string> &text) {
+        m_isListingPending = false;
+        if (!text.ok()) {
+            return;
+        }
+        const auto listing = decodeListing(*text);
         if (!listing.ok()) {
             record({.code = EventCode::ListingRejected,
                     .request = {},
@@ -168,6 +173,9 @@
 void RelayDaemon::applyConfiguration(const std::string &text, std::string_view source)
 {
     const model::TimePoint startedAt = net::EventLoop::now();
+    if (text == m_configurationText) {
+        return;
+    }
     auto content = m_format.decodeConfiguration(text);
     if (!content.ok()) {
         record({.code = EventCode::ConfigurationRejected,
@@ -179,8 +187,7 @@
     }
     const auto configuration
         = std::make_shared<const relay::RelayConfiguration>(*std::move(content));
-    const model::Revision before
-        = m_relay->configuration() ? m_relay->configuration()->revision() : model::Revision();
+    const model::Revision before = revisionInForce();
     if (!m_relay->setConfiguration(configuration)) {
         return;
     }
--- a/src/daemon/relaydaemon.h
+++ b/src/daemon/relaydaemon.h
@@ -10,6 +10,7 @@
 #include "daemon/ieventsink.h"
 #include "daemon/internal/irelayhost.h"
 #include "daemon/iwireformat.h"
+#include "fleet/configurationfetch.h"
 #include "fleet/fleetsystem.h"
 #include "model/random.h"
 #include "net/eventloop.h"
@@ -83,6 +84,8 @@
     void onEvacuationChanged(const registry::KeyChanged &changed);
     void execute(relay::RelayCommand &command);
     void runFleet(model::TimePoint now);
+    void fetchConfiguration(const fleet::FleetUpdates &updates, model::TimePoint now);
+    model::Revision revisionInForce() const;
     void applyCrashFacts(const fleet::FleetUpdates &updates, model::TimePoint now);
     void applyLeavingFacts(const fleet::FleetUpdates &updates, model::TimePoint now);
     void refreshPeers();
@@ -109,8 +112,9 @@
     std::unique_ptr<PeerWatchers> m_watchers;
     std::string m_configurationText;
     model::TimePoint m_nextSweep;
-    model::TimePoint m_nextConfigurationFetch;
+    fleet::ConfigurationFetch m_configurationFetch;
     model::TimePoint m_nextListingRequest;
+    bool m_isListingPending = false;
     uint64_t m_membersDigest = 0; //!< Of the members last passed on.
     model::Random m_random;
     net::RoomCounters m_reportedRoom;
