Upstream answers without an end are bounded over all calls, not only for each

What operators of like systems saw: a faulty replica sent bytes without an end, and the machine that had called it ran out of memory, with the requests of all its clients.

Could it happen here: yes, with many calls at once. Each head, trailer and event had a limit of its own, and nothing counted them together: 100 calls to an upstream that stops within those limits took a daemon from 16 MB to 56 MB (heads of 60 KB without an end), 51 MB (whole heads), 83 MB (trailers) and 30 MB (events); some instances have 120 MB and an upstream may have 590 channels. Interim heads without an end were bounded already (16 MB). Small fields take a multiple of their bytes, and trailers, which are discarded, were kept as fields.

Change: trailers are not kept; fields of a response head count with the memory that they take, also if the whole head arrives at once; heads that have not ended are held up to 4 MB for all calls together, beyond which a head larger than those of sound answers ends its call; whole heads and events without their end count in the budget of held bytes, and events get a smaller limit above its high mark.

--- a/src/daemon/internal/exchangerunner.cpp
+++ b/src/daemon/internal/exchangerunner.cpp
@@ -1,5 +1,7 @@
 #include "daemon/internal/exchangerunner.h"
 
+#include <algorithm>
+
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 
@@ -19,7 +21,7 @@
 //! by that of another upstream. Larger answers are forwarded while they arrive.
 constexpr size_t calmHeldBackBytes = 1U << 20U;
 //! A longer event does not occur; such bytes are not a stream of events.
-constexpr size_t maxEventBytes = 256U << 10U;
+constexpr size_t calmEventBytes = 256U << 10U;
 //! The relay system cancels a call that exceeds its deadline; the call timeout ends this period
 //! later and acts only if the relay system has not cancelled the call.
 constexpr model::Duration gracePeriod = model::seconds(5);
@@ -212,6 +214,8 @@
         return;
     }
     attempt->head = head;
+    attempt->headBytes = net::memoryOf(head.headers);
+    account(*attempt);
     const auto pending = m_pendingRequests.find(attempt->request);
     const model::CallerRequestId callerId
         = pending == m_pendingRequests.end() ? model::CallerRequestId() : pending->second.callerId;
@@ -242,7 +246,8 @@
         return;
     }
     write(*attempt, bytes);
-    if (attempt->splitter.partialEvent().size() > maxEventBytes) {
+    account(*attempt);
+    if (attempt->splitter.partialEvent().size() > maxEventBytes()) {
         failMalformed(id, *attempt);
         return;
     }
@@ -257,7 +262,9 @@
 
 void ExchangeRunner::account(Attempt &attempt)
 {
-    m_server.heldBytes().update(attempt.held, {0, 0, 0, attempt.unsentBody.capacity()});
+    m_server.heldBytes().update(
+        attempt.held, {0, attempt.headBytes, 0,
+                       attempt.unsentBody.capacity() + attempt.splitter.partialEvent().capacity()});
 }
 
 size_t ExchangeRunner::maxBufferedBytes()
@@ -266,6 +273,13 @@
     return budget.isAboveHighMark() ? budget.smallShare() : calmBufferedBytes;
 }
 
+size_t ExchangeRunner::maxEventBytes()
+{
+    const net::HeldBytesBudget &budget = m_server.heldBytes();
+    return budget.isAboveHighMark() ? std::min(calmEventBytes, budget.smallShare())
+                                    : calmEventBytes;
+}
+
 size_t ExchangeRunner::maxHeldBackBytes()
 {
     const net::HeldBytesBudget &budget = m_server.heldBytes();
--- a/src/daemon/internal/exchangerunner.h
+++ b/src/daemon/internal/exchangerunner.h
@@ -61,7 +61,8 @@
         config::Endpoint address;
         uint64_t call = 0;
         net::MessageHead head;
-        net::HeldBytes held {}; //!< Reported for unsentBody.
+        size_t headBytes = 0; //!< Memory of \a head.
+        net::HeldBytes held {}; //!< Reported for the head, unsentBody and an event without its end.
         std::string unsentBody; //!< Answer body that has not been relayed to the caller yet.
         bool isRelaying = false;
         bool forwardsWholeEvents = false;
@@ -77,6 +78,8 @@
     void account(Attempt &attempt);
     //! Bytes buffered for one caller above which reading from its upstream is paused.
     size_t maxBufferedBytes();
+    //! Bytes of an event whose end has not arrived.
+    size_t maxEventBytes();
     //! Bytes of an answer that may be held back for a repeat.
     size_t maxHeldBackBytes();
     void write(Attempt &attempt, std::string_view bytes);
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -27,6 +27,9 @@
 //! Value of the first header with a lower-case \a name; empty if there is none.
 std::string headerValue(const Headers &headers, std::string_view name);
 
+//! Approximate memory that the headers take.
+size_t memoryOf(const Headers &headers);
+
 //! Whether the content type is that of server-sent events.
 bool isEventStream(const Headers &headers);
 
--- a/src/net/internal/http.cpp
+++ b/src/net/internal/http.cpp
@@ -15,6 +15,15 @@
     return {};
 }
 
+size_t memoryOf(const Headers &headers)
+{
+    size_t bytes = headers.capacity() * sizeof(Header);
+    for (const Header &header : headers) {
+        bytes += header.name.size() + header.value.size();
+    }
+    return bytes;
+}
+
 bool isEventStream(const Headers &headers)
 {
     return absl::StartsWithIgnoreCase(headerValue(headers, "content-type"), "text/event-stream");
--- a/src/net/internal/messageparser.cpp
+++ b/src/net/internal/messageparser.cpp
@@ -76,12 +76,20 @@
         if (m_error == ParseError::None && (code != HPE_OK || m_parser.upgrade)) {
             m_error = ParseError::Malformed;
         }
-        if (m_error == ParseError::None && !m_isHeadComplete && m_headBytes > m_maxHeadBytes) {
+        if (m_error == ParseError::None && !m_isHeadComplete && headMemory() > m_maxHeadBytes) {
             m_error = ParseError::HeadTooLarge;
         }
         return consumed;
     }
 
+    // Fields of a few bytes take a multiple of these in memory. The limit on the heads of callers
+    // is the operator's, in bytes of the head itself.
+    size_t headMemory() const
+    {
+        const bool isResponse = m_kind == Kind::Response;
+        return m_headBytes + (isResponse ? m_head.headers.size() * sizeof(Header) : 0);
+    }
+
     bool finish()
     {
         if (!m_isStarted || m_isComplete) {
@@ -126,6 +134,9 @@
     static int onField(http_parser *parser, const char *at, size_t length)
     {
         Impl &impl = self(parser);
+        if (impl.m_isHeadComplete) {
+            return 0; // Trailers of a chunked body apply to this connection only.
+        }
         if (impl.m_wasHeaderValueLast) {
             impl.m_head.headers.emplace_back();
             impl.m_wasHeaderValueLast = false;
@@ -137,8 +148,7 @@
     static int onValue(http_parser *parser, const char *at, size_t length)
     {
         Impl &impl = self(parser);
-        // Trailers of a chunked body are discarded, as they apply to this connection only.
-        if (impl.m_head.headers.empty()) {
+        if (impl.m_isHeadComplete) {
             return 0;
         }
         impl.m_head.headers.back().value.append(at, length);
@@ -151,6 +161,11 @@
         constexpr int hasNoBody = 1;
         constexpr int failed = -1;
         Impl &impl = self(parser);
+        // The whole head may have arrived at once.
+        if (impl.m_kind == Kind::Response && memoryOf(impl.m_head.headers) > impl.m_maxHeadBytes) {
+            impl.m_error = ParseError::HeadTooLarge;
+            return failed;
+        }
         for (Header &header : impl.m_head.headers) {
             absl::AsciiStrToLower(&header.name);
             absl::StripTrailingAsciiWhitespace(&header.value);
@@ -257,7 +272,7 @@
 
 size_t MessageParser::headBytes() const
 {
-    return m_impl->m_isHeadComplete ? 0 : m_impl->m_headBytes;
+    return m_impl->m_isHeadComplete ? 0 : m_impl->headMemory();
 }
 
 bool MessageParser::isAtStart() const
--- a/src/net/internal/upstreamclient.cpp
+++ b/src/net/internal/upstreamclient.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <charconv>
 #include <map>
+#include <utility>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
@@ -28,6 +29,10 @@
 //! Responses to earlier requests are discarded up to this size, so that one without an end cannot
 //! occupy a call until its timeout.
 constexpr uint64_t maxStaleBytes = 1U << 20U;
+//! Heads that have not ended are held for all calls together up to this size. Beyond it, a head
+//! ends its call if it is larger than those of sound responses.
+constexpr size_t maxOpenHeadBytes = 4U << 20U;
+constexpr size_t usualHeadBytes = 4U << 10U;
 
 model::Duration idleTimeoutOf(const Headers &headers)
 {
@@ -133,6 +138,7 @@
         uint64_t maxBodyBytes = 0;
         uint64_t bodyBytes = 0;
         uint64_t staleBytes = 0;
+        size_t openHeadBytes = 0; //!< Of the response head, until it is complete.
         bool isConnected = false;
         bool isWriting = false;
         bool isStaleResponse = false; //!< The current response belongs to an earlier request.
@@ -316,8 +322,9 @@
                 return false;
             }
             h2o_buffer_consume(&input, consumed);
+            updateOpenHead(connection, connection.parser.headBytes());
             if (connection.parser.error() != ParseError::None || connection.isUnattributable
-                || connection.staleBytes > maxStaleBytes) {
+                || connection.staleBytes > maxStaleBytes || holdsTooMuchHead(connection)) {
                 fail(connection, CallFailure::Malformed);
                 return false;
             }
@@ -336,6 +343,17 @@
         return true;
     }
 
+    void updateOpenHead(Connection &connection, size_t bytes)
+    {
+        m_openHeadBytes += bytes;
+        m_openHeadBytes -= std::exchange(connection.openHeadBytes, bytes);
+    }
+
+    bool holdsTooMuchHead(const Connection &connection) const
+    {
+        return m_openHeadBytes > maxOpenHeadBytes && connection.openHeadBytes > usualHeadBytes;
+    }
+
     void handleConnectionEnd(Connection &connection, const char *error)
     {
         const bool isOrderly = error == h2o_socket_error_closed;
@@ -436,6 +454,7 @@
         const auto it = m_connections.find(connection.id);
         const std::unique_ptr<Connection> owned = std::move(it->second);
         m_connections.erase(it);
+        updateOpenHead(*owned, 0);
         if (owned->socket) {
             h2o_socket_close(owned->socket);
         }
@@ -511,6 +530,7 @@
     absl::flat_hash_map<uint64_t, Connection *> m_calls;
     std::map<config::Endpoint, std::vector<Connection *>> m_idle;
     size_t m_idleCount = 0;
+    size_t m_openHeadBytes = 0;
     uint64_t m_connectsStarted = 0;
     uint64_t m_lastConnection = 0;
     uint64_t m_lastCall = 0;
--- a/src/net/messageparser.h
+++ b/src/net/messageparser.h
@@ -74,7 +74,8 @@
     ParseError error() const;
     bool isComplete() const;
     bool isHeadComplete() const;
-    //! Bytes of the head that were parsed; zero once it is complete.
+    //! Bytes of the head that were parsed, for a response with the memory that its fields take;
+    //! zero once it is complete.
     size_t headBytes() const;
     //! True while no message has begun since the last reset.
     bool isAtStart() const;
--- a/src/net/tests/messageparsertest.cpp
+++ b/src/net/tests/messageparsertest.cpp
@@ -126,6 +126,25 @@
     }
 }
 
+// Guards against heads within their limit that take many times its bytes in memory.
+TEST_CASE("Small fields of a response head count with the memory that they take")
+{
+    std::string fields;
+    constexpr int fieldCount = 2000;
+    for (int i = 0; i < fieldCount; ++i) {
+        fields += "a:\r\n";
+    }
+    Collector sink;
+    MessageParser response(MessageParser::Kind::Response, sink);
+    response.feed("HTTP/1.1 200 OK\r\n" + fields);
+    CHECK(response.error() == ParseError::HeadTooLarge);
+    response.reset();
+    response.feed("HTTP/1.1 200 OK\r\n" + fields + "\r\n");
+    CHECK(response.error() == ParseError::HeadTooLarge);
+    // The limit on the heads of callers is stated in bytes of the head.
+    CHECK_FALSE(isRejected("GET / HTTP/1.1\r\nHost: a\r\n" + fields));
+}
+
 TEST_CASE("Interim responses are skipped")
 {
     Collector sink;
--- a/src/net/tests/upstreamclienttest.cpp
+++ b/src/net/tests/upstreamclienttest.cpp
@@ -196,6 +196,31 @@
     }
 }
 
+// Guards against heads that are within the limit of one call, but not together.
+TEST_CASE("Load pattern: heads without an end on many connections to a faulty upstream")
+{
+    Fixture fixture;
+    constexpr size_t calls = 200;
+    const std::string head = "HTTP/1.1 200 OK\r\nx-a: " + std::string(40000, 'a');
+    std::vector<RawPeer> peers;
+    for (size_t i = 0; i < calls; ++i) {
+        fixture.start(true);
+        peers.push_back(fixture.accept());
+        peers.back().send(head);
+    }
+    // Those that were begun last end until the others hold no more than 4 MB.
+    const auto hasRoom = [&] {
+        return fixture.client.callCount() * head.size() <= (4U << 20U);
+    };
+    REQUIRE(runUntil(fixture.loop, hasRoom));
+    CHECK(fixture.client.callCount() > 0);
+    CHECK(fixture.handler.failure == CallFailure::Malformed);
+    fixture.start(true);
+    RawPeer sound = fixture.accept();
+    sound.send(validResponse);
+    CHECK(runUntil(fixture.loop, [&] { return fixture.handler.ends == 1; }));
+}
+
 TEST_CASE("A chunk extension or trailer without an end is reported as malformed")
 {
     constexpr size_t limit = 4U << 20U;
--- a/tests/callers/callercrowd.cpp
+++ b/tests/callers/callercrowd.cpp
@@ -36,7 +36,10 @@
      "targetLatencyMs": 300, "service": "desk", "maxAttempts": 1},
     {"name": "stream", "host": "shop", "prefix": "/stream/", "kind": "streaming",
      "timeoutMs": 60000, "targetLatencyMs": 2000, "gapAimMs": 400, "service": "desk",
-     "maxAttempts": 1}],
+     "maxAttempts": 1},
+    {"name": "resume", "host": "shop", "prefix": "/resume/", "kind": "streaming",
+     "resumable": true, "timeoutMs": 60000, "targetLatencyMs": 2000, "gapAimMs": 400,
+     "service": "desk", "maxAttempts": 1}],
   "services": [{"name": "desk"}],
   "limits": {}})";
 
@@ -84,6 +87,38 @@
     return std::string(message.substr(begin, message.find('\r', begin) - begin));
 }
 
+std::string repeated(std::string_view part, size_t bytes)
+{
+    std::string text;
+    while (text.size() < bytes) {
+        text += part;
+    }
+    return text;
+}
+
+std::string endlessAnswerText(CrowdAnswer answer, const std::string &head)
+{
+    // Less than what the daemon takes from a single upstream.
+    constexpr size_t headBytes = 60000;
+    constexpr size_t eventBytes = 250000;
+    const std::string chunked = head
+                                + "Content-Type: text/event-stream\r\n"
+                                  "Transfer-Encoding: chunked\r\n\r\n";
+    switch (answer) {
+    case CrowdAnswer::HeadWithoutEnd:
+        return head + repeated("a:\r\n", headBytes);
+    case CrowdAnswer::InterimHeads:
+        return repeated("HTTP/1.1 103 Early Hints\r\na:\r\n\r\n", headBytes);
+    case CrowdAnswer::HeadOnly:
+        return head + repeated("a:\r\n", headBytes) + "Content-Length: 1\r\n\r\n";
+    case CrowdAnswer::TrailerWithoutEnd:
+        return chunked + "a\r\ndata: xx\n\n\r\n0\r\n" + repeated("a:\r\n", headBytes);
+    default:
+        return chunked + absl::StrCat(absl::Hex(eventBytes), "\r\ndata: ")
+               + std::string(eventBytes - 6, 'x');
+    }
+}
+
 std::string answerText(CrowdAnswer answer, const std::string &id)
 {
     constexpr size_t plainBytes = 900U << 10U;
@@ -95,6 +130,9 @@
                             std::string(plainBytes, 'x'));
     }
     const bool isChunked = answer == CrowdAnswer::Stream;
+    if (!isChunked && answer != CrowdAnswer::Lengthless) {
+        return endlessAnswerText(answer, head);
+    }
     const std::string event = "data: " + std::string(1018, 'x') + "\n\n";
     std::string text = head + "Content-Type: text/event-stream\r\n"
                        + (isChunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
--- a/tests/callers/callercrowd.h
+++ b/tests/callers/callercrowd.h
@@ -24,6 +24,11 @@
     Plain, //!< Less than what the daemon holds back for a repeat.
     Stream, //!< Events in chunks.
     Lengthless,
+    HeadWithoutEnd, //!< Many small fields, which take a multiple of their bytes in memory.
+    InterimHeads, //!< One after the other, and never the final one.
+    HeadOnly, //!< A whole head of many small fields, and nothing of its body.
+    TrailerWithoutEnd,
+    EventWithoutEnd,
 };
 
 //! A daemon process in relay mode with its registry, one upstream and a crowd of callers.
--- a/tests/callers/callerlimitstest.cpp
+++ b/tests/callers/callerlimitstest.cpp
@@ -145,6 +145,24 @@
     }
 }
 
+// Guards against a faulty upstream whose bytes without an end, summed over many calls to it, take
+// the memory of the instance, so that the requests of all other callers end with the process.
+TEST_CASE("Load pattern: answers without an end from a faulty upstream")
+{
+    for (const auto &[answer, path] : {std::pair(CrowdAnswer::HeadWithoutEnd, "/once/crowd"),
+                                       {CrowdAnswer::InterimHeads, "/once/crowd"},
+                                       {CrowdAnswer::HeadOnly, "/once/crowd"},
+                                       {CrowdAnswer::TrailerWithoutEnd, "/stream/crowd"},
+                                       {CrowdAnswer::EventWithoutEnd, "/resume/crowd"}}) {
+        CAPTURE(path, static_cast<int>(answer));
+        CallerCrowd callers(answer);
+        callers.send(crowd, absl::StrCat("POST ", path,
+                                         " HTTP/1.1\r\nHost: shop\r\nX-Request-Id: crowd\r\n"
+                                         "Content-Length: 0\r\n\r\n"));
+        checkHolds(callers);
+    }
+}
+
 // Guards against bodies for the lookup, the readiness or the metrics that take the memory of all.
 TEST_CASE("Load pattern: bodies for addresses that expect none")
 {
