Soak: configurations that grow, and the configuration that each daemon ends with

Seeds from 4000 on let the configuration grow by hundreds of routes at a time, with changes, outages of the store, stops, kills and pauses beside it.

--- a/tests/soak/daemonprocess.h
+++ b/tests/soak/daemonprocess.h
@@ -48,6 +48,11 @@
     void resume(model::TimePoint now);
     //! Does nothing while the program may not have been loaded: SIGHUP would end the process.
     void sendSighup();
+    //! Path of the log file.
+    const std::string &log() const
+    {
+        return m_log;
+    }
     bool isPaused() const
     {
         return m_isPaused;
--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -14,6 +14,7 @@
 constexpr uint64_t firstPlannedSeed = 1000;
 constexpr uint64_t firstNoticesSeed = 2000;
 constexpr uint64_t firstEvacuationsSeed = 3000;
+constexpr uint64_t firstConfigurationsSeed = 4000;
 constexpr uint64_t deadlyInterval = 5;
 constexpr uint64_t deadlyStopsInterval = 3;
 //! Requests before a deadly part comes are compared with those after its quarantine.
@@ -73,6 +74,22 @@
     case PlanKind::EvacuationsAndStops:
         return {FaultKind::EvacuateZone, FaultKind::EvacuateZone, FaultKind::ReplicaReturnsCold,
                 FaultKind::StoreLink,    FaultKind::StopDaemon,   FaultKind::KillDaemon};
+    case PlanKind::Configurations:
+        return {FaultKind::ConfigurationGrows,
+                FaultKind::ConfigurationChanges,
+                FaultKind::ConfigurationChanges,
+                FaultKind::StoreBusy,
+                FaultKind::StoreSilent,
+                FaultKind::StoreDropsHistory,
+                FaultKind::StoreLink};
+    case PlanKind::ConfigurationsAndStops:
+        return {FaultKind::ConfigurationGrows,
+                FaultKind::ConfigurationChanges,
+                FaultKind::StoreLink,
+                FaultKind::StopDaemon,
+                FaultKind::KillDaemon,
+                FaultKind::PauseDaemon,
+                FaultKind::HangUp};
     }
     return {};
 }
@@ -98,6 +115,9 @@
     if (seed < firstPlannedSeed) {
         return seed % mildInterval == 0 ? PlanKind::Mild : PlanKind::Mixed;
     }
+    if (seed >= firstConfigurationsSeed) {
+        return seed % 2 == 0 ? PlanKind::Configurations : PlanKind::ConfigurationsAndStops;
+    }
     if (seed >= firstEvacuationsSeed) {
         return seed % 2 == 0 ? PlanKind::Evacuations : PlanKind::EvacuationsAndStops;
     }
@@ -161,6 +181,8 @@
         return "evacuate-zone";
     case FaultKind::ReplicaReturnsCold:
         return "returns-cold";
+    case FaultKind::ConfigurationGrows:
+        return "configuration-grows";
     }
     return "unknown";
 }
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -37,6 +37,7 @@
     AsksRest, //!< Replicas turn requests away and ask for a rest.
     EvacuateZone, //!< The operator orders that replicas of a zone get no work.
     ReplicaReturnsCold, //!< A replica crashes and is cold after its restart.
+    ConfigurationGrows, //!< A new configuration version has many routes more.
 };
 
 //! Which faults a seed gets.
@@ -50,11 +51,13 @@
     NoticesAndStops,
     Evacuations, //!< Zones that are emptied and cold upstreams, beside outages of the store.
     EvacuationsAndStops,
+    Configurations, //!< Growing configurations beside outages of the store.
+    ConfigurationsAndStops,
 };
 
 //! Seeds from 1000 on get plans of planned work only, each fifth with a deadly part. Those from
-//! 2000 on get notices, those from 3000 on emptied zones and cold upstreams, each second one with
-//! stopped daemons.
+//! 2000 on get notices, those from 3000 on emptied zones and cold upstreams, those from 4000 on
+//! growing configurations, each second one with stopped daemons.
 PlanKind planKindOf(uint64_t seed);
 
 constexpr model::Duration minDeadlyPlan = model::seconds(28);
--- a/tests/soak/faultplantest.cpp
+++ b/tests/soak/faultplantest.cpp
@@ -77,3 +77,18 @@
         CHECK(kinds.contains(seed % 2 == 0 ? FaultKind::StoreSilent : FaultKind::KillDaemon));
     }
 }
+
+// Guards against seeds whose configurations never grow beside a store or a daemon in trouble.
+TEST_CASE("Plans from seed 4000 on let configurations grow beside other faults")
+{
+    for (uint64_t seed = 4000; seed < 4010; ++seed) {
+        std::set<FaultKind> kinds;
+        for (const PlannedFault &fault : planFaults(seed, model::seconds(300))) {
+            kinds.insert(fault.kind);
+        }
+        CAPTURE(seed);
+        CHECK(kinds.contains(FaultKind::ConfigurationGrows));
+        CHECK(kinds.contains(FaultKind::StoreLink));
+        CHECK(kinds.contains(seed % 2 == 0 ? FaultKind::StoreSilent : FaultKind::KillDaemon));
+    }
+}
--- a/tests/soak/soakfaults.cpp
+++ b/tests/soak/soakfaults.cpp
@@ -30,6 +30,9 @@
 //! Slow stages take 10 to 80 times as long.
 constexpr uint32_t minSlowness = 10;
 constexpr uint32_t slownessRange = 71;
+//! Routes by which a configuration grows.
+constexpr uint32_t minGrowth = 300;
+constexpr uint32_t growthRange = 1000;
 
 LinkFault linkFault(uint32_t variant)
 {
@@ -224,15 +227,36 @@
     case FaultKind::StoreDropsHistory:
         m_store.dropHistory();
         return true;
+    case FaultKind::ConfigurationGrows:
+        addRoutes(minGrowth + fault.variant % growthRange);
+        putConfiguration();
+        return true;
     case FaultKind::ConfigurationChanges:
-        m_store.put(platform::names::configurationKey,
-                    platform::standin::configurationOf(m_spec, ++m_configuration));
+        putConfiguration();
         return true;
     default:
         return false;
     }
 }
 
+void SoakRun::putConfiguration()
+{
+    m_store.put(platform::names::configurationKey,
+                platform::standin::configurationOf(m_configuredSpec, ++m_configuration));
+}
+
+// Callers know none of these routes.
+void SoakRun::addRoutes(uint32_t count)
+{
+    for (uint32_t i = 0; i < count; ++i) {
+        const std::string name = absl::StrCat("grown-", m_configuredSpec.routes.size());
+        m_configuredSpec.routes.push_back({.name = name,
+                                           .prefix = absl::StrCat("/", name, "/"),
+                                           .kind = "safe",
+                                           .pool = m_spec.pools.front().name});
+    }
+}
+
 void SoakRun::beginReplicaFault(const PlannedFault &fault)
 {
     Replica &replica = replicaFor(fault);
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_cat.h>
 
 #include "platform/names.h"
+#include "soak/configurationpromise.h"
 #include "soak/stoppromise.h"
 
 namespace citronpick::soak
@@ -61,13 +62,13 @@
     , m_spec(std::move(spec))
     , m_store(m_loop)
 {
-    if (!hasOrders(planKindOf(m_options.seed))) {
-        return;
-    }
-    for (platform::standin::PoolSpec &pool : m_spec.pools) {
-        pool.coldTime = coldTime;
-        pool.coldPerSecond = coldPerSecond;
+    if (hasOrders(planKindOf(m_options.seed))) {
+        for (platform::standin::PoolSpec &pool : m_spec.pools) {
+            pool.coldTime = coldTime;
+            pool.coldPerSecond = coldPerSecond;
+        }
     }
+    m_configuredSpec = m_spec;
 }
 
 absl::Status SoakRun::start()
@@ -245,6 +246,7 @@
         runIteration();
     }
     checkStops();
+    checkConfigurations();
     if (m_deadlyPart) {
         for (const std::string &broken : checkDeadlyPart(*m_deadlyPart, m_ledger, m_trafficStart)) {
             m_ledger.recordViolation(broken);
@@ -270,6 +272,15 @@
     }
 }
 
+void SoakRun::checkConfigurations()
+{
+    for (uint32_t i = 0; i < m_daemons.size(); ++i) {
+        if (const auto broken = checkConfiguration(m_daemons[i].process->log(), m_configuration)) {
+            m_ledger.recordViolation(absl::StrCat("daemon ", i, ": ", *broken));
+        }
+    }
+}
+
 SoakRun::Counts SoakRun::counts() const
 {
     return {
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -106,6 +106,9 @@
     bool beginDaemonFault(const PlannedFault &fault);
     bool beginStopSteps(const PlannedFault &fault);
     bool beginStoreFault(const PlannedFault &fault);
+    void putConfiguration();
+    void addRoutes(uint32_t count);
+    void checkConfigurations();
     void beginReplicaFault(const PlannedFault &fault);
     void beginDeadlyPart(const PlannedFault &fault);
     std::vector<Replica *> noticeReplicasFor(const PlannedFault &fault);
@@ -131,6 +134,7 @@
 
     SoakOptions m_options;
     platform::standin::DeploymentSpec m_spec;
+    platform::standin::DeploymentSpec m_configuredSpec; //!< With routes that nobody calls.
     net::EventLoop m_loop;
     platform::standin::Ledger m_ledger;
     platform::standin::RegistryStandIn m_store;
