--- a/src/daemon/internal/fleetapi.cpp
+++ b/src/daemon/internal/fleetapi.cpp
@@ -31,6 +31,7 @@
 constexpr model::Duration watchConnectTimeout = model::milliseconds(400);
 //! Smaller answers to watches are not logged.
 constexpr uint64_t largeAnswerBytes = 64U << 10U;
+constexpr const char *completeOutcome = "complete";
 
 //! Recipient address as the sender signs it and the recipient verifies it.
 std::string recipientAddress(const config::Endpoint &endpoint, std::string_view path)
@@ -185,6 +186,8 @@
 {
     const model::TimePoint now = net::EventLoop::now();
     const model::Duration receiving = now - transfer.answeredAt.value_or(now);
+    ++(outcome == completeOutcome ? m_documentCounters.received : m_documentCounters.failed);
+    m_documentCounters.bytes += transfer.bytes;
     m_sink.record(
         {.code = observability::EventCode::DocumentReceived,
          .request = {},
@@ -217,7 +220,7 @@
                   handler(absl::UnavailableError("refused"));
                   return;
               }
-              recordTransfer(from, path, *transfer, "complete");
+              recordTransfer(from, path, *transfer, completeOutcome);
               handler(*answer.body);
           };
     callbacks.onError = [this, handler, from, path, transfer](net::HttpError error) {
@@ -255,7 +258,7 @@
             return;
         }
         if (transfer->bytes >= largeAnswerBytes) {
-            recordTransfer(peer, changesPath, *transfer, "complete");
+            recordTransfer(peer, changesPath, *transfer, completeOutcome);
         }
         handler(*answer.body, registry::PeerError::Outdated);
     };
--- a/src/daemon/internal/fleetapi.h
+++ b/src/daemon/internal/fleetapi.h
@@ -53,6 +53,15 @@
     documents::TextHistory *texts = nullptr;
 };
 
+//! Documents that this daemon has requested from others, and large or broken answers to watches.
+struct DocumentCounters {
+    uint64_t received = 0;
+    uint64_t failed = 0; //!< Refused, or without a complete answer in time.
+    uint64_t bytes = 0; //!< Also of incomplete answers.
+
+    friend auto operator<=>(const DocumentCounters &, const DocumentCounters &) = default;
+};
+
 //! Message exchange between daemons: JSON-RPC over HTTP with signed calls and signed answers.
 class FleetApi : public net::IHttpHandler
 {
@@ -94,6 +103,11 @@
         return m_watchTransfer && m_watchTransfer->answeredAt;
     }
 
+    const DocumentCounters &documentCounters() const
+    {
+        return m_documentCounters;
+    }
+
     void onRequest(const net::HttpServerRequest &request) override;
     void onClosed(uint64_t number, bool wasAnswered) override;
 
@@ -131,6 +145,7 @@
     //! Stamps of unanswered requests, by exchange number.
     absl::flat_hash_map<uint64_t, std::string> m_stamps;
     std::shared_ptr<Transfer> m_watchTransfer; //!< Of the pending watch; null without one.
+    DocumentCounters m_documentCounters;
     uint64_t m_rejectedCount = 0;
 };
 
--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -373,6 +373,7 @@
 {
     return relayMetricsPage({.relay = *m_relay,
                              .fleet = *m_fleet,
+                             .documents = m_fleetApi->documentCounters(),
                              .heldBytes = m_exchanges->server().heldBytes(),
                              .room = m_exchanges->server().roomCounters(),
                              .connections = m_exchanges->server().connectionCount(),
--- a/src/daemon/internal/relaymetrics.h
+++ b/src/daemon/internal/relaymetrics.h
@@ -3,6 +3,7 @@
 
 #include <string>
 
+#include "daemon/internal/fleetapi.h"
 #include "fleet/fleetsystem.h"
 #include "net/exchangeserver.h"
 #include "relay/relaysystem.h"
@@ -14,6 +15,7 @@
 struct RelayMetricsSource {
     const relay::RelaySystem &relay;
     const fleet::FleetSystem &fleet;
+    const DocumentCounters &documents;
     const net::HeldBytesBudget &heldBytes;
     const net::RoomCounters &room;
     size_t connections = 0;
--- a/src/registry/tests/readerstest.cpp
+++ b/src/registry/tests/readerstest.cpp
@@ -170,6 +170,46 @@
     }
 }
 
+// Guards against the sum of both losses: readers that no longer hear the registry say so late, or
+// not at all if they are then parted from their daemons.
+TEST_CASE("Load pattern: readers are parted from the registry and then from their daemons")
+{
+    for (const size_t lost : {size_t {1}, size_t {2}, size_t {3}}) {
+        for (int delayMs = 0; delayMs <= 2000; delayMs += 100) {
+            CAPTURE(lost, delayMs);
+            RegistryFleet fleet = settledFleet({.daemons = 82, .zones = 3, .keys = 30});
+            std::vector<size_t> readers = fleet.readers();
+            REQUIRE(readers.size() == 3);
+            readers.resize(lost);
+            for (const size_t reader : readers) {
+                fleet.setSilentFor(reader, true);
+            }
+            fleet.put("u/1", "leaving");
+            fleet.run(model::milliseconds(delayMs));
+            const auto isLost = [&readers](size_t daemon) {
+                return std::find(readers.begin(), readers.end(), daemon) != readers.end();
+            };
+            const auto othersKnow = [&] {
+                for (size_t i = 0; i < fleet.size(); ++i) {
+                    if (!isLost(i) && !fleet.has(i, "u/1", "leaving")) {
+                        return false;
+                    }
+                }
+                return true;
+            };
+            for (const size_t reader : readers) {
+                for (size_t i = 0; i < fleet.size(); ++i) {
+                    if (i != reader) {
+                        fleet.cutBetween(i, reader);
+                    }
+                }
+            }
+            CHECK(fleet.runUntil(othersKnow, model::seconds(10)) + model::milliseconds(delayMs)
+                  <= leavingBound);
+        }
+    }
+}
+
 TEST_CASE("A daemon that cannot reach the registry follows it through readers")
 {
     RegistryFleet fleet = settledFleet();
