Fleet: daemons of the version before get whole texts

What callers could have seen: while a fleet is being updated, a daemon of the version before would have taken a change of the configuration for its removal, as it does not know differences, and could not have read a fetched one.

Change: a daemon names the texts that it has in a header, which daemons of the version before neither send nor read; without it whole values are sent in the format that they know.

Test: "Large values are sent whole to daemons that read no differences"; the one of configurations that are passed on has that case too.

--- a/src/daemon/internal/fleetapi.cpp
+++ b/src/daemon/internal/fleetapi.cpp
@@ -21,6 +21,9 @@
 constexpr const char *changesPath = "/fleet/changes";
 constexpr const char *stampHeader = "x-citronpick-stamp";
 constexpr const char *codeHeader = "x-citronpick-code";
+//! Digests of the large texts that the sender of a request has. A daemon that does not send it
+//! reads no differences.
+constexpr const char *textsHeader = "x-citronpick-texts";
 constexpr uint64_t maxMessageBytes = 2U << 20U;
 //! Longest time in which a document arrives once it has been asked for, or a watch has ended.
 constexpr model::Duration documentTimeout = model::seconds(3);
@@ -39,19 +42,20 @@
     return absl::StrCat(endpoint.host, ":", endpoint.port, model::toAbsl(path));
 }
 
-//! Numbers at the start of a request, separated by spaces.
-std::vector<uint64_t> parseNumbers(std::string_view body)
+documents::KnownTexts knownTextsOf(const net::HttpServerRequest &request)
 {
-    std::vector<uint64_t> numbers;
-    for (const absl::string_view field :
-         absl::StrSplit(model::toAbsl(body), ' ', absl::SkipEmpty())) {
-        uint64_t number = 0;
-        if (!absl::SimpleAtoi(field, &number)) {
-            return numbers;
+    const std::string_view header = request.header(textsHeader);
+    if (header.empty()) {
+        return std::nullopt;
+    }
+    std::vector<uint64_t> digests;
+    for (const absl::string_view field : absl::StrSplit(model::toAbsl(header), ' ')) {
+        uint64_t digest = 0;
+        if (absl::SimpleAtoi(field, &digest)) {
+            digests.push_back(digest);
         }
-        numbers.push_back(number);
     }
-    return numbers;
+    return digests;
 }
 
 } // namespace
@@ -141,7 +145,7 @@
 
 void FleetApi::fetch(const core::FetchConfiguration &command, const std::function<void()> &onEnded)
 {
-    fetchDocument(command.from, configurationPath, knownTexts(),
+    fetchDocument(command.from, configurationPath, absl::StrCat(command.revision.value()),
                   [this, onEnded](const absl::StatusOr<std::string> &text) {
                       auto file = text.ok()
                                       ? parseConfiguration(*text)
@@ -163,16 +167,19 @@
                              : documents::parseConfigurationAnswer(text);
 }
 
-// Names the texts from which the other daemon may send a difference.
-std::string FleetApi::knownTexts() const
+void FleetApi::addKnownTexts(net::HttpCall &call) const
 {
-    return m_documents.texts ? absl::StrJoin(m_documents.texts->digests(), " ") : std::string();
+    if (!m_documents.texts) {
+        return;
+    }
+    const std::string digests = absl::StrJoin(m_documents.texts->digests(), " ");
+    call.headers.push_back({.name = textsHeader, .value = digests.empty() ? "none" : digests});
 }
 
 void FleetApi::fetchListing(const config::Endpoint &from, uint64_t afterRevision,
                             const DocumentHandler &handler)
 {
-    fetchDocument(from, listingPath, absl::StrCat(afterRevision, " ", knownTexts()), handler);
+    fetchDocument(from, listingPath, absl::StrCat(afterRevision), handler);
 }
 
 void FleetApi::count(Transfer &transfer, size_t bytes)
@@ -203,6 +210,7 @@
 {
     std::string stamp;
     net::HttpCall call = signedCall(from, path, std::move(body), stamp);
+    addKnownTexts(call);
     call.headTimeout = documentHeadTimeout;
     call.stallTimeout = stallTimeout;
     call.timeout = documentTimeout;
@@ -234,11 +242,10 @@
                          const WatchHandler &handler)
 {
     std::string stamp;
-    net::HttpCall call
-        = signedCall(peer, changesPath,
-                     absl::StrCat(watch.afterRevision, " ", model::toMilliseconds(watch.timeout),
-                                  " ", knownTexts()),
-                     stamp);
+    net::HttpCall call = signedCall(
+        peer, changesPath,
+        absl::StrCat(watch.afterRevision, " ", model::toMilliseconds(watch.timeout)), stamp);
+    addKnownTexts(call);
     call.connectTimeout = watchConnectTimeout;
     // The size of an answer does not say that its sender is lost.
     call.headTimeout = watch.timeout + watch.margin;
@@ -275,17 +282,20 @@
 
 void FleetApi::receiveWatch(const net::HttpServerRequest &request)
 {
-    const std::vector<uint64_t> numbers = parseNumbers(request.body());
-    constexpr size_t leading = 2;
-    if (numbers.size() < leading || numbers[1] > UINT32_MAX) {
+    const std::pair<std::string, std::string> fields
+        = absl::StrSplit(model::toAbsl(request.body()), absl::MaxSplits(' ', 1));
+    uint64_t afterRevision = 0;
+    uint32_t waitMs = 0;
+    if (!absl::SimpleAtoi(fields.first, &afterRevision)
+        || !absl::SimpleAtoi(fields.second, &waitMs)) {
         m_stamps.erase(request.number());
         reject(request.number(), "malformed watch");
         return;
     }
     m_documents.watch({.exchange = request.number(),
-                       .afterRevision = numbers[0],
-                       .wait = model::milliseconds(numbers[1]),
-                       .knownTexts = {numbers.begin() + leading, numbers.end()}});
+                       .afterRevision = afterRevision,
+                       .wait = model::milliseconds(waitMs),
+                       .knownTexts = knownTextsOf(request)});
 }
 
 void FleetApi::answerWatch(uint64_t exchange, std::string text)
@@ -335,28 +345,31 @@
         core::FleetRequestReceived {.exchange = request.number(), .message = *std::move(message)});
 }
 
-std::optional<std::string> FleetApi::documentAt(std::string_view path, std::string_view body) const
+std::optional<std::string> FleetApi::documentAt(const net::HttpServerRequest &request) const
 {
-    const std::vector<uint64_t> numbers = parseNumbers(body);
-    if (path == listingPath) {
-        if (!m_documents.listing || numbers.empty()) {
-            return std::nullopt;
+    const documents::KnownTexts knownTexts = knownTextsOf(request);
+    if (request.path() == listingPath) {
+        // Daemons of the version before name no revision.
+        uint64_t afterRevision = 0;
+        if (!absl::SimpleAtoi(model::toAbsl(request.body()), &afterRevision)) {
+            afterRevision = 0;
         }
-        return m_documents.listing(
-            {.afterRevision = numbers.front(), .knownTexts = {numbers.begin() + 1, numbers.end()}});
+        return m_documents.listing
+                   ? m_documents.listing({.afterRevision = afterRevision, .knownTexts = knownTexts})
+                   : std::nullopt;
     }
     const std::optional<config::ConfigurationFile> file = m_documents.configuration();
     if (!file) {
         return std::nullopt;
     }
     return m_documents.texts
-               ? documents::formatConfigurationAnswer(*file, *m_documents.texts, numbers)
+               ? documents::formatConfigurationAnswer(*file, *m_documents.texts, knownTexts)
                : documents::formatConfigurationAnswer(*file);
 }
 
 void FleetApi::sendDocument(const net::HttpServerRequest &request)
 {
-    const std::optional<std::string> text = documentAt(request.path(), request.body());
+    const std::optional<std::string> text = documentAt(request);
     const std::string stamp = m_stamps[request.number()];
     m_stamps.erase(request.number());
     if (!text) {
--- a/src/daemon/internal/fleetapi.h
+++ b/src/daemon/internal/fleetapi.h
@@ -31,13 +31,13 @@
     uint64_t exchange = 0;
     uint64_t afterRevision = 0;
     model::Duration wait {};
-    std::vector<uint64_t> knownTexts; //!< Digests of the large texts that the daemon has.
+    documents::KnownTexts knownTexts; //!< Large ones that the daemon has.
 };
 
 //! A daemon that cannot read the registry asks for the content that another one has read.
 struct ListingRequest {
     uint64_t afterRevision = 0; //!< The content that it has.
-    std::vector<uint64_t> knownTexts; //!< Digests of the large texts that it has.
+    documents::KnownTexts knownTexts; //!< Large ones that it has.
 };
 
 //! Sources of the documents that other daemons may fetch; each returns nullopt if it has none.
@@ -123,8 +123,8 @@
                           const net::HttpResponse &answer);
     void fetchDocument(const config::Endpoint &from, const std::string &path, std::string body,
                        const DocumentHandler &handler);
-    std::optional<std::string> documentAt(std::string_view path, std::string_view body) const;
-    std::string knownTexts() const;
+    std::optional<std::string> documentAt(const net::HttpServerRequest &request) const;
+    void addKnownTexts(net::HttpCall &call) const;
     absl::StatusOr<config::ConfigurationFile> parseConfiguration(const std::string &text) const;
     net::HttpCall signedCall(const config::Endpoint &to, const std::string &path, std::string body,
                              std::string &stamp);
--- a/src/daemon/internal/listingcodec.cpp
+++ b/src/daemon/internal/listingcodec.cpp
@@ -14,7 +14,7 @@
 //! What the daemon that decodes has.
 struct Recipient {
     documents::TextHistory &texts;
-    const std::vector<uint64_t> &known;
+    const documents::KnownTexts &known;
 };
 
 // Values are arbitrary bytes, which a JSON string cannot hold, so they are sent as Base64.
@@ -23,8 +23,8 @@
     Json list = Json::array();
     for (const registry::RegistryItem &item : items) {
         Json entry {{"key", item.key}, {"revision", item.revision}};
-        if (item.value && recipient.texts.isLarge(*item.value)) {
-            entry["difference"] = toJson(recipient.texts.difference(*item.value, recipient.known));
+        if (item.value && recipient.known && recipient.texts.isLarge(*item.value)) {
+            entry["difference"] = toJson(recipient.texts.difference(*item.value, *recipient.known));
         } else if (item.value) {
             entry["value"] = absl::Base64Escape(*item.value);
         }
@@ -93,7 +93,7 @@
 } // namespace
 
 std::string encodeListing(const registry::PeerListing &listing, documents::TextHistory &texts,
-                          const std::vector<uint64_t> &known)
+                          const documents::KnownTexts &known)
 {
     return Json {{"revision", listing.page.revision},
                  {"items", encodeItems(listing.page.items, {.texts = texts, .known = known})},
@@ -109,7 +109,7 @@
 }
 
 std::string encodePeerChanges(const registry::PeerChanges &changes, documents::TextHistory &texts,
-                              const std::vector<uint64_t> &known)
+                              const documents::KnownTexts &known)
 {
     return Json {{"revision", changes.changes.revision},
                  {"items", encodeItems(changes.changes.items, {.texts = texts, .known = known})},
--- a/src/daemon/internal/listingcodec.h
+++ b/src/daemon/internal/listingcodec.h
@@ -17,13 +17,13 @@
 //! texts with the digests \a known. Decoding returns InvalidArgument for malformed text, or if it
 //! needs a text that \a texts does not have.
 std::string encodeListing(const registry::PeerListing &listing, documents::TextHistory &texts,
-                          const std::vector<uint64_t> &known);
+                          const documents::KnownTexts &known);
 absl::StatusOr<registry::PeerListing> decodeListing(std::string_view text,
                                                     const documents::TextHistory &texts);
 
 //! The same for changes that a daemon passes on. An item without a value is a removal.
 std::string encodePeerChanges(const registry::PeerChanges &changes, documents::TextHistory &texts,
-                              const std::vector<uint64_t> &known);
+                              const documents::KnownTexts &known);
 absl::StatusOr<registry::PeerChanges> decodePeerChanges(std::string_view text,
                                                         const documents::TextHistory &texts);
 
--- a/src/daemon/internal/peerwatchers.h
+++ b/src/daemon/internal/peerwatchers.h
@@ -38,7 +38,7 @@
     struct Watch {
         uint64_t afterRevision = 0;
         model::TimePoint expiresAt;
-        std::vector<uint64_t> knownTexts;
+        documents::KnownTexts knownTexts;
     };
 
     //! Returns false if there is nothing to answer yet.
--- a/src/daemon/tests/codectest.cpp
+++ b/src/daemon/tests/codectest.cpp
@@ -212,3 +212,20 @@
     }
     CHECK_FALSE(decodeListing(encodePeerChanges(changes, texts, {}), texts).ok());
 }
+
+// Guards against a daemon of the version before that takes a change for a removal.
+TEST_CASE("Large values are sent whole to daemons that read no differences")
+{
+    const std::string large(100000, 'x');
+    const registry::PeerChanges changes {
+        .changes = {.items = {{.key = "a", .value = large, .revision = 4}}, .revision = 9}};
+    documents::TextHistory texts;
+    texts.add(large);
+    const std::string whole = encodePeerChanges(changes, texts, std::nullopt);
+    CHECK(whole.find("\"value\"") != std::string::npos);
+    CHECK(decodePeerChanges(whole, documents::TextHistory()).value() == changes);
+    const std::string difference = encodePeerChanges(changes, texts, texts.digests());
+    CHECK(difference.size() < 1000);
+    CHECK(decodePeerChanges(difference, texts).value() == changes);
+    CHECK_FALSE(decodePeerChanges(difference, documents::TextHistory()).ok());
+}
--- a/src/documents/internal/platformdocuments.cpp
+++ b/src/documents/internal/platformdocuments.cpp
@@ -42,13 +42,13 @@
 }
 
 std::string formatConfigurationAnswer(const config::ConfigurationFile &file, TextHistory &texts,
-                                      const std::vector<uint64_t> &known)
+                                      const KnownTexts &known)
 {
-    if (!texts.isLarge(file.text)) {
+    if (!known || !texts.isLarge(file.text)) {
         return formatConfigurationAnswer(file);
     }
     return Json {{"revision", file.revision.value()},
-                 {"difference", toJson(texts.difference(file.text, known))}}
+                 {"difference", toJson(texts.difference(file.text, *known))}}
         .dump();
 }
 
--- a/src/documents/platformdocuments.h
+++ b/src/documents/platformdocuments.h
@@ -23,7 +23,7 @@
 //! The format in which daemons send configuration files to each other: that of the service, or with
 //! the difference from a text that the other daemon has (\a known) if the file is large.
 std::string formatConfigurationAnswer(const config::ConfigurationFile &file, TextHistory &texts,
-                                      const std::vector<uint64_t> &known);
+                                      const KnownTexts &known);
 absl::StatusOr<config::ConfigurationFile> parseConfigurationAnswer(std::string_view text,
                                                                    const TextHistory &texts);
 
--- a/src/documents/tests/texthistorytest.cpp
+++ b/src/documents/tests/texthistorytest.cpp
@@ -122,6 +122,14 @@
         CHECK(parsed->revision == file.revision);
         CHECK(parsed->text == file.text);
     }
+    // A daemon that reads no differences gets the format of the configuration service.
+    const config::ConfigurationFile large {.revision = model::Revision(7),
+                                           .text = makeText(manyLines)};
+    TextHistory texts;
+    const auto whole
+        = parseConfigurationAnswer(formatConfigurationAnswer(large, texts, std::nullopt));
+    REQUIRE(whole.ok());
+    CHECK(whole->text == large.text);
     for (const char *text :
          {"", "[]", R"({"difference": 1})", R"({"difference": {}, "revision": 1})",
           R"({"difference": {"base": 0, "digest": 1, "bytes": "*"}, "revision": 1})"}) {
--- a/src/documents/texthistory.h
+++ b/src/documents/texthistory.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,6 +16,10 @@
 namespace citronpick::documents
 {
 
+//! Digests of the texts that another daemon has; empty if it reads whole texts only, as daemons of
+//! the version before do.
+using KnownTexts = std::optional<std::vector<uint64_t>>;
+
 struct TextHistoryOptions {
     size_t maxTexts = 4; //!< The oldest ones are forgotten beyond this number.
     size_t minTextBytes = 4096; //!< Shorter texts are not kept.
