Test of answers without an end: bytes that are no answer, bodies and what follows them

The test of a faulty upstream played heads, trailers and events only. It now plays six more cases with 100 calls each: bytes that begin no answer, a body without an end, the same in chunks of a byte, the body of a failure, a chunk extension, and bytes behind a whole answer.

--- a/tests/callers/callercrowd.cpp
+++ b/tests/callers/callercrowd.cpp
@@ -96,6 +96,29 @@
     return text;
 }
 
+std::string endlessBodyText(CrowdAnswer answer, const std::string &head)
+{
+    // More than what the daemon takes from a single upstream.
+    constexpr size_t bytes = 4U << 20U;
+    const std::string chunk = absl::StrCat(absl::Hex(bytes), "\r\n") + std::string(bytes, 'x');
+    const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    switch (answer) {
+    case CrowdAnswer::NoHttp:
+        return std::string(bytes, 'x');
+    case CrowdAnswer::BodyInSmallChunks:
+        return head + chunked + repeated("1\r\nx\r\n", bytes);
+    case CrowdAnswer::FailureWithoutEnd:
+        return "HTTP/1.1 500 Internal Server Error" + head.substr(head.find("\r\n")) + chunked
+               + chunk;
+    case CrowdAnswer::ChunkExtensionWithoutEnd:
+        return head + chunked + "1;" + std::string(bytes, 'x');
+    case CrowdAnswer::BytesAfterAnswer:
+        return head + "Content-Length: 2\r\n\r\nok" + std::string(bytes, 'x');
+    default:
+        return head + chunked + chunk;
+    }
+}
+
 std::string endlessAnswerText(CrowdAnswer answer, const std::string &head)
 {
     // Less than what the daemon takes from a single upstream.
@@ -113,9 +136,11 @@
         return head + repeated("a:\r\n", headBytes) + "Content-Length: 1\r\n\r\n";
     case CrowdAnswer::TrailerWithoutEnd:
         return chunked + "a\r\ndata: xx\n\n\r\n0\r\n" + repeated("a:\r\n", headBytes);
-    default:
+    case CrowdAnswer::EventWithoutEnd:
         return chunked + absl::StrCat(absl::Hex(eventBytes), "\r\ndata: ")
                + std::string(eventBytes - 6, 'x');
+    default:
+        return endlessBodyText(answer, head);
     }
 }
 
--- a/tests/callers/callercrowd.h
+++ b/tests/callers/callercrowd.h
@@ -29,6 +29,12 @@
     HeadOnly, //!< A whole head of many small fields, and nothing of its body.
     TrailerWithoutEnd,
     EventWithoutEnd,
+    NoHttp, //!< Bytes that begin no answer.
+    BodyWithoutEnd,
+    BodyInSmallChunks, //!< Without an end.
+    FailureWithoutEnd, //!< An error status whose body does not end.
+    ChunkExtensionWithoutEnd,
+    BytesAfterAnswer, //!< A whole answer, and bytes without an end behind it.
 };
 
 //! A daemon process in relay mode with its registry, one upstream and a crowd of callers.
--- a/tests/callers/callerlimitstest.cpp
+++ b/tests/callers/callerlimitstest.cpp
@@ -153,7 +153,13 @@
                                        {CrowdAnswer::InterimHeads, "/once/crowd"},
                                        {CrowdAnswer::HeadOnly, "/once/crowd"},
                                        {CrowdAnswer::TrailerWithoutEnd, "/stream/crowd"},
-                                       {CrowdAnswer::EventWithoutEnd, "/resume/crowd"}}) {
+                                       {CrowdAnswer::EventWithoutEnd, "/resume/crowd"},
+                                       {CrowdAnswer::NoHttp, "/once/crowd"},
+                                       {CrowdAnswer::BodyWithoutEnd, "/once/crowd"},
+                                       {CrowdAnswer::BodyInSmallChunks, "/once/crowd"},
+                                       {CrowdAnswer::FailureWithoutEnd, "/once/crowd"},
+                                       {CrowdAnswer::ChunkExtensionWithoutEnd, "/once/crowd"},
+                                       {CrowdAnswer::BytesAfterAnswer, "/once/crowd"}}) {
         CAPTURE(path, static_cast<int>(answer));
         CallerCrowd callers(answer);
         callers.send(crowd, absl::StrCat("POST ", path,
