Registry: of the configurations in one answer only the newest is applied

The time in which the newest came into force grew with the number of versions missed.

Change: a handler gets all updates that follow from one answer. The newest configuration that can be decoded is applied, before the upstreams listed with it; an older one only if the newest cannot be decoded. Upstreams still get each of their changes: a leaving that a later entry hides has to be seen.

The new metric citronpick_relay_configurations_applied_total shows it to operators.

--- a/src/daemon/internal/registryreader.cpp
+++ b/src/daemon/internal/registryreader.cpp
@@ -40,9 +40,7 @@
 void RegistryReader::run(model::TimePoint now)
 {
     abandonOverdueCall(now);
-    for (const registry::FollowerUpdate &update : m_follower.takeUpdates(now)) {
-        m_handler(update);
-    }
+    m_handler(m_follower.takeUpdates(now));
     const std::optional<registry::FollowerCall> due = m_follower.takeCall(now);
     if (!due) {
         return;
--- a/src/daemon/internal/registryreader.h
+++ b/src/daemon/internal/registryreader.h
@@ -17,7 +17,8 @@
 class RegistryReader : public net::IUpstreamHandler
 {
 public:
-    using UpdateHandler = std::function<void(const registry::FollowerUpdate &)>;
+    //! Gets all updates that follow from one answer, in their order.
+    using UpdateHandler = std::function<void(const std::vector<registry::FollowerUpdate> &)>;
     //! Starts a watch at a peer, which ends with onPeerChanges() or onPeerError().
     using PeerWatchStarter = std::function<void(const registry::WatchPeer &)>;
 
--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -142,7 +142,10 @@
                                    .allowsStaleStart = true,
                                    .source
                                    = {.daemon = m_settings.daemon, .zone = m_settings.zone}},
-        seed, [this](const registry::FollowerUpdate &update) { onRegistryUpdate(update); },
+        seed,
+        [this](const std::vector<registry::FollowerUpdate> &updates) {
+            onRegistryUpdates(updates);
+        },
         [this](const registry::WatchPeer &watch) { startPeerWatch(watch); }, *this);
     m_watchers = std::make_unique<PeerWatchers>(*m_fleetApi, m_registry->follower(), m_texts);
 }
@@ -372,6 +375,7 @@
     return relayMetricsPage({.relay = *m_relay,
                              .fleet = *m_fleet,
                              .documents = m_fleetApi->documentCounters(),
+                             .appliedConfigurations = m_appliedConfigurations,
                              .heldBytes = m_exchanges->server().heldBytes(),
                              .room = m_exchanges->server().roomCounters(),
                              .connections = m_exchanges->server().connectionCount(),
--- a/src/daemon/internal/relaymetrics.cpp
+++ b/src/daemon/internal/relaymetrics.cpp
@@ -202,6 +202,8 @@
                 source.documents.bytes),
         gauge("citronpick_relay_configuration_revision", "Revision of the configuration in force",
               source.relay.configuration() ? source.relay.configuration()->revision().value() : 0),
+        counter("citronpick_relay_configurations_applied_total",
+                "Configurations that came into force", source.appliedConfigurations),
         gauge("citronpick_fleet_members", "Daemons considered alive",
               source.fleet.members().usableCount()),
     };
--- a/src/daemon/internal/relaymetrics.h
+++ b/src/daemon/internal/relaymetrics.h
@@ -16,6 +16,7 @@
     const relay::RelaySystem &relay;
     const fleet::FleetSystem &fleet;
     const DocumentCounters &documents;
+    uint64_t appliedConfigurations = 0;
     const net::HeldBytesBudget &heldBytes;
     const net::RoomCounters &room;
     size_t connections = 0;
--- a/src/daemon/internal/relayregistry.cpp
+++ b/src/daemon/internal/relayregistry.cpp
@@ -112,6 +112,30 @@
         });
 }
 
+// The limits that follow from the configuration hold for upstreams that are listed with it.
+void RelayDaemon::onRegistryUpdates(const std::vector<registry::FollowerUpdate> &updates)
+{
+    applyNewestConfiguration(updates);
+    for (const registry::FollowerUpdate &update : updates) {
+        onRegistryUpdate(update);
+    }
+}
+
+// Applying a configuration takes time in proportion to its size, and only the last one stays in
+// force. One that was deleted from the registry does, too.
+void RelayDaemon::applyNewestConfiguration(const std::vector<registry::FollowerUpdate> &updates)
+{
+    for (auto update = updates.rbegin(); update != updates.rend(); ++update) {
+        const auto *changed = std::get_if<registry::KeyChanged>(&*update);
+        const bool isConfiguration
+            = changed && changed->value
+              && m_format.kindOf(changed->key) == RegistryKeyKind::Configuration;
+        if (isConfiguration && applyConfiguration(*changed->value, "registry")) {
+            return;
+        }
+    }
+}
+
 void RelayDaemon::onRegistryUpdate(const registry::FollowerUpdate &update)
 {
     if (const auto *reachable = std::get_if<registry::ReachabilityChanged>(&update)) {
@@ -145,18 +169,13 @@
         return;
     }
     switch (m_format.kindOf(changed->key)) {
-    case RegistryKeyKind::Configuration:
-        // A configuration that was deleted from the registry stays in force.
-        if (changed->value) {
-            applyConfiguration(*changed->value, "registry");
-        }
-        return;
     case RegistryKeyKind::Upstream:
         onUpstreamChanged(*changed);
         return;
     case RegistryKeyKind::Evacuation:
         onEvacuationChanged(*changed);
         return;
+    case RegistryKeyKind::Configuration:
     case RegistryKeyKind::Other:
         return;
     }
@@ -175,11 +194,11 @@
     execute();
 }
 
-void RelayDaemon::applyConfiguration(const std::string &text, std::string_view source)
+bool RelayDaemon::applyConfiguration(const std::string &text, std::string_view source)
 {
     const model::TimePoint startedAt = net::EventLoop::now();
     if (text == m_configurationText) {
-        return;
+        return true;
     }
     auto content = m_format.decodeConfiguration(text);
     if (!content.ok()) {
@@ -188,14 +207,15 @@
                 .subject = config::toText(m_settings.registry),
                 .detail = absl::StrCat("source=", model::toAbsl(source),
                                        " why=", content.status().message())});
-        return;
+        return false;
     }
     const auto configuration
         = std::make_shared<const relay::RelayConfiguration>(*std::move(content));
     const model::Revision before = revisionInForce();
     if (!m_relay->setConfiguration(configuration)) {
-        return;
+        return true;
     }
+    ++m_appliedConfigurations;
     m_configurationText = text;
     m_texts.add(text);
     const relay::CallerLimits &limits = configuration->content().callerLimits;
@@ -213,6 +233,7 @@
                 "source=", model::toAbsl(source), " before=", before.value(),
                 " routes=", configuration->content().routes.size(), " bytes=", text.size(),
                 " apply_ms=", model::toMilliseconds(net::EventLoop::now() - startedAt))});
+    return true;
 }
 
 void RelayDaemon::onUpstreamChanged(const registry::KeyChanged &changed)
--- a/src/daemon/relaydaemon.h
+++ b/src/daemon/relaydaemon.h
@@ -80,8 +80,11 @@
     void requestListingFromPeer(model::TimePoint now);
     void startPeerWatch(const registry::WatchPeer &watch);
     void createComponents(model::Incarnation incarnation);
+    void onRegistryUpdates(const std::vector<registry::FollowerUpdate> &updates);
     void onRegistryUpdate(const registry::FollowerUpdate &update);
-    void applyConfiguration(const std::string &text, std::string_view source);
+    void applyNewestConfiguration(const std::vector<registry::FollowerUpdate> &updates);
+    //! Returns false if \a text is not a configuration.
+    bool applyConfiguration(const std::string &text, std::string_view source);
     void onUpstreamChanged(const registry::KeyChanged &changed);
     void onEvacuationChanged(const registry::KeyChanged &changed);
     void execute(relay::RelayCommand &command);
@@ -114,6 +117,7 @@
     std::unique_ptr<RegistryReader> m_registry;
     std::unique_ptr<PeerWatchers> m_watchers;
     std::string m_configurationText;
+    uint64_t m_appliedConfigurations = 0;
     model::TimePoint m_nextSweep;
     fleet::ConfigurationFetch m_configurationFetch;
     model::TimePoint m_nextListingRequest;
