Registry: a watch whose answer outgrows a listing is replaced by one

What callers could see: requests handled as an older configuration says for as long as the registry keeps its history, 20 s (CONFIG), on a daemon that reads the registry itself and has missed a dozen versions of a large configuration.

Cause: the answer to a watch holds each version of each key since the revision asked for. Above 16 MB, 12 versions of the largest value in Base64, the call failed as if the registry could not be reached, and the next call asked for the same answer. It ended only when the registry dropped its history. Below that size the time still grew with the number of versions missed: 1.1 s for each on 10 Mbit/s.

Change: an answer to a watch may have 4 MB, more than the values of all keys together. Beyond that it is given up and the content listed, which holds each key once (CallError::TooManyChanges).

--- a/src/daemon/internal/registryreader.cpp
+++ b/src/daemon/internal/registryreader.cpp
@@ -15,8 +15,11 @@
 //! is not answered long before.
 constexpr model::Duration maxCallTime = model::seconds(10);
 constexpr model::Duration connectTimeout = model::milliseconds(400);
-//! Exceeds a page of the listing and many changes of the configuration.
-constexpr uint64_t maxBodyBytes = 16U << 20U;
+//! Exceeds a page of the listing.
+constexpr uint64_t maxPageBytes = 16U << 20U;
+//! Exceeds the values of all keys. An answer to a watch holds each version of a key, a listing only
+//! the last one.
+constexpr uint64_t maxChangesBytes = 4U << 20U;
 constexpr uint16_t success = 200;
 constexpr uint16_t compacted = 410;
 
@@ -48,19 +51,20 @@
     std::visit(model::Overloaded {
                    [this](const registry::ReadPage &page) {
                        m_isWatch = false;
-                       startCall(m_format.encodeRead(m_registry, m_prefix, page));
+                       startCall(m_format.encodeRead(m_registry, m_prefix, page), maxPageBytes);
                    },
                    [this](const registry::WatchChanges &watch) {
                        m_isWatch = true;
                        startCall(m_format.encodeWatch(m_registry, m_prefix, watch.afterRevision,
-                                                      watch.timeout));
+                                                      watch.timeout),
+                                 maxChangesBytes);
                    },
                    [this](const registry::WatchPeer &watch) { m_startPeerWatch(watch); },
                },
                *due);
 }
 
-void RegistryReader::startCall(net::UpstreamCall call)
+void RegistryReader::startCall(net::UpstreamCall call, uint64_t maxBodyBytes)
 {
     m_status = 0;
     m_body.clear();
@@ -188,7 +192,10 @@
     }
     m_call = 0;
     const model::TimePoint now = net::EventLoop::now();
-    failCall(registry::CallError::Unreachable, net::toString(failure), now);
+    const bool hasTooManyChanges = m_isWatch && failure == net::CallFailure::TooLarge;
+    failCall(hasTooManyChanges ? registry::CallError::TooManyChanges
+                               : registry::CallError::Unreachable,
+             net::toString(failure), now);
     run(now);
 }
 
--- a/src/daemon/internal/registryreader.h
+++ b/src/daemon/internal/registryreader.h
@@ -56,7 +56,7 @@
     void onFailure(uint64_t call, net::CallFailure failure) override;
 
 private:
-    void startCall(net::UpstreamCall call);
+    void startCall(net::UpstreamCall call, uint64_t maxBodyBytes);
     void abandonOverdueCall(model::TimePoint now);
     void handleAnswer(model::TimePoint now);
     void failCall(registry::CallError error, std::string_view why, model::TimePoint now);
--- a/src/registry/internal/registryfollower.cpp
+++ b/src/registry/internal/registryfollower.cpp
@@ -297,7 +297,8 @@
     endCall();
     m_source.onRegistryCallEnded();
     const bool wasPageObsolete = std::exchange(m_isPendingPageObsolete, false);
-    if (error == CallError::Compacted && !wasPageObsolete) {
+    const bool needsListing = error == CallError::Compacted || error == CallError::TooManyChanges;
+    if (needsListing && !wasPageObsolete) {
         restartListing(now);
         return;
     }
--- a/src/registry/registryfollower.h
+++ b/src/registry/registryfollower.h
@@ -96,6 +96,7 @@
     Unreachable, //!< The connection failed, or the answer could not be decoded.
     TimedOut, //!< No answer by callDeadline().
     Compacted, //!< The registry no longer keeps the requested revisions.
+    TooManyChanges, //!< The answer to a watch is larger than a listing would be.
 };
 
 //! A key was set to a value, or removed when \a value is empty.
--- a/src/registry/tests/registryfollowertest.cpp
+++ b/src/registry/tests/registryfollowertest.cpp
@@ -52,12 +52,13 @@
     CHECK(*fixture.follower.nextRun() - fixture.now <= milliseconds(800));
 }
 
-TEST_CASE("Compacted history triggers a new listing, which reveals removed keys")
+TEST_CASE("Changes that a watch cannot report trigger a new listing, which reveals removed keys")
 {
+    const CallError error = GENERATE(CallError::Compacted, CallError::TooManyChanges);
     Fixture fixture;
     fixture.list({item("u/a", "1", 3), item("u/b", "1", 4)}, 5);
     fixture.changes();
-    fixture.failCall(CallError::Compacted);
+    fixture.failCall(error);
     fixture.now = *fixture.follower.nextRun();
     fixture.list({item("u/a", "2", 8)}, 9);
     CHECK(fixture.changes() == Changes {"u/a=2", "-u/b"});
