Stages: a connection whose answers may be out of step gets no further batch

Cause: answers of stages name no request; only their order on a connection tells which call they belong to. A late copy of the answer to a release was taken for the answer to the batch behind it. It held no items, so the batch was queued again, but the connection went back to the pool with the true answer still to come, and each later call could get the answer of the call before. Only copies equal to the answer just before were recognized.

A connection is kept for the next batch only behind an answer that names results and has not come before; behind any other answer the idle connections to that upstream are closed. Releases, whose answers do not matter, have connections of their own.

--- a/src/daemon/internal/batchrunner.cpp
+++ b/src/daemon/internal/batchrunner.cpp
@@ -1,5 +1,7 @@
 #include "daemon/internal/batchrunner.h"
 
+#include <algorithm>
+
 #include <absl/strings/str_cat.h>
 
 #include "model/abslview.h"
@@ -23,15 +25,16 @@
 constexpr model::Duration batchTimeout = model::seconds(20);
 //! Exceeds the answer to the largest batch, which holds a short handle for each piece.
 constexpr uint64_t maxAnswerBytes = 1U << 20U;
+//! A copy of an answer comes at the place of the next answer on its connection. An upstream has few
+//! connections from one daemon.
+constexpr size_t maxRememberedAnswers = 32;
 
-uint64_t digestOf(const std::vector<relay::BatchItem> &items)
+size_t countResults(const std::vector<relay::ItemOutcome> &outcomes)
 {
-    uint64_t digest = 0;
-    for (const relay::BatchItem &item : items) {
-        digest = model::hash64(item.request.text(), digest);
-        digest = model::hash64(absl::StrCat(item.stage, "/", item.piece), digest);
-    }
-    return digest;
+    return static_cast<size_t>(
+        std::count_if(outcomes.begin(), outcomes.end(), [](const relay::ItemOutcome &outcome) {
+            return outcome.failure == relay::ItemFailure::None;
+        }));
 }
 
 } // namespace
@@ -50,13 +53,13 @@
     net::UpstreamCall call = m_format.encodeBatch(command);
     call.timeout = batchTimeout;
     call.maxBodyBytes = maxAnswerBytes;
+    call.group = net::ConnectionGroup::Batches;
     const uint64_t number = m_client.start(std::move(call), *this);
     m_calls[number] = {.batch = command.batch,
                        .upstream = command.upstream,
                        .incarnation = command.incarnation,
                        .address = command.address,
                        .items = command.items.size(),
-                       .itemsDigest = digestOf(command.items),
                        .startedAt = net::EventLoop::now()};
     m_callsByBatch[command.batch] = number;
 }
@@ -122,6 +125,7 @@
         net::UpstreamCall call = m_format.encodeRelease(producer, id, handles);
         call.timeout = releaseTimeout;
         call.maxBodyBytes = maxAnswerBytes;
+        call.group = net::ConnectionGroup::Releases;
         m_calls[m_client.start(std::move(call), *this)]
             = {.upstream = id,
                .incarnation = upstream ? upstream->listing.incarnation : 0,
@@ -191,22 +195,26 @@
     m_callsByBatch.erase(call.batch);
     constexpr uint16_t success = 200;
     const model::TimePoint now = net::EventLoop::now();
+    const auto outcomes = m_format.decodeBatch(call.body);
+    const bool isWhole = call.facts.status == success && !call.facts.wasNotRun && outcomes.ok()
+                         && outcomes->size() == call.items;
+    const size_t succeeded = isWhole ? countResults(*outcomes) : 0;
+    const bool isCopy = succeeded > 0 && !rememberAnswer(call);
+    // Answers to batches name no request, but the results that they name are new: only such an
+    // answer is known to be the right one. After any other, the right one may still arrive on the
+    // connection, at the place of the next answer.
+    if (succeeded == 0 || isCopy) {
+        m_client.closeIdleConnections(call.address, net::ConnectionGroup::Batches);
+    }
     if (call.facts.wasNotRun || call.hasAskedRest) {
         // Pieces may be processed again, so it does not matter whether a batch that was turned away
         // for a rest has run.
         record(call, absl::StrCat("refused-", call.facts.status));
         m_system.onBatchRefused(call.batch, now);
-    } else if (isLateCopy(call)) {
-        // The right answer may still arrive on that connection.
-        m_client.closeIdleConnections(call.address);
+    } else if (isCopy) {
         record(call, "late-copy");
         m_system.onBatchBroken(call.batch, now);
-    } else if (auto outcomes = m_format.decodeBatch(call.body);
-               call.facts.status == success && outcomes.ok() && outcomes->size() == call.items) {
-        size_t succeeded = 0;
-        for (const relay::ItemOutcome &outcome : *outcomes) {
-            succeeded += outcome.failure == relay::ItemFailure::None ? 1 : 0;
-        }
+    } else if (isWhole) {
         record(call, absl::StrCat("made-", succeeded));
         m_system.onBatchAnswered(call.batch, *outcomes, now);
     } else {
@@ -216,20 +224,18 @@
     m_host.execute();
 }
 
-// Answers to batches name no request, so a copy that arrives on a reused connection can only be
-// recognized by its content: handles are unique, so no two batches have the same answer.
-bool BatchRunner::isLateCopy(const Call &call)
+bool BatchRunner::rememberAnswer(const Call &call)
 {
-    const LastAnswer answer {.itemsDigest = call.itemsDigest,
-                             .bodyDigest = model::hash64(call.body)};
-    const bool hasHandles = call.body.find("handle") != std::string::npos;
-    const auto [last, isFirst] = m_lastAnswers.emplace(call.upstream, answer);
-    const bool isCopy = !isFirst && hasHandles && last->second.bodyDigest == answer.bodyDigest
-                        && last->second.itemsDigest != answer.itemsDigest;
-    if (!isCopy) {
-        last->second = answer;
+    std::deque<uint64_t> &answers = m_answers[call.upstream];
+    const uint64_t digest = model::hash64(call.body);
+    if (std::find(answers.begin(), answers.end(), digest) != answers.end()) {
+        return false;
+    }
+    answers.push_back(digest);
+    if (answers.size() > maxRememberedAnswers) {
+        answers.pop_front();
     }
-    return isCopy;
+    return true;
 }
 
 void BatchRunner::onFailure(uint64_t number, net::CallFailure failure)
--- a/src/daemon/internal/batchrunner.h
+++ b/src/daemon/internal/batchrunner.h
@@ -1,6 +1,7 @@
 #ifndef CITRONPICK_DAEMON_INTERNAL_BATCHRUNNER_H
 #define CITRONPICK_DAEMON_INTERNAL_BATCHRUNNER_H
 
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -46,21 +47,14 @@
         uint64_t incarnation = 0;
         config::Endpoint address;
         size_t items = 0;
-        uint64_t itemsDigest = 0; //!< Hash of which pieces the batch contains.
         model::TimePoint startedAt;
         relay::AnswerFacts facts;
         bool hasAskedRest = false;
         std::string body;
     };
 
-    //! The last answer of an upstream, by hashes.
-    struct LastAnswer {
-        uint64_t itemsDigest = 0;
-        uint64_t bodyDigest = 0;
-    };
-
-    //! Whether \a call was answered with a copy of the answer to the upstream's previous batch.
-    bool isLateCopy(const Call &call);
+    //! Returns false if the upstream has given the same answer before.
+    bool rememberAnswer(const Call &call);
     //! Keeps a release until its upstream takes calls again, or drops it; \a upstream is null if
     //! none is listed at the address.
     void postpone(const relay::Upstream *upstream, const config::Endpoint &producer,
@@ -73,7 +67,8 @@
     IRelayHost &m_host;
     absl::flat_hash_map<uint64_t, Call> m_calls;
     absl::flat_hash_map<relay::BatchId, uint64_t> m_callsByBatch;
-    absl::flat_hash_map<model::UpstreamId, LastAnswer> m_lastAnswers;
+    //! Hashes of the last answers of each upstream that named results.
+    absl::flat_hash_map<model::UpstreamId, std::deque<uint64_t>> m_answers;
     std::map<config::Endpoint, std::vector<relay::ResultHandle>> m_releases;
     model::TimePoint m_nextFlush = model::TimePoint::max();
 };
--- a/src/net/internal/upstreamclient.cpp
+++ b/src/net/internal/upstreamclient.cpp
@@ -147,6 +147,7 @@
         bool isUnattributable = false;
         bool hadStaleResponse = false; //!< A response to an earlier request was discarded.
         bool isKeepAlive = false;
+        ConnectionGroup group = ConnectionGroup::Default;
         bool isInCallback = false;
         bool isCancelled = false; //!< The call was cancelled by its own callback.
         bool isPaused = false;
@@ -160,7 +161,8 @@
     {
         const uint64_t number = ++m_lastCall;
         const model::TimePoint now = EventLoop::now();
-        Connection *connection = call.needsFreshConnection ? nullptr : acquireIdle(call.to, now);
+        Connection *connection
+            = call.needsFreshConnection ? nullptr : acquireIdle({call.to, call.group}, now);
         const bool isNew = connection == nullptr;
         if (isNew) {
             auto created = std::make_unique<Connection>(*this, ++m_lastConnection, call.to);
@@ -172,6 +174,7 @@
         connection->handler = &handler;
         connection->correlationHeader = std::move(call.correlationHeader);
         connection->correlationValue = std::move(call.correlationValue);
+        connection->group = call.group;
         connection->maxBodyBytes = call.maxBodyBytes;
         connection->bodyBytes = 0;
         connection->connectDeadline = now + call.connectTimeout;
@@ -210,9 +213,11 @@
         return text;
     }
 
-    Connection *acquireIdle(const config::Endpoint &to, model::TimePoint now)
+    using IdleKey = std::pair<config::Endpoint, ConnectionGroup>;
+
+    Connection *acquireIdle(const IdleKey &key, model::TimePoint now)
     {
-        const auto it = m_idle.find(to);
+        const auto it = m_idle.find(key);
         if (it == m_idle.end()) {
             return nullptr;
         }
@@ -398,7 +403,7 @@
 
     void releaseToPool(Connection &connection)
     {
-        std::vector<Connection *> &idle = m_idle[connection.to];
+        std::vector<Connection *> &idle = m_idle[{connection.to, connection.group}];
         if (idle.size() >= maxIdleConnectionsPerEndpoint) {
             close(connection);
             return;
@@ -414,7 +419,7 @@
 
     void closeIdle(Connection &connection)
     {
-        const auto it = m_idle.find(connection.to);
+        const auto it = m_idle.find({connection.to, connection.group});
         if (it != m_idle.end()) {
             m_idleCount -= std::erase(it->second, &connection);
             if (it->second.empty()) {
@@ -424,9 +429,9 @@
         close(connection);
     }
 
-    void closeIdleConnections(const config::Endpoint &to)
+    void closeIdleConnections(const IdleKey &key)
     {
-        const auto it = m_idle.find(to);
+        const auto it = m_idle.find(key);
         if (it == m_idle.end()) {
             return;
         }
@@ -513,7 +518,7 @@
             }
         }
         std::vector<Connection *> expiredIdle;
-        for (const auto &[endpoint, connections] : m_idle) {
+        for (const auto &[key, connections] : m_idle) {
             for (Connection *connection : connections) {
                 if (now >= connection->idleDeadline) {
                     expiredIdle.push_back(connection);
@@ -528,7 +533,7 @@
     EventLoop &m_loop;
     absl::flat_hash_map<uint64_t, std::unique_ptr<Connection>> m_connections;
     absl::flat_hash_map<uint64_t, Connection *> m_calls;
-    std::map<config::Endpoint, std::vector<Connection *>> m_idle;
+    std::map<IdleKey, std::vector<Connection *>> m_idle;
     size_t m_idleCount = 0;
     size_t m_openHeadBytes = 0;
     uint64_t m_connectsStarted = 0;
@@ -559,9 +564,9 @@
     return it != m_impl->m_calls.end() && it->second->isConnected;
 }
 
-void UpstreamClient::closeIdleConnections(const config::Endpoint &to)
+void UpstreamClient::closeIdleConnections(const config::Endpoint &to, ConnectionGroup group)
 {
-    m_impl->closeIdleConnections(to);
+    m_impl->closeIdleConnections({to, group});
 }
 
 void UpstreamClient::setPaused(uint64_t call, bool isPaused)
--- a/src/net/upstreamclient.h
+++ b/src/net/upstreamclient.h
@@ -13,6 +13,13 @@
 namespace citronpick::net
 {
 
+//! Only calls of the same group follow each other on one connection.
+enum class ConnectionGroup {
+    Default,
+    Batches, //!< Responses name no request; the handler closes connections that may be out of step.
+    Releases, //!< Responses do not matter.
+};
+
 //! Request to an upstream, with its timeouts.
 struct UpstreamCall {
     config::Endpoint to;
@@ -22,6 +29,7 @@
     std::string body;
     bool hasBody = false;
     bool needsFreshConnection = false;
+    ConnectionGroup group = ConnectionGroup::Default;
     //! Name and value of the header by which the upstream identifies the request that a response
     //! belongs to. A response with another value of this header belongs to an earlier request and
     //! is discarded. On a reused connection, one without the header is malformed.
@@ -80,7 +88,8 @@
     //! Whether the upstream may have received a part of the call's request.
     bool isSent(uint64_t call) const;
     //! Closes the idle connections to an upstream, so that no later call uses them.
-    void closeIdleConnections(const config::Endpoint &to);
+    void closeIdleConnections(const config::Endpoint &to,
+                              ConnectionGroup group = ConnectionGroup::Default);
     //! Pauses or resumes reading a response.
     void setPaused(uint64_t call, bool isPaused);
 
