--- a/src/daemon/internal/batchrunner.cpp
+++ b/src/daemon/internal/batchrunner.cpp
@@ -224,16 +224,20 @@
     m_host.execute();
 }
 
+// An upstream that has started again may use the names of its results once more.
 bool BatchRunner::rememberAnswer(const Call &call)
 {
-    std::deque<uint64_t> &answers = m_answers[call.upstream];
+    KnownAnswers &known = m_answers[call.upstream];
+    if (known.incarnation != call.incarnation) {
+        known = {.incarnation = call.incarnation};
+    }
     const uint64_t digest = model::hash64(call.body);
-    if (std::find(answers.begin(), answers.end(), digest) != answers.end()) {
+    if (std::find(known.digests.begin(), known.digests.end(), digest) != known.digests.end()) {
         return false;
     }
-    answers.push_back(digest);
-    if (answers.size() > maxRememberedAnswers) {
-        answers.pop_front();
+    known.digests.push_back(digest);
+    if (known.digests.size() > maxRememberedAnswers) {
+        known.digests.pop_front();
     }
     return true;
 }
--- a/src/daemon/internal/batchrunner.h
+++ b/src/daemon/internal/batchrunner.h
@@ -53,7 +53,13 @@
         std::string body;
     };
 
-    //! Returns false if the upstream has given the same answer before.
+    //! The last answers of a start of an upstream that named results, by hashes.
+    struct KnownAnswers {
+        uint64_t incarnation = 0;
+        std::deque<uint64_t> digests;
+    };
+
+    //! Returns false if this start of the upstream has given the same answer before.
     bool rememberAnswer(const Call &call);
     //! Keeps a release until its upstream takes calls again, or drops it; \a upstream is null if
     //! none is listed at the address.
@@ -67,8 +73,7 @@
     IRelayHost &m_host;
     absl::flat_hash_map<uint64_t, Call> m_calls;
     absl::flat_hash_map<relay::BatchId, uint64_t> m_callsByBatch;
-    //! Hashes of the last answers of each upstream that named results.
-    absl::flat_hash_map<model::UpstreamId, std::deque<uint64_t>> m_answers;
+    absl::flat_hash_map<model::UpstreamId, KnownAnswers> m_answers;
     std::map<config::Endpoint, std::vector<relay::ResultHandle>> m_releases;
     model::TimePoint m_nextFlush = model::TimePoint::max();
 };
