--- a/src/daemon/internal/fleetapi.cpp
+++ b/src/daemon/internal/fleetapi.cpp
@@ -148,7 +148,7 @@
                        .knownTexts = knownTextsOf(request)});
 }
 
-void FleetApi::answerWatch(uint64_t exchange, std::string text)
+void FleetApi::answerWatch(uint64_t exchange, const std::string &text)
 {
     const auto it = m_stamps.find(exchange);
     if (it == m_stamps.end()) {
--- a/src/daemon/internal/fleetapi.h
+++ b/src/daemon/internal/fleetapi.h
@@ -98,7 +98,7 @@
     void watchPeer(const config::Endpoint &peer, const registry::WatchPeer &watch,
                    const WatchHandler &handler);
     //! Answers a watch passed to FleetDocuments::watch.
-    void answerWatch(uint64_t exchange, std::string text);
+    void answerWatch(uint64_t exchange, const std::string &text);
     //! Ends a watch because this daemon has no current content.
     void rejectWatch(uint64_t exchange);
 
