--- a/src/relay/internal/relayquarantine.cpp
+++ b/src/relay/internal/relayquarantine.cpp
@@ -76,7 +76,8 @@
            absl::StrCat("fingerprint=", absl::Hex(report.fingerprint.value()),
                         " parts=", partNames(exchange.arrived.promptParts),
                         " hashes=", hexNames(partCrash.parts), " beganMs=",
-                        attempt.beganAt ? model::toMilliseconds(now - *attempt.beganAt) : -1));
+                        attempt.beganAt ? model::toMilliseconds(now - *attempt.beganAt) : -1,
+                        " incarnation=", attempt.incarnation));
     const PartCrash published = crashReportOf(partCrash.parts, crashed);
     m_commands.emplace_back(PublishCrashReport {
         .report = report, .parts = published.parts, .partSketch = published.sketch});
