Relay: a crash that is reported with two starts of the upstream counts once

Cause: a report names the upstream with the start that the registry lists, and reports with different names were different crashes. An upstream that has returned takes requests before each daemon has read its new start, so one crash became two: one with the deadly part, one without. The part that all sound requests share was in both, and went before the deadly one. As no other part explained all of its crashes, no request was let through to clear it.

Change: reports of one upstream within the time of a crash belong together, whichever start they name; the crash keeps the latest of them, so that returns of one upstream count as before.

--- a/src/relay/internal/partcrashtable.cpp
+++ b/src/relay/internal/partcrashtable.cpp
@@ -2,6 +2,10 @@
 
 #include <algorithm>
 
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+#include "model/abslview.h"
 #include "model/hash.h"
 
 namespace citronpick::relay
@@ -20,8 +24,30 @@
 //! Keeps fingerprints of parts apart from other hashes of the same text.
 constexpr uint64_t partSeed = 0x70617274;
 
+struct Start {
+    std::string_view upstream;
+    uint64_t incarnation = 0;
+};
+
+Start startOf(const model::UpstreamId &name)
+{
+    const std::string_view text = name.text();
+    const size_t separator = text.rfind('/');
+    Start start {.upstream = text.substr(0, separator)};
+    if (separator != std::string_view::npos
+        && !absl::SimpleAtoi(model::toAbsl(text.substr(separator + 1)), &start.incarnation)) {
+        start.incarnation = 0;
+    }
+    return start;
+}
+
 } // namespace
 
+model::UpstreamId startName(const model::UpstreamId &upstream, uint64_t incarnation)
+{
+    return model::UpstreamId(absl::StrCat(upstream.text(), "/", incarnation));
+}
+
 PartFingerprints sharedParts(const std::vector<PromptPart> &parts)
 {
     PartFingerprints fingerprints;
@@ -55,14 +81,21 @@
     return 1.0 - allCorrect;
 }
 
+// An upstream that has returned takes requests before every daemon has read its new start, so
+// reports of one crash may name different starts.
 PartCrashTable::Crash &PartCrashTable::crashOf(const model::UpstreamId &upstream,
                                                model::TimePoint now)
 {
+    const Start start = startOf(upstream);
     const auto known
         = std::find_if(m_crashes.rbegin(), m_crashes.rend(), [&](const Crash &earlier) {
-              return earlier.upstream == upstream && now - earlier.at <= crashWindow;
+              return now - earlier.at <= crashWindow
+                     && startOf(earlier.upstream).upstream == start.upstream;
           });
     if (known != m_crashes.rend()) {
+        if (startOf(known->upstream).incarnation < start.incarnation) {
+            known->upstream = upstream;
+        }
         return *known;
     }
     if (m_crashes.size() >= maxCrashes) {
--- a/src/relay/internal/relayquarantine.cpp
+++ b/src/relay/internal/relayquarantine.cpp
@@ -63,9 +63,7 @@
     if (exchange.arrived.fingerprint.value() == 0) {
         return false;
     }
-    // An upstream can return under the same id; each of its crashes counts.
-    const model::UpstreamId crashed(
-        absl::StrCat(attempt.upstream.text(), "/", attempt.incarnation));
+    const model::UpstreamId crashed = startName(attempt.upstream, attempt.incarnation);
     const pipeline::CrashReport report {.fingerprint = exchange.arrived.fingerprint,
                                         .upstream = crashed};
     const bool mayBeCause = !attempt.beganAt || now - *attempt.beganAt <= crashDelay;
--- a/src/relay/partcrashtable.h
+++ b/src/relay/partcrashtable.h
@@ -21,11 +21,14 @@
 //! most specific one comes last.
 PartFingerprints sharedParts(const std::vector<PromptPart> &parts);
 
+//! Name of one start of an upstream. An upstream can return under the same id.
+model::UpstreamId startName(const model::UpstreamId &upstream, uint64_t incarnation);
+
 //! The connection to \a upstream was lost while it ran a request with these parts in its prompt.
 struct PartCrash {
     PartFingerprints parts;
     PartSketch sketch; //!< Of the parts of a long prompt that another daemon does not list.
-    model::UpstreamId upstream;
+    model::UpstreamId upstream; //!< With its start, see startName().
 
     friend bool operator==(const PartCrash &, const PartCrash &) = default;
 };
@@ -48,7 +51,7 @@
     };
     //! All requests that were lost when an upstream crashed.
     struct Crash {
-        model::UpstreamId upstream;
+        model::UpstreamId upstream; //!< With the latest start that a report names.
         model::TimePoint at;
         absl::flat_hash_map<model::Fingerprint, Occurrence> parts;
         std::vector<PartSketch> sketches;
@@ -58,7 +61,8 @@
         double errorRate() const;
     };
 
-    //! Reports of one upstream within a short time belong to the same crash.
+    //! Reports of one upstream within a short time belong to the same crash, whichever start of it
+    //! they name.
     void add(const PartCrash &report, model::TimePoint now);
     void forgetExpired(model::TimePoint now);
 
--- a/src/relay/tests/partquarantinetest.cpp
+++ b/src/relay/tests/partquarantinetest.cpp
@@ -39,6 +39,20 @@
     CHECK(fixture.isRefused({"deadly"}));
 }
 
+// Guards against the same if some daemon still knows the start before.
+TEST_CASE("Each crash of an upstream counts when it is also reported with the start before")
+{
+    PromptFixture fixture;
+    fixture.reportCrash({"deadly"}, "a/1");
+    for (int start = 2; start <= 3; ++start) {
+        fixture.advanceTime(model::seconds(4));
+        fixture.reportCrash({"deadly"}, absl::StrCat("a/", start - 1));
+        fixture.reportCrash({"deadly"}, absl::StrCat("a/", start));
+    }
+    fixture.passObjectionTime();
+    CHECK(fixture.isRefused({"deadly"}));
+}
+
 // Guards against sound parts that are refused in a deployment with many sessions: the time of the
 // last answer was forgotten in the order of the first answers.
 TEST_CASE("The last answer of a part in use is kept while many other parts are answered")
--- a/src/relay/tests/sharedparttest.cpp
+++ b/src/relay/tests/sharedparttest.cpp
@@ -17,6 +17,25 @@
     CHECK_FALSE(fixture.isRefused({"first", "shared"}));
 }
 
+// Guards against refusing all requests of a route (LOST): an upstream that has returned is used
+// before its new start is listed, so one crash was reported with two starts and counted twice
+// against the part that sound requests share.
+TEST_CASE("A crash that is reported with two starts of the upstream counts once")
+{
+    const auto [deadlyStart, soundStart] = GENERATE(std::pair {"2", "1"}, std::pair {"1", "2"});
+    PromptFixture fixture;
+    fixture.serve({"first", "shared"});
+    fixture.advanceTime(model::seconds(10));
+    for (const char *upstream : {"a/", "b/", "c/"}) {
+        fixture.reportCrash({"deadly", "shared"}, absl::StrCat(upstream, deadlyStart));
+        fixture.reportCrash({"second", "shared"}, absl::StrCat(upstream, soundStart));
+        fixture.advanceTime(milliseconds(600));
+    }
+    fixture.passObjectionTime();
+    CHECK(fixture.isRefused({"deadly", "shared"}));
+    CHECK_FALSE(fixture.isRefused({"first", "shared"}));
+}
+
 // Guards against the same at a daemon that has just started: streams take seconds to their end, but
 // a deadly part crashes its upstream at the first event.
 TEST_CASE("A stream that goes on clears the parts of its request before it is complete")
