Relay: a part that was answered is not the cause because of one report more

Cause: of the parts in the crashes, the one in the most was taken, and whether it had ever been answered decided only between equals. The count is that of the reports that have arrived. One late report that names the deadly part was enough to prefer a part that had been answered for minutes.

Change: a crash counts twice against a part that was never answered. A part that became deadly after it was answered is still found.

--- a/src/relay/internal/partquarantine.cpp
+++ b/src/relay/internal/partquarantine.cpp
@@ -20,6 +20,8 @@
 //! Time for the finding of another daemon to arrive.
 constexpr model::Duration announcementDelay = model::seconds(1);
 constexpr model::Duration peerSuspicionLifetime = model::seconds(60);
+//! A crash counts so often against a part that was never answered.
+constexpr size_t neverAnsweredWeight = 2;
 //! Parts that may be suspected because they were found in sketches by chance, on average.
 constexpr double maxChanceFinds = 0.01;
 constexpr model::Duration quarantineLifetime = model::seconds(600);
@@ -115,13 +117,14 @@
     return verdicts;
 }
 
-// The part that causes crashes is in all of them. So may be a part that many requests share. Of two
-// that explain as many crashes, the one that was never answered is more likely to be the cause;
-// else refusing the more specific one does less harm.
+// The part that causes crashes is in all of them. So may be a part that many requests share; that
+// one leads if reports of the other are late. Parts that were never answered are therefore more
+// likely to be the cause. Of equal ones, refusing the more specific one does less harm.
 std::tuple<size_t, bool, size_t, model::Fingerprint>
 PartQuarantine::rankOf(const Candidate &candidate)
 {
-    return {candidate.crashes, !candidate.wasAnswered, candidate.position, candidate.part};
+    const size_t weight = candidate.wasAnswered ? 1 : neverAnsweredWeight;
+    return {candidate.crashes * weight, !candidate.wasAnswered, candidate.position, candidate.part};
 }
 
 void PartQuarantine::judge(PartVerdicts &verdicts, model::TimePoint now)
--- a/src/relay/tests/sharedparttest.cpp
+++ b/src/relay/tests/sharedparttest.cpp
@@ -36,6 +36,34 @@
     CHECK_FALSE(fixture.isRefused({"first", "shared"}));
 }
 
+// Guards against the same if reports that name the deadly part are late or missing.
+TEST_CASE("An answered part goes before one that never was only if it is in many more crashes")
+{
+    PromptFixture fixture;
+    fixture.serve({"first", "shared"});
+    fixture.advanceTime(model::seconds(10));
+    fixture.reportCrashes({"deadly", "shared"});
+    fixture.reportCrash({"second", "shared"}, "d");
+    fixture.passObjectionTime();
+    CHECK(fixture.isRefused({"deadly", "shared"}));
+    CHECK_FALSE(fixture.isRefused({"first", "shared"}));
+}
+
+// Guards against upstreams that go on to crash: a part can become deadly after it was answered.
+TEST_CASE("An answered part is quarantined although one that never was is in some of its crashes")
+{
+    PromptFixture fixture;
+    fixture.serve({"deadly"});
+    fixture.advanceTime(model::seconds(10));
+    fixture.reportCrashes({"deadly", "session"});
+    for (const char *upstream : {"d", "e", "f"}) {
+        fixture.reportCrash({"deadly"}, upstream);
+        fixture.advanceTime(milliseconds(600));
+    }
+    fixture.passObjectionTime();
+    CHECK(fixture.isRefused({"deadly"}));
+}
+
 // Guards against the same at a daemon that has just started: streams take seconds to their end, but
 // a deadly part crashes its upstream at the first event.
 TEST_CASE("A stream that goes on clears the parts of its request before it is complete")
