Relay: a daemon that knows few of the crashes lets no trial through

Cause: after 2 s, requests without one of the other parts that explain the same crashes are let through, as their answers tell which part it is. A daemon that has just started is told of the quarantine, but of the last crashes only. With one crash, all parts that were lost with that upstream seemed to explain it, those of other sessions among them. Most deadly requests are without one of these, so each daemon that started let one through, and crashed an upstream.

Change: only a daemon that knows enough crashes to suspect the part itself looks for other explanations; else nothing is let through there.

--- a/src/relay/internal/partquarantine.cpp
+++ b/src/relay/internal/partquarantine.cpp
@@ -279,9 +279,15 @@
     return crash.parts.contains(part) && answeredAt(part) < crash.at;
 }
 
-// If only one of two parts was answered before the crashes, the other one is the likely cause.
+// If only one of two parts was answered before the crashes, the other one is the likely cause. A
+// daemon that knows few of the crashes, as it has just started, cannot tell what explains them all.
 PartFingerprints PartQuarantine::alternativesTo(model::Fingerprint part) const
 {
+    const auto rows = countCrashes(Counted::All);
+    const auto row = rows.find(part);
+    if (row == rows.end() || !isEnough(row->second)) {
+        return {};
+    }
     std::vector<const Crash *> crashes;
     for (const Crash &crash : m_crashes.crashes()) {
         if (countsAgainst(crash, part)) {
@@ -289,9 +295,6 @@
         }
     }
     PartFingerprints alternatives;
-    if (crashes.empty()) {
-        return alternatives;
-    }
     for (const auto &[other, position] : crashes.front()->parts) {
         const bool isLessLikely = m_answeredAt.contains(other) && !m_answeredAt.contains(part);
         const bool explainsAll
--- a/src/relay/tests/sharedparttest.cpp
+++ b/src/relay/tests/sharedparttest.cpp
@@ -156,3 +156,16 @@
     fixture.advanceTime(model::seconds(59));
     CHECK(fixture.isRefused({"first", "shared"}));
 }
+
+// Guards against a crash at each daemon that has just started (BUDGET): it knows of one crash, so
+// all parts in it seemed to be explanations, and most deadly requests are without one of these.
+TEST_CASE("A daemon that is told of a quarantine but not of the crashes lets no trial through")
+{
+    PromptFixture fixture;
+    fixture.reportCrash({"deadly", "shared", "first"}, "a");
+    fixture.reportCrash({"shared", "second"}, "a");
+    fixture.system.onPeerQuarantinedPart(PromptFixture::fingerprint("deadly"), model::seconds(3),
+                                         fixture.now);
+    fixture.advanceTime({});
+    CHECK(fixture.isRefused({"deadly", "shared", "third"}));
+}
