Relay: crashes that other daemons report count from when they happened

Cause: a report of another daemon counted from its arrival. A daemon that has just started gets all reports of the last 5 s at once, and a part is suspected only if the first and the last crash are a second apart.

Change: the age of a report, which each fact carries, is used.

Result: "Crashes that other daemons report count from when they happened" fails with the time of arrival.

--- a/src/daemon/internal/relayfleet.cpp
+++ b/src/daemon/internal/relayfleet.cpp
@@ -73,7 +73,7 @@
             m_relay->onPeerPartCrash({.parts = crash.parts,
                                       .sketch = relay::PartSketch(crash.partSketch),
                                       .upstream = crash.upstream},
-                                     now);
+                                     age, now);
         }
     }
     for (const auto &[suspected, age] : updates.suspectedParts) {
--- a/src/relay/internal/partcrashtable.cpp
+++ b/src/relay/internal/partcrashtable.cpp
@@ -84,12 +84,12 @@
 // An upstream that has returned takes requests before every daemon has read its new start, so
 // reports of one crash may name different starts.
 PartCrashTable::Crash &PartCrashTable::crashOf(const model::UpstreamId &upstream,
-                                               model::TimePoint now)
+                                               model::TimePoint at)
 {
     const Start start = startOf(upstream);
     const auto known
         = std::find_if(m_crashes.rbegin(), m_crashes.rend(), [&](const Crash &earlier) {
-              return now - earlier.at <= crashWindow
+              return std::chrono::abs(at - earlier.at) <= crashWindow
                      && startOf(earlier.upstream).upstream == start.upstream;
           });
     if (known != m_crashes.rend()) {
@@ -101,13 +101,16 @@
     if (m_crashes.size() >= maxCrashes) {
         m_crashes.pop_front();
     }
-    return m_crashes.emplace_back(
-        Crash {.upstream = upstream, .at = now, .parts = {}, .sketches = {}});
+    // Reports of other daemons may arrive in another order.
+    const auto later = std::find_if(m_crashes.begin(), m_crashes.end(),
+                                    [&](const Crash &other) { return other.at > at; });
+    return *m_crashes.insert(later,
+                             Crash {.upstream = upstream, .at = at, .parts = {}, .sketches = {}});
 }
 
-void PartCrashTable::add(const PartCrash &report, model::TimePoint now)
+void PartCrashTable::add(const PartCrash &report, model::TimePoint at)
 {
-    Crash &crash = crashOf(report.upstream, now);
+    Crash &crash = crashOf(report.upstream, at);
     addListed(crash, report.parts);
     if (!report.sketch.isEmpty()) {
         addSketch(crash, report.sketch);
--- a/src/relay/internal/partquarantine.cpp
+++ b/src/relay/internal/partquarantine.cpp
@@ -36,12 +36,12 @@
 
 } // namespace
 
-void PartQuarantine::addCrash(const PartCrash &crash, model::TimePoint now)
+void PartQuarantine::addCrash(const PartCrash &crash, model::TimePoint at, model::TimePoint now)
 {
     if (crash.parts.empty() && crash.sketch.isEmpty()) {
         return;
     }
-    m_crashes.add(crash, now);
+    m_crashes.add(crash, at);
     noteTrialCrash(crash, now);
     m_nextRun = now;
 }
--- a/src/relay/internal/relayquarantine.cpp
+++ b/src/relay/internal/relayquarantine.cpp
@@ -84,7 +84,7 @@
         record(EventCode::RequestQuarantined, exchange, attempt.upstream.text(),
                absl::StrCat("fingerprint=", absl::Hex(report.fingerprint.value())));
     }
-    m_partQuarantine.addCrash(partCrash, now);
+    m_partQuarantine.addCrash(partCrash, now, now);
     return isRequestQuarantined;
 }
 
@@ -159,9 +159,9 @@
     }
 }
 
-void RelaySystem::onPeerPartCrash(const PartCrash &crash, model::TimePoint now)
+void RelaySystem::onPeerPartCrash(const PartCrash &crash, model::Duration age, model::TimePoint now)
 {
-    m_partQuarantine.addCrash(crash, now);
+    m_partQuarantine.addCrash(crash, now - age, now);
 }
 
 void RelaySystem::onPeerSuspectedPart(const PartSuspicion &suspicion, model::TimePoint now)
--- a/src/relay/partcrashtable.h
+++ b/src/relay/partcrashtable.h
@@ -63,7 +63,7 @@
 
     //! Reports of one upstream within a short time belong to the same crash, whichever start of it
     //! they name.
-    void add(const PartCrash &report, model::TimePoint now);
+    void add(const PartCrash &report, model::TimePoint at);
     void forgetExpired(model::TimePoint now);
 
     //! Oldest first.
@@ -73,8 +73,8 @@
     }
 
 private:
-    //! The crash of the upstream that is under way; a new one if there is none.
-    Crash &crashOf(const model::UpstreamId &upstream, model::TimePoint now);
+    //! The crash of the upstream at that time; a new one if there is none.
+    Crash &crashOf(const model::UpstreamId &upstream, model::TimePoint at);
     void addListed(Crash &crash, const PartFingerprints &parts);
     void addSketch(Crash &crash, const PartSketch &sketch);
     void limitSize();
--- a/src/relay/partquarantine.h
+++ b/src/relay/partquarantine.h
@@ -42,9 +42,9 @@
 class PartQuarantine
 {
 public:
-    //! A request was lost, here or at another daemon. Reports of one upstream within a short time
-    //! belong to the same crash.
-    void addCrash(const PartCrash &crash, model::TimePoint now);
+    //! A request was lost at \a at, here or at another daemon. Reports of one upstream within a
+    //! short time belong to the same crash.
+    void addCrash(const PartCrash &crash, model::TimePoint at, model::TimePoint now);
 
     //! A request with these parts was answered here, completely or for longer than a part that
     //! crashes upstreams lets them run. Returns the parts that are suspected or in quarantine; they
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -115,8 +115,8 @@
     void onForwardFailed(JobId job, model::TimePoint now);
     //! Another daemon reports that the connection to an upstream broke while it ran a request.
     void onPeerCrashReport(const pipeline::CrashReport &report, model::TimePoint now);
-    //! The same for the parts of that request's prompt.
-    void onPeerPartCrash(const PartCrash &crash, model::TimePoint now);
+    //! The same for the parts of that request's prompt, which was lost \a age ago.
+    void onPeerPartCrash(const PartCrash &crash, model::Duration age, model::TimePoint now);
     //! Another daemon suspects a part of prompts.
     void onPeerSuspectedPart(const PartSuspicion &suspicion, model::TimePoint now);
     //! Another daemon found \a age ago that a part of prompts crashes upstreams.
--- a/src/relay/tests/partquarantinetest.cpp
+++ b/src/relay/tests/partquarantinetest.cpp
@@ -53,6 +53,19 @@
     CHECK(fixture.isRefused({"deadly"}));
 }
 
+// Guards against a part that is found late while daemons restart: crashes counted from when the
+// reports arrived, which is the same moment for all of them at a daemon that has just started.
+TEST_CASE("Crashes that other daemons report count from when they happened")
+{
+    PromptFixture fixture;
+    fixture.reportCrash({"deadly"}, "a", milliseconds(2500));
+    fixture.reportCrash({"deadly"}, "c", milliseconds(600));
+    fixture.reportCrash({"deadly"}, "b", milliseconds(1900));
+    CHECK(fixture.count<PublishSuspectedPart>() == 1);
+    fixture.passObjectionTime();
+    CHECK(fixture.isRefused({"deadly"}));
+}
+
 // Guards against sound parts that are refused in a deployment with many sessions: the time of the
 // last answer was forgotten in the order of the first answers.
 TEST_CASE("The last answer of a part in use is kept while many other parts are answered")
--- a/src/relay/tests/partsketchtest.cpp
+++ b/src/relay/tests/partsketchtest.cpp
@@ -43,7 +43,7 @@
         fixture.crash(longPrompt("deadly", passages));
         for (const char *upstream : {"a", "b", "c", "d", "e"}) {
             fixture.advanceTime(milliseconds(300));
-            fixture.system.onPeerPartCrash(reported(longPrompt("deadly", passages), upstream),
+            fixture.system.onPeerPartCrash(reported(longPrompt("deadly", passages), upstream), {},
                                            fixture.now);
         }
         fixture.advanceTime({});
@@ -61,10 +61,10 @@
     PromptFixture fixture;
     for (int i = 0; i < 6; ++i) {
         fixture.crash(longPrompt("first" + std::to_string(i), passages));
-        fixture.system.onPeerPartCrash(reported(longPrompt("other", passages), absl::StrCat(i)),
+        fixture.system.onPeerPartCrash(reported(longPrompt("other", passages), absl::StrCat(i)), {},
                                        fixture.now);
         fixture.system.onPeerPartCrash(
-            reported(longPrompt("another" + std::to_string(i), passages), absl::StrCat(i)),
+            reported(longPrompt("another" + std::to_string(i), passages), absl::StrCat(i)), {},
             fixture.now);
         fixture.advanceTime(milliseconds(600));
     }
--- a/src/relay/tests/promptfixture.h
+++ b/src/relay/tests/promptfixture.h
@@ -82,11 +82,12 @@
         return count<StartAttempt>() == 0 && take<RefuseRequest>().refusal == Refusal::Quarantined;
     }
 
-    //! Another daemon reports that a request with these parts crashed an upstream.
-    void reportCrash(const std::vector<std::string> &shared, const std::string &upstream)
+    //! Another daemon reports that a request with these parts crashed an upstream \a age ago.
+    void reportCrash(const std::vector<std::string> &shared, const std::string &upstream,
+                     model::Duration age = {})
     {
         system.onPeerPartCrash(
-            {.parts = fingerprints(shared), .upstream = model::UpstreamId(upstream)}, now);
+            {.parts = fingerprints(shared), .upstream = model::UpstreamId(upstream)}, age, now);
         advanceTime({});
     }
     //! Requests with these parts crash three upstreams one after the other.
