Log of a planned stop: connections that are cut, repeated SIGTERM, what an aborted answer waited for

Change: 818 tells of each connection that the daemon closes while its caller may expect something (time limit, write error, room, end of the process), with the request's id and the bytes unsent, unacknowledged and unread. 110 tells of another SIGTERM. 808 says whether the daemon stops, and at a time limit whether an upstream was at work and how long it had been silent; 104 and 105 how long the stop took. No logic changes.

Measured: two tests of 818 in net_test.

--- a/src/daemon/internal/exchangerunner.cpp
+++ b/src/daemon/internal/exchangerunner.cpp
@@ -98,6 +98,7 @@
     arrived.startedAt = request.startedAt;
     arrived.fingerprint = computeFingerprint(arrived, request);
     m_pendingRequests[id] = {.request = std::move(request), .callerId = arrived.callerId};
+    m_server.nameRequest(exchange, arrived.callerId.text());
     m_system.onRequestArrived(std::move(arrived), net::EventLoop::now());
     m_host.execute();
 }
@@ -122,6 +123,17 @@
     }
 }
 
+void ExchangeRunner::onConnectionCut(const net::CutConnection &cut)
+{
+    m_host.record({.code = observability::EventCode::ConnectionCut,
+                   .request = model::CallerRequestId(cut.request),
+                   .subject = std::string(toString(cut.reason)),
+                   .detail = absl::StrCat("open=", cut.isResponseOpen ? 1 : 0,
+                                          " unsentBytes=", cut.unsentBytes,
+                                          " unacknowledgedBytes=", cut.unacknowledgedBytes,
+                                          " unreadBytes=", cut.unreadBytes)});
+}
+
 void ExchangeRunner::setPaused(model::AttemptId id, const Attempt &attempt, bool isPaused)
 {
     m_client.setPaused(attempt.call, isPaused);
--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -197,6 +197,9 @@
     }
     // Writes that were started outside the event loop complete in its next iteration.
     m_loop.runOnce(model::Duration::zero());
+    if (m_isFinished) {
+        m_exchanges->server().reportUnfinished();
+    }
     return !m_isFinished;
 }
 
@@ -300,6 +303,11 @@
 {
     const model::TimePoint now = net::EventLoop::now();
     if (m_drainingSince) {
+        record({.code = EventCode::StopRepeated,
+                .request = {},
+                .subject = m_settings.daemon.text(),
+                .detail = absl::StrCat("afterMs=", model::toMilliseconds(now - *m_drainingSince),
+                                       " requests=", m_relay->requestCount())});
         m_drainEndsAt = std::min(m_drainEndsAt, now + flushPeriod);
         m_relay->beginShutdown(now, model::Duration::zero());
         return;
@@ -333,7 +341,10 @@
         record({.code = isIdle ? EventCode::DrainComplete : EventCode::DrainCut,
                 .request = {},
                 .subject = m_settings.daemon.text(),
-                .detail = absl::StrCat("requests=", m_relay->requestCount())});
+                .detail
+                = absl::StrCat("requests=", m_relay->requestCount(),
+                               " connections=", m_exchanges->server().connectionCount(),
+                               " afterMs=", model::toMilliseconds(now - *m_drainingSince))});
         // The event loop runs once more and may read another request.
         m_relay->beginShutdown(now, model::Duration::zero());
         m_isFinished = true;
--- a/src/net/exchangeserver.h
+++ b/src/net/exchangeserver.h
@@ -22,6 +22,28 @@
     model::TimePoint startedAt; //!< Time at which its first byte was read.
 };
 
+//! Why a connection was closed on this side.
+enum class CloseReason {
+    WriteFailed,
+    TimedOut,
+    NoRoom,
+    ProcessEnds,
+};
+
+std::string_view toString(CloseReason reason);
+
+//! A connection that was closed although its caller may still have expected something.
+struct CutConnection {
+    std::string request; //!< As set by nameRequest() for its last request; empty without one.
+    CloseReason reason = CloseReason::TimedOut;
+    bool isResponseOpen = false; //!< The handler had not ended the response.
+    size_t unsentBytes = 0; //!< Of responses, not passed to the system.
+    size_t unacknowledgedBytes = 0; //!< Passed to the system, and not confirmed by the caller.
+    size_t unreadBytes = 0; //!< Received and not read; they turn the close into a reset.
+
+    friend bool operator==(const CutConnection &, const CutConnection &) = default;
+};
+
 //! Receives the requests and connection events of an ExchangeServer. An exchange is one request
 //! with its response; exchange numbers are never reused.
 class IExchangeHandler
@@ -37,6 +59,11 @@
     {
         static_cast<void>(exchange);
     }
+    //! A connection is closed for a reason of this side. Not called for abort().
+    virtual void onConnectionCut(const CutConnection &cut)
+    {
+        static_cast<void>(cut);
+    }
 };
 
 //! Limits that an ExchangeServer enforces on its callers.
@@ -102,6 +129,11 @@
     //! reused. Zero if the exchange has ended.
     uint64_t connectionOf(uint64_t exchange) const;
 
+    //! Sets the name under which onConnectionCut() reports the request of an open exchange.
+    void nameRequest(uint64_t exchange, std::string name);
+    //! Reports each connection that the end of the process will cut.
+    void reportUnfinished();
+
     //! Ends connections that have exceeded their timeout. Must be called a few times per second.
     void sweep(model::TimePoint now);
 
--- a/src/net/internal/exchangeserver.cpp
+++ b/src/net/internal/exchangeserver.cpp
@@ -3,10 +3,13 @@
 #include <algorithm>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <optional>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <vector>
 
+#include <linux/sockios.h>
+
 #include <absl/container/flat_hash_map.h>
 #include <absl/strings/str_cat.h>
 
@@ -48,15 +51,35 @@
     return text.capacity() > std::string().capacity() ? text.capacity() : 0;
 }
 
-size_t unreadBytes(h2o_socket_t *socket)
+size_t queueBytes(h2o_socket_t *socket, unsigned long request)
 {
     int bytes = 0;
-    const int result = ioctl(h2o_socket_get_fd(socket), FIONREAD, &bytes);
+    const int result = ioctl(h2o_socket_get_fd(socket), request, &bytes);
     return result == 0 && bytes > 0 ? static_cast<size_t>(bytes) : 0;
 }
 
+size_t unreadBytes(h2o_socket_t *socket)
+{
+    return queueBytes(socket, FIONREAD);
+}
+
 } // namespace
 
+std::string_view toString(CloseReason reason)
+{
+    switch (reason) {
+    case CloseReason::WriteFailed:
+        return "write-failed";
+    case CloseReason::TimedOut:
+        return "timed-out";
+    case CloseReason::NoRoom:
+        return "no-room";
+    case CloseReason::ProcessEnds:
+        return "process-ends";
+    }
+    return "timed-out";
+}
+
 class ExchangeServer::Impl
 {
 public:
@@ -107,6 +130,7 @@
         MessageParser parser;
         IncomingRequest request;
         uint64_t exchange = 0; //!< Zero while no request awaits its response.
+        std::string requestName; //!< Of the last request.
         std::string sending; //!< Passed to the socket.
         std::string queued; //!< To be sent once the current write has completed.
         bool isHeadRequest = false;
@@ -193,7 +217,7 @@
             rejectForRoom(connection);
         } else if (connection.isWriting) {
             ++m_roomCounters.slowReaders;
-            destroy(connection);
+            cut(connection, CloseReason::NoRoom);
         }
     }
 
@@ -217,7 +241,7 @@
             return false;
         }
         ++m_roomCounters.silent;
-        destroy(*oldest);
+        cut(*oldest, CloseReason::NoRoom);
         return true;
     }
 
@@ -521,7 +545,7 @@
         Connection &connection = *static_cast<Connection *>(socket->data);
         connection.isWriting = false;
         if (error) {
-            connection.owner.destroy(connection);
+            connection.owner.cut(connection, CloseReason::WriteFailed);
             return;
         }
         // Releases the memory as well, because most connections stay open without traffic.
@@ -563,6 +587,34 @@
         }
     }
 
+    void reportCut(const Connection &connection, CloseReason reason)
+    {
+        const CutConnection cut {
+            .request = connection.requestName,
+            .reason = reason,
+            .isResponseOpen = connection.exchange != 0,
+            .unsentBytes = connection.queued.size() + connection.sending.size(),
+            .unacknowledgedBytes = queueBytes(connection.socket, SIOCOUTQ),
+            .unreadBytes = connection.isLingering ? 0 : unreadBytes(connection.socket)};
+        // Callers acknowledge late, so that unacknowledged bytes alone show nothing.
+        if (cut.isResponseOpen || cut.unsentBytes + cut.unreadBytes > 0) {
+            m_handler.onConnectionCut(cut);
+        }
+    }
+
+    void reportUnfinished()
+    {
+        for (const auto &[id, connection] : m_connections) {
+            reportCut(*connection, CloseReason::ProcessEnds);
+        }
+    }
+
+    void cut(Connection &connection, CloseReason reason)
+    {
+        reportCut(connection, reason);
+        destroy(connection);
+    }
+
     void destroy(Connection &connection)
     {
         const uint64_t exchange = connection.exchange;
@@ -596,7 +648,7 @@
                 constexpr uint16_t requestTimeout = 408;
                 reject(*connection, requestTimeout);
             } else {
-                destroy(*connection);
+                cut(*connection, CloseReason::TimedOut);
             }
         }
     }
@@ -703,6 +755,18 @@
     m_impl->abort(exchange);
 }
 
+void ExchangeServer::nameRequest(uint64_t exchange, std::string name)
+{
+    if (Impl::Connection *connection = m_impl->find(exchange)) {
+        connection->requestName = std::move(name);
+    }
+}
+
+void ExchangeServer::reportUnfinished()
+{
+    m_impl->reportUnfinished();
+}
+
 uint64_t ExchangeServer::connectionOf(uint64_t exchange) const
 {
     const auto it = m_impl->m_exchanges.find(exchange);
--- a/src/net/tests/exchangeservertest.cpp
+++ b/src/net/tests/exchangeservertest.cpp
@@ -21,10 +21,15 @@
     {
         disconnected.push_back(exchange);
     }
+    void onConnectionCut(const CutConnection &cut) override
+    {
+        cuts.push_back(cut);
+    }
 
     std::vector<uint64_t> exchanges;
     std::vector<IncomingRequest> requests;
     std::vector<uint64_t> disconnected;
+    std::vector<CutConnection> cuts;
 };
 
 struct Fixture {
@@ -97,6 +102,41 @@
     }
 }
 
+// Guards against answers that end without a log line, so that their cause stays unknown.
+TEST_CASE("A connection that the end of the process will cut is reported with its request")
+{
+    Fixture fixture;
+    RawPeer peer = fixture.sendRequest(simpleRequest);
+    const uint64_t exchange = fixture.handler.exchanges[0];
+    fixture.server.nameRequest(exchange, "r1");
+    fixture.server.reportUnfinished();
+    REQUIRE(fixture.handler.cuts.size() == 1);
+    CHECK(fixture.handler.cuts[0]
+          == CutConnection {
+              .request = "r1", .reason = CloseReason::ProcessEnds, .isResponseOpen = true});
+
+    fixture.server.respond(exchange, 200, {}, "body");
+    REQUIRE(fixture.waitFor(peer, "body"));
+    REQUIRE(runUntil(fixture.loop, [&] { return !fixture.server.hasUnsentResponses(); }));
+    fixture.server.reportUnfinished();
+    CHECK(fixture.handler.cuts.size() == 1);
+}
+
+// Guards against the same for a connection that a time limit closes.
+TEST_CASE("A connection that is closed with bytes unread is reported")
+{
+    Fixture fixture;
+    RawPeer peer = fixture.sendRequest(simpleRequest);
+    fixture.server.respond(fixture.handler.exchanges[0], 200, {}, "body");
+    REQUIRE(fixture.waitFor(peer, "body"));
+    REQUIRE(runUntil(fixture.loop, [&] { return !fixture.server.hasUnsentResponses(); }));
+    peer.send(simpleRequest);
+    fixture.server.reportUnfinished();
+    REQUIRE(fixture.handler.cuts.size() == 1);
+    CHECK(fixture.handler.cuts[0].unreadBytes == simpleRequest.size());
+    CHECK_FALSE(fixture.handler.cuts[0].isResponseOpen);
+}
+
 TEST_CASE("An aborted chunked response has no last chunk")
 {
     Fixture fixture;
--- a/src/net/tests/rawpeer.h
+++ b/src/net/tests/rawpeer.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 #include "net/eventloop.h"
 
--- a/src/observability/event.h
+++ b/src/observability/event.h
@@ -23,6 +23,7 @@
     ProcessWasPaused = 107,
     SettingsReloaded = 108,
     SettingsRejected = 109,
+    StopRepeated = 110,
     ConfigurationAccepted = 201,
     ConfigurationRejected = 202,
     ConfigurationOlder = 203,
@@ -89,6 +90,7 @@
     ReleaseHeld = 815,
     RoomMade = 816,
     StageMoved = 817,
+    ConnectionCut = 818,
     LinesSuppressed = 901,
 };
 
--- a/src/observability/internal/event.cpp
+++ b/src/observability/internal/event.cpp
@@ -22,6 +22,7 @@
     EventDescription {ProcessWasPaused, Warning, "process-was-paused"},
     EventDescription {SettingsReloaded, Info, "settings-reloaded"},
     EventDescription {SettingsRejected, Warning, "settings-rejected"},
+    EventDescription {StopRepeated, Info, "stop-repeated"},
     EventDescription {ConfigurationAccepted, Info, "configuration-accepted"},
     EventDescription {ConfigurationRejected, Error, "configuration-rejected"},
     EventDescription {ConfigurationOlder, Warning, "configuration-older"},
@@ -88,6 +89,7 @@
     EventDescription {ReleaseHeld, Info, "release-held"},
     EventDescription {RoomMade, Warning, "room-made"},
     EventDescription {StageMoved, Info, "stage-moved"},
+    EventDescription {ConnectionCut, Warning, "connection-cut"},
     EventDescription {LinesSuppressed, Warning, "lines-suppressed"},
 };
 
--- a/src/relay/internal/relaysystem.cpp
+++ b/src/relay/internal/relaysystem.cpp
@@ -251,6 +251,7 @@
 {
     const model::RequestId id = exchange.arrived.request;
     ++m_counters.answersAborted;
+    absl::StrAppend(&detail, " stopping=", m_shutdownAt == model::TimePoint::max() ? 0 : 1);
     record(EventCode::AnswerBroken, exchange, exchange.route->id.text(), std::move(detail));
     m_commands.emplace_back(AbortAnswer {.request = id});
     closeExchange(id);
@@ -304,7 +305,14 @@
         return;
     }
     if (exchange->isAnswerStarted) {
-        abortAnswer(*exchange, exchange->isLimitedByShutdown ? "why=stopping" : "why=timed-out");
+        const auto attempt = m_attempts.find(exchange->attempt);
+        const model::Duration silent = attempt == m_attempts.end()
+                                           ? model::Duration::zero()
+                                           : now - attempt->second.lastProgressAt;
+        abortAnswer(*exchange,
+                    absl::StrCat("why=", exchange->isLimitedByShutdown ? "stopping" : "timed-out",
+                                 " hasUpstream=", attempt == m_attempts.end() ? 0 : 1,
+                                 " silentMs=", model::toMilliseconds(silent)));
         return;
     }
     refuse(id, exchange->sentAttempts == 0 ? Refusal::TooLate : Refusal::TimedOut,
