Relay: a silent answer that nothing can resume is left to its caller

Cause: the daemon measured the callers' time limit from the last event that it had read, and aborted the answer when that had passed, although the upstream could still go on. Its clock starts earlier than the caller's, so it was always first.

Change: such an answer ends with its upstream, its caller or its deadline only. The silence still counts as a failure of the upstream (819, once for each silence). A stream that another upstream can resume is resumed as before.

Evidence: "A silent stream that no other upstream can resume is left to its caller" failed before for both kinds of stream, in calm and in a stop (one cancelled attempt and one aborted answer where none is wanted).

--- a/src/observability/event.h
+++ b/src/observability/event.h
@@ -91,6 +91,7 @@
     RoomMade = 816,
     StageMoved = 817,
     ConnectionCut = 818,
+    AttemptSilent = 819,
     LinesSuppressed = 901,
 };
 
--- a/src/observability/internal/event.cpp
+++ b/src/observability/internal/event.cpp
@@ -90,6 +90,7 @@
     EventDescription {RoomMade, Warning, "room-made"},
     EventDescription {StageMoved, Info, "stage-moved"},
     EventDescription {ConnectionCut, Warning, "connection-cut"},
+    EventDescription {AttemptSilent, Warning, "attempt-silent"},
     EventDescription {LinesSuppressed, Warning, "lines-suppressed"},
 };
 
--- a/src/relay/internal/relayanswers.cpp
+++ b/src/relay/internal/relayanswers.cpp
@@ -124,8 +124,20 @@
 
 bool RelaySystem::canResume(const Exchange &exchange, model::TimePoint now)
 {
-    return exchange.route->kind == RequestKind::ResumableStream && canRetry(exchange, now)
-           && m_chooser.choose(criteriaOf(exchange), now);
+    return exchange.route->kind == RequestKind::ResumableStream && !isQuarantined(exchange, now)
+           && canRetry(exchange, now) && m_chooser.choose(criteriaOf(exchange), now);
+}
+
+// Counts as a failure of the upstream, once for each period of silence.
+void RelaySystem::noteSilence(const Exchange &exchange, Attempt &attempt, model::TimePoint now)
+{
+    if (attempt.silenceNotedAt >= attempt.lastProgressAt) {
+        return;
+    }
+    attempt.silenceNotedAt = now;
+    m_directory.noteFailure(attempt.upstream, now);
+    record(EventCode::AttemptSilent, exchange, attempt.upstream.text(),
+           absl::StrCat("silentMs=", model::toMilliseconds(now - attempt.lastProgressAt)));
 }
 
 void RelaySystem::checkProgress(Exchange &exchange, model::TimePoint now)
@@ -142,10 +154,16 @@
         return;
     }
     // Without another upstream, cancelling the attempt would only end the caller's answer. The
-    // silent upstream may still go on while the caller waits.
+    // silent upstream may still go on while the caller waits, and the caller knows best how long it
+    // does.
     const model::TimePoint callerLimit = since + callerTimeout(*exchange.route);
-    if (now < callerLimit && !canResume(exchange, now)) {
-        m_timeouts.add(std::min(callerLimit, now + resumeCheckInterval), exchange.arrived.request);
+    if (!canResume(exchange, now)) {
+        if (now >= callerLimit) {
+            noteSilence(exchange, it->second, now);
+        }
+        const model::TimePoint nextCheck = now + resumeCheckInterval;
+        m_timeouts.add(now < callerLimit ? std::min(callerLimit, nextCheck) : nextCheck,
+                       exchange.arrived.request);
         return;
     }
     abandonAttempt(id, AttemptFailure::TimedOut,
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -196,6 +196,7 @@
         bool isOnEngine = false; //!< The upstream is a model engine.
         model::TimePoint startedAt;
         model::TimePoint lastProgressAt; //!< When the last event of the answer was received.
+        model::TimePoint silenceNotedAt; //!< When a lack of events last counted as a failure.
         bool isPaused = false; //!< Not read, because the caller reads slowly.
         bool isResumption = false; //!< The caller already has the first part of the answer.
         std::optional<model::TimePoint> beganAt; //!< When the head of the answer was received.
@@ -296,6 +297,7 @@
     static model::Duration progressTimeout(const Exchange &exchange);
     bool canResume(const Exchange &exchange, model::TimePoint now);
     void checkProgress(Exchange &exchange, model::TimePoint now);
+    void noteSilence(const Exchange &exchange, Attempt &attempt, model::TimePoint now);
     model::Duration stageTime(const Exchange &exchange, uint32_t stage, Estimate estimate) const;
     model::Duration timeAfterStage(const Exchange &exchange, uint32_t stage,
                                    Estimate estimate) const;
--- a/src/relay/tests/unansweredtest.cpp
+++ b/src/relay/tests/unansweredtest.cpp
@@ -43,6 +43,47 @@
     }
 }
 
+// Guards against LOST: the daemon closed a stream whose upstream was silent, shortly before the
+// caller would have given up, while the upstream could still have gone on.
+TEST_CASE("A silent stream that no other upstream can resume is left to its caller")
+{
+    RelayFixture fixture(1);
+    ConfigurationContent content = RelayFixture::configuration(2)->content();
+    for (RouteRule &route : content.routes) {
+        route.latencyTarget = milliseconds(300);
+        route.pauseTarget = milliseconds(100);
+    }
+    fixture.system.setConfiguration(std::make_shared<RelayConfiguration>(std::move(content)));
+    const std::string path = GENERATE(as<std::string>(), "/stream/x", "/resume/x");
+    CAPTURE(path);
+    const model::RequestId id = fixture.arrive(path);
+    const auto attempt = fixture.take<StartAttempt>();
+    fixture.head(attempt.attempt, RelayFixture::success());
+    SECTION("in calm") { }
+    SECTION("in a planned stop")
+    {
+        fixture.system.beginShutdown(fixture.now, model::seconds(7));
+    }
+    for (int i = 0; i < 30; ++i) {
+        fixture.advanceTime(milliseconds(200));
+    }
+    CHECK(fixture.count<CancelAttempt>() == 0);
+    CHECK(fixture.count<AbortAnswer>() == 0);
+    // Its silence is held against the upstream all the same.
+    CHECK(fixture.system.upstreams().find(attempt.upstream)->consecutiveFailures > 0);
+    SECTION("until the caller leaves")
+    {
+        fixture.system.onCallerDisconnected(id, fixture.now);
+        fixture.collect();
+        CHECK(fixture.take<CancelAttempt>().attempt == attempt.attempt);
+    }
+    SECTION("until the upstream goes on")
+    {
+        fixture.end(attempt.attempt);
+        CHECK(fixture.count<FinishStream>() == 1);
+    }
+}
+
 // Guards against answers that end without a log line, so that their cause stays unknown.
 TEST_CASE("A stream that ends because no upstream is left to resume it is logged as broken")
 {
