Relay: a stopping daemon keeps a silent stream whose stages would have to run again

What callers saw: the connection closed in a planned stop although the upstream of their stream was only silent for a moment (LOST).

Cause: after a second or more of silence a resumable stream is moved to another upstream. If its stage results were released, all stages run again first.

Change: a stopping daemon doesn't give up an upstream that is only silent for a stream whose stages have to run again. An upstream that is lost is replaced as before.

--- a/src/relay/internal/relayanswers.cpp
+++ b/src/relay/internal/relayanswers.cpp
@@ -122,10 +122,15 @@
     abandonAttempt(id, AttemptFailure::Malformed, "why=oversized-failure", now);
 }
 
+// A silent upstream may still go on. In a shutdown, its stream is not given up for one whose stages
+// have to run again first, because these may take longer than the shutdown.
 bool RelaySystem::canResume(const Exchange &exchange, model::TimePoint now)
 {
-    return exchange.route->kind == RequestKind::ResumableStream && !isQuarantined(exchange, now)
-           && canRetry(exchange, now) && m_chooser.choose(criteriaOf(exchange), now);
+    const bool mayNotFinish
+        = exchange.isLimitedByShutdown && exchange.plan.areFinalResultsReleased();
+    return exchange.route->kind == RequestKind::ResumableStream && !mayNotFinish
+           && !isQuarantined(exchange, now) && canRetry(exchange, now)
+           && m_chooser.choose(criteriaOf(exchange), now);
 }
 
 // Counts as a failure of the upstream, once for each period of silence.
--- a/src/relay/tests/resumedstagestest.cpp
+++ b/src/relay/tests/resumedstagestest.cpp
@@ -87,6 +87,40 @@
     CHECK(fixture.count<RefuseRequest>() == 0);
 }
 
+// Guards against LOST: a stopping daemon gave up a stream that was silent for a moment, ran its
+// stages again, and ended the answer when these did not finish before the stop did.
+TEST_CASE("A stopping daemon does not run stages again for a stream that is only silent")
+{
+    StorageFixture fixture(scarce);
+    fixture.arrive("/staged/x");
+    const StartAttempt attempt = runStages(fixture);
+    fixture.head(attempt.attempt, RelayFixture::success());
+    fixture.system.beginShutdown(fixture.now, model::seconds(3));
+    for (int i = 0; i < 10; ++i) {
+        fixture.advanceTime(milliseconds(200));
+    }
+    CHECK(fixture.count<CancelAttempt>() == 0);
+    SECTION("which is aborted only at the end of the stop")
+    {
+        fixture.advanceTime(milliseconds(900));
+        CHECK(fixture.count<AbortAnswer>() == 0);
+        fixture.advanceTime(milliseconds(100));
+        CHECK(fixture.count<AbortAnswer>() == 1);
+    }
+    SECTION("which is complete when its upstream goes on")
+    {
+        fixture.system.onAttemptProgress(attempt.attempt, "4", fixture.now);
+        fixture.end(attempt.attempt);
+        CHECK(fixture.count<FinishStream>() == 1);
+    }
+    SECTION("but does so when its upstream is lost")
+    {
+        fixture.fail(attempt.attempt, AttemptFailure::Broken, "3");
+        CHECK(fixture.count<RunBatch>() > 0);
+        CHECK(fixture.count<AbortAnswer>() == 0);
+    }
+}
+
 TEST_CASE("A stream that resumes runs its stages again if the results have expired")
 {
     StorageFixture fixture(ample);
