Caller connections: an idle one that holds an unread request is not closed

What callers saw: a request that arrived as the idle timeout of its connection expired was reset, so that its caller could not tell whether it had run.

Change: such a connection is read first.

Evidence: "A connection that holds an unread request does not time out as idle" failed before (the connection was cut, the request never seen).

--- a/src/net/internal/exchangeserver.cpp
+++ b/src/net/internal/exchangeserver.cpp
@@ -637,7 +637,8 @@
         }
         std::vector<Connection *> expired;
         for (const auto &[id, connection] : m_connections) {
-            if (now >= connection->timeoutStart + timeoutOf(*connection)) {
+            if (now >= connection->timeoutStart + timeoutOf(*connection)
+                && !hasUnreadRequest(*connection)) {
                 expired.push_back(connection.get());
             }
         }
@@ -653,6 +654,13 @@
         }
     }
 
+    // Closing the connection would reset it, and the caller could not tell whether its request ran.
+    static bool hasUnreadRequest(const Connection &connection)
+    {
+        return connection.exchange == 0 && !connection.isLingering && connection.parser.isAtStart()
+               && unreadBytes(connection.socket) > 0;
+    }
+
     // Bytes that arrive while reading is paused are counted here.
     void controlReading()
     {
--- a/src/net/tests/exchangeservertest.cpp
+++ b/src/net/tests/exchangeservertest.cpp
@@ -137,6 +137,21 @@
     CHECK_FALSE(fixture.handler.cuts[0].isResponseOpen);
 }
 
+// Guards against requests that are reset because they arrive as the idle timeout of their
+// connection expires.
+TEST_CASE("A connection that holds an unread request does not time out as idle")
+{
+    Fixture fixture;
+    RawPeer peer = fixture.sendRequest(simpleRequest);
+    fixture.server.respond(fixture.handler.exchanges[0], 200, {}, "body");
+    REQUIRE(fixture.waitFor(peer, "body"));
+    REQUIRE(runUntil(fixture.loop, [&] { return !fixture.server.hasUnsentResponses(); }));
+    peer.send(simpleRequest);
+    fixture.server.sweep(EventLoop::now() + model::seconds(20));
+    CHECK(fixture.handler.cuts.empty());
+    CHECK(runUntil(fixture.loop, [&] { return fixture.handler.exchanges.size() == 2; }));
+}
+
 TEST_CASE("An aborted chunked response has no last chunk")
 {
     Fixture fixture;
