Event loop: writes and closes between its turns leave nothing queued in H2O

Cause: H2O queues the callback of a write that completes at once and expects an empty queue when a turn begins; its own callbacks and timers see to that. The next turn then registered the socket for writability because of a write that had ended in fact, and ran its callback afterwards. If the socket was not among the 256 events that the turn had fetched, the registration stayed, and the next event for it met no write. The same queue held sockets that were closed after a write in the same phase; they are freed at the beginning of the turn.

Change: EventLoop::runOnce() runs the queue first, with the function that H2O's timers call after each callback. That holds for all programs.

It needs no memory and no speed. Room for callers' bodies is another fault.

--- a/src/net/internal/eventloop.cpp
+++ b/src/net/internal/eventloop.cpp
@@ -15,8 +15,13 @@
     static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
 }
 
+// H2O queues the callback of a write that completes at once, and expects the queue to be empty when
+// a turn begins: the turn would poll the socket for a write that has ended, and frees closed sockets
+// that are still queued. Its timers empty the queue with this function after each callback. Writes
+// and closes since the last turn need the same.
 void EventLoop::runOnce(model::Duration wait)
 {
+    h2o_timeout__do_post_callback(m_loop);
     h2o_evloop_run(m_loop, static_cast<int32_t>(model::toMilliseconds(wait)));
 }
 
--- a/src/net/tests/exchangeroomtest.cpp
+++ b/src/net/tests/exchangeroomtest.cpp
@@ -140,3 +140,36 @@
     }));
     CHECK(fixture.server.connectionCount() == 1);
 }
+
+// Guards against the end of the process by an assertion in H2O: a write outside the event loop to a
+// connection whose reading was resumed in the same phase, while more connections are ready than one
+// turn of the loop handles.
+TEST_CASE("Load pattern: many connections are refused at once outside the event loop")
+{
+    constexpr size_t largeLimit = 64U << 20U;
+    constexpr size_t largeBody = 3U << 20U;
+    constexpr size_t smallBody = 40U << 10U;
+    constexpr size_t crowd = 320; // H2O handles 256 events in one turn.
+    const std::string head = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4000000\r\n\r\n";
+    Fixture fixture({.maxHeldBytes = largeLimit});
+    std::vector<RawPeer> large;
+    while (!fixture.server.heldBytes().isAboveHighMark()) {
+        large.push_back(fixture.send(head + std::string(largeBody, 'x')));
+    }
+    // Above the high mark the server stops reading from them.
+    std::vector<RawPeer> peers;
+    for (size_t i = 0; i < crowd; ++i) {
+        peers.push_back(RawPeer::connectTo(fixture.port));
+        peers.back().send(head + std::string(smallBody, 'x'));
+    }
+    for (int i = 0; i < 200; ++i) {
+        fixture.loop.runOnce(model::milliseconds(1));
+    }
+    fixture.server.sweep(EventLoop::now() + model::seconds(20));
+    for (int i = 0; i < 200; ++i) {
+        fixture.loop.runOnce(model::milliseconds(1));
+    }
+    for (RawPeer &peer : peers) {
+        CHECK(peer.received().starts_with("HTTP/1.1 "));
+    }
+}
