Relay: the listeners of a process share limits on memory and connections

Cause: each listener had a bound of its own, and nothing bounded their sum: at memoryMb 64 they added up to 112 MB, at 160 to 128 MB.

Change: SharedLimit and ProcessLimits. All listeners together hold at most half of memoryMb and accept at most 27 of 32 of maxDescriptors. Each has a reserve of both that others can't take, so that a crowd at one address keeps out nobody at the others. Bounds of single listeners stay. The platform's smallest instance (120 MB, 3,075 descriptors) still admits all the callers that it did.

In sanitizer builds these tests now check the bytes of all listeners instead of those of callers, which are more.

--- a/src/daemon/internal/controlapi.cpp
+++ b/src/daemon/internal/controlapi.cpp
@@ -16,8 +16,9 @@
 
 } // namespace
 
-ControlApi::Listener::Listener(net::EventLoop &loop, ControlApi &api)
-    : server(loop, *this, {.maxBodyBytes = maxBodyBytes, .maxHeldBytes = maxHeldBytes})
+ControlApi::Listener::Listener(net::EventLoop &loop, ControlApi &api, net::ProcessLimits &limits)
+    : server(loop, *this, {.maxBodyBytes = maxBodyBytes, .maxHeldBytes = maxHeldBytes},
+             limits.forControl())
     , m_api(api)
 {
 }
@@ -33,12 +34,13 @@
     static_cast<void>(exchange);
 }
 
-ControlApi::ControlApi(net::EventLoop &loop, const RelayDaemon &daemon, const IWireFormat &format)
+ControlApi::ControlApi(net::EventLoop &loop, const RelayDaemon &daemon, const IWireFormat &format,
+                       net::ProcessLimits &limits)
     : m_daemon(daemon)
     , m_format(format)
-    , m_readiness(loop, *this)
-    , m_directory(loop, *this)
-    , m_metrics(loop, *this)
+    , m_readiness(loop, *this, limits)
+    , m_directory(loop, *this, limits)
+    , m_metrics(loop, *this, limits)
 {
 }
 
--- a/src/daemon/internal/controlapi.h
+++ b/src/daemon/internal/controlapi.h
@@ -11,7 +11,8 @@
 class ControlApi
 {
 public:
-    ControlApi(net::EventLoop &loop, const RelayDaemon &daemon, const IWireFormat &format);
+    ControlApi(net::EventLoop &loop, const RelayDaemon &daemon, const IWireFormat &format,
+               net::ProcessLimits &limits);
 
     void listen(net::ListenSocket readiness, net::ListenSocket directory,
                 net::ListenSocket metrics);
@@ -22,7 +23,7 @@
     class Listener : public net::IExchangeHandler
     {
     public:
-        Listener(net::EventLoop &loop, ControlApi &api);
+        Listener(net::EventLoop &loop, ControlApi &api, net::ProcessLimits &limits);
 
         void onRequest(uint64_t exchange, net::IncomingRequest request) override;
         void onCallerDisconnected(uint64_t exchange) override;
--- a/src/daemon/internal/exchangerunner.cpp
+++ b/src/daemon/internal/exchangerunner.cpp
@@ -81,8 +81,9 @@
 
 ExchangeRunner::ExchangeRunner(net::EventLoop &loop, net::UpstreamClient &client,
                                const IWireFormat &format, relay::RelaySystem &system,
-                               IRelayHost &host, net::ExchangeLimits limits)
-    : m_server(loop, *this, limits)
+                               IRelayHost &host, net::ExchangeLimits limits,
+                               const net::ListenerLimits &shared)
+    : m_server(loop, *this, limits, shared)
     , m_client(client)
     , m_format(format)
     , m_system(system)
--- a/src/daemon/internal/exchangerunner.h
+++ b/src/daemon/internal/exchangerunner.h
@@ -22,7 +22,8 @@
 {
 public:
     ExchangeRunner(net::EventLoop &loop, net::UpstreamClient &client, const IWireFormat &format,
-                   relay::RelaySystem &system, IRelayHost &host, net::ExchangeLimits limits);
+                   relay::RelaySystem &system, IRelayHost &host, net::ExchangeLimits limits,
+                   const net::ListenerLimits &shared);
 
     net::ExchangeServer &server()
     {
--- a/src/daemon/internal/fleetapi.cpp
+++ b/src/daemon/internal/fleetapi.cpp
@@ -44,7 +44,7 @@
 } // namespace
 
 FleetApi::FleetApi(net::EventLoop &loop, net::HttpClient &client, FleetIdentity identity,
-                   FleetDocuments documents, IEventSink &sink)
+                   FleetDocuments documents, IEventSink &sink, const net::ListenerLimits &limits)
     : m_identity(std::move(identity))
     , m_documents(std::move(documents))
     , m_sink(sink)
@@ -52,7 +52,8 @@
     , m_server(loop, *this,
                {.maxBodyBytes = maxMessageBytes,
                 .maxConnections = maxConnections,
-                .maxHeldBytes = maxHeldBytes})
+                .maxHeldBytes = maxHeldBytes},
+               limits)
     , m_auth(m_identity.key, m_identity.daemon, m_identity.incarnation)
 {
 }
--- a/src/daemon/internal/fleetapi.h
+++ b/src/daemon/internal/fleetapi.h
@@ -67,7 +67,7 @@
 {
 public:
     FleetApi(net::EventLoop &loop, net::HttpClient &client, FleetIdentity identity,
-             FleetDocuments documents, IEventSink &sink);
+             FleetDocuments documents, IEventSink &sink, const net::ListenerLimits &limits = {});
 
     void listen(net::ListenSocket socket)
     {
--- a/src/daemon/internal/peerjobs.cpp
+++ b/src/daemon/internal/peerjobs.cpp
@@ -23,8 +23,9 @@
 } // namespace
 
 PeerJobs::PeerJobs(net::EventLoop &loop, net::UpstreamClient &client, net::MessageAuth &auth,
-                   relay::RelaySystem &system, IRelayHost &host, uint16_t port)
-    : m_server(loop, *this, {.maxHeldBytes = maxHeldBytes})
+                   relay::RelaySystem &system, IRelayHost &host, uint16_t port,
+                   const net::ListenerLimits &limits)
+    : m_server(loop, *this, {.maxHeldBytes = maxHeldBytes}, limits)
     , m_client(client)
     , m_auth(auth)
     , m_system(system)
--- a/src/daemon/internal/peerjobs.h
+++ b/src/daemon/internal/peerjobs.h
@@ -21,7 +21,8 @@
 {
 public:
     PeerJobs(net::EventLoop &loop, net::UpstreamClient &client, net::MessageAuth &auth,
-             relay::RelaySystem &system, IRelayHost &host, uint16_t port);
+             relay::RelaySystem &system, IRelayHost &host, uint16_t port,
+             const net::ListenerLimits &limits);
 
     void listen(net::ListenSocket socket)
     {
--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -45,6 +45,7 @@
     , m_settings(std::move(settings))
     , m_format(format)
     , m_logLimiter(m_settings.maxLogLinesPerSecond)
+    , m_limits(m_settings.memoryMb, m_settings.maxDescriptors)
     , m_fleetClient(loop)
     , m_client(loop)
     , m_random(model::hash64(m_settings.daemon.text()))
@@ -124,17 +125,18 @@
             .watch
             = [this](const RegistryWatch &watch) { m_watchers->add(watch, net::EventLoop::now()); },
             .texts = &m_texts},
-        *this);
+        *this, m_limits.forPeers());
     m_stageAuth = std::make_unique<net::MessageAuth>(m_settings.fleetKey + stageKeySuffix,
                                                      m_settings.daemon, incarnation);
     m_exchanges = std::make_unique<ExchangeRunner>(
         m_loop, m_client, m_format, *m_relay, *this,
         net::ExchangeLimits {.maxConnections = config::callerConnections(m_settings),
-                             .maxHeldBytes = net::heldBytesLimit(m_settings.memoryMb)});
+                             .maxHeldBytes = net::heldBytesLimit(m_settings.memoryMb)},
+        m_limits.forCallers());
     m_batches = std::make_unique<BatchRunner>(m_client, m_format, *m_relay, *this);
     m_peerJobs = std::make_unique<PeerJobs>(m_loop, m_client, *m_stageAuth, *m_relay, *this,
-                                            m_settings.stagePort);
-    m_control = std::make_unique<ControlApi>(m_loop, *this, m_format);
+                                            m_settings.stagePort, m_limits.forPeers());
+    m_control = std::make_unique<ControlApi>(m_loop, *this, m_format, m_limits);
     m_registry = std::make_unique<RegistryReader>(
         m_client, m_format, m_settings.registry,
         registry::FollowerOptions {.prefix = m_format.registryPrefix(),
@@ -398,6 +400,7 @@
                              .heldBytes = m_exchanges->server().heldBytes(),
                              .room = m_exchanges->server().roomCounters(),
                              .connections = m_exchanges->server().connectionCount(),
+                             .limits = m_limits,
                              .upstreamConnects = m_client.connectsStarted(),
                              .suppressedLines = m_logLimiter.suppressedTotal(),
                              .now = net::EventLoop::now()});
--- a/src/daemon/internal/relaymetrics.h
+++ b/src/daemon/internal/relaymetrics.h
@@ -20,6 +20,7 @@
     const net::HeldBytesBudget &heldBytes;
     const net::RoomCounters &room;
     size_t connections = 0;
+    const net::ProcessLimits &limits;
     uint64_t upstreamConnects = 0;
     uint64_t suppressedLines = 0;
     model::TimePoint now;
--- a/src/daemon/relaydaemon.h
+++ b/src/daemon/relaydaemon.h
@@ -18,6 +18,7 @@
 #include "net/exchangeserver.h"
 #include "net/httpclient.h"
 #include "net/messageauth.h"
+#include "net/processlimits.h"
 #include "net/upstreamclient.h"
 #include "observability/loglimiter.h"
 #include "registry/registryfollower.h"
@@ -104,6 +105,7 @@
     config::RelaySettings m_settings;
     const IWireFormat &m_format;
     observability::LogLimiter m_logLimiter;
+    net::ProcessLimits m_limits;
     documents::TextHistory m_texts; //!< Configurations that were in force.
     net::HttpClient m_fleetClient;
     net::UpstreamClient m_client;
--- a/src/net/exchangeserver.h
+++ b/src/net/exchangeserver.h
@@ -11,6 +11,7 @@
 #include "net/heldbytes.h"
 #include "net/listensocket.h"
 #include "net/messageparser.h"
+#include "net/processlimits.h"
 
 namespace citronpick::net
 {
@@ -100,7 +101,8 @@
 class ExchangeServer
 {
 public:
-    ExchangeServer(EventLoop &loop, IExchangeHandler &handler, ExchangeLimits limits);
+    ExchangeServer(EventLoop &loop, IExchangeHandler &handler, ExchangeLimits limits,
+                   const ListenerLimits &shared = {});
     ~ExchangeServer();
 
     ExchangeServer(const ExchangeServer &) = delete;
--- a/src/net/heldbytes.h
+++ b/src/net/heldbytes.h
@@ -4,8 +4,10 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 #include "model/time.h"
+#include "net/sharedlimit.h"
 
 namespace citronpick::net
 {
@@ -37,15 +39,16 @@
 bool holdsMore(const RoomCandidate &left, const RoomCandidate &right);
 
 /*!
- * Bytes that a process holds for its callers, and the marks that bound them.
+ * Bytes that a process holds for the callers of one listener, and the marks that bound them.
  *
  * All that hold such bytes report the differences. Above the high mark, reading stops for what
- * holds more than a small share; above the limit, room is made at once.
+ * holds more than a small share; above the limit, room is made at once. The same holds above the
+ * marks of a limit that this budget shares with others, unless it is within its reserve.
  */
 class HeldBytesBudget
 {
 public:
-    explicit HeldBytesBudget(size_t limit);
+    explicit HeldBytesBudget(size_t limit, SharedLimit *shared = nullptr, size_t reserve = 0);
 
     void setLimit(size_t limit)
     {
@@ -75,21 +78,13 @@
     {
         return m_held[static_cast<size_t>(holder)];
     }
-    bool isAboveHighMark() const
-    {
-        return m_total > highMark();
-    }
-    bool isAboveLimit() const
-    {
-        return m_total > m_limit;
-    }
-    bool hasRoomFor(size_t bytes) const
-    {
-        return m_total + bytes <= m_limit;
-    }
+    bool isAboveHighMark() const;
+    bool isAboveLimit() const;
+    bool hasRoomFor(size_t bytes) const;
 
 private:
     size_t m_limit;
+    std::optional<SharedLimit::Share> m_share;
     size_t m_total = 0;
     size_t m_peak = 0;
     HeldBytes m_held {};
--- a/src/net/internal/exchangeserver.cpp
+++ b/src/net/internal/exchangeserver.cpp
@@ -83,12 +83,16 @@
 class ExchangeServer::Impl
 {
 public:
-    Impl(EventLoop &loop, IExchangeHandler &handler, ExchangeLimits limits)
+    Impl(EventLoop &loop, IExchangeHandler &handler, ExchangeLimits limits,
+         const ListenerLimits &shared)
         : m_loop(loop)
         , m_handler(handler)
         , m_limits(limits)
-        , m_heldBytes(limits.maxHeldBytes)
+        , m_heldBytes(limits.maxHeldBytes, shared.heldBytes, shared.heldBytesReserve)
     {
+        if (shared.connections) {
+            m_connectionShare.emplace(*shared.connections, shared.connectionReserve);
+        }
     }
 
     ~Impl()
@@ -289,7 +293,7 @@
 
     void acceptConnection(h2o_socket_t *socket)
     {
-        if (m_connections.size() >= m_limits.maxConnections && !closeOldestSilent()) {
+        if (!hasRoomForConnection() && !closeOldestSilent()) {
             ++m_roomCounters.unaccepted;
             h2o_socket_close(socket);
             return;
@@ -301,6 +305,20 @@
         socket->data = connection.get();
         h2o_socket_read_start(socket, &Impl::onRead);
         m_connections.emplace(id, std::move(connection));
+        noteConnectionCount();
+    }
+
+    bool hasRoomForConnection() const
+    {
+        return m_connections.size() < m_limits.maxConnections
+               && (!m_connectionShare || m_connectionShare->hasRoomFor(1));
+    }
+
+    void noteConnectionCount()
+    {
+        if (m_connectionShare) {
+            m_connectionShare->setUsed(m_connections.size());
+        }
     }
 
     static void onRead(h2o_socket_t *socket, const char *error)
@@ -622,6 +640,7 @@
         const auto it = m_connections.find(connection.id);
         const std::unique_ptr<Connection> owned = std::move(it->second);
         m_connections.erase(it);
+        noteConnectionCount();
         m_heldBytes.update(owned->held, {});
         h2o_socket_close(owned->socket);
         if (exchange != 0) {
@@ -699,6 +718,7 @@
     IExchangeHandler &m_handler;
     ExchangeLimits m_limits;
     HeldBytesBudget m_heldBytes;
+    std::optional<SharedLimit::Share> m_connectionShare;
     RoomCounters m_roomCounters;
     h2o_socket_t *m_listener = nullptr;
     absl::flat_hash_map<uint64_t, std::unique_ptr<Connection>> m_connections;
@@ -708,8 +728,9 @@
     bool m_closesAfterResponses = false;
 };
 
-ExchangeServer::ExchangeServer(EventLoop &loop, IExchangeHandler &handler, ExchangeLimits limits)
-    : m_impl(std::make_unique<Impl>(loop, handler, limits))
+ExchangeServer::ExchangeServer(EventLoop &loop, IExchangeHandler &handler, ExchangeLimits limits,
+                               const ListenerLimits &shared)
+    : m_impl(std::make_unique<Impl>(loop, handler, limits, shared))
 {
 }
 
--- a/src/net/internal/heldbytes.cpp
+++ b/src/net/internal/heldbytes.cpp
@@ -34,9 +34,12 @@
     return weight(left) > weight(right);
 }
 
-HeldBytesBudget::HeldBytesBudget(size_t limit)
+HeldBytesBudget::HeldBytesBudget(size_t limit, SharedLimit *shared, size_t reserve)
     : m_limit(limit)
 {
+    if (shared) {
+        m_share.emplace(*shared, reserve);
+    }
 }
 
 void HeldBytesBudget::update(HeldBytes &reported, const HeldBytes &held)
@@ -47,6 +50,28 @@
     m_total = m_total - sumOf(reported) + sumOf(held);
     m_peak = std::max(m_peak, m_total);
     reported = held;
+    if (m_share) {
+        m_share->setUsed(m_total);
+    }
+}
+
+bool HeldBytesBudget::isAboveHighMark() const
+{
+    // The reserves alone take more than a third of a shared limit.
+    const auto isSharedAbove = [this] {
+        return m_share && m_share->isAbove(m_share->limit() / 4 * 3);
+    };
+    return m_total > highMark() || isSharedAbove();
+}
+
+bool HeldBytesBudget::isAboveLimit() const
+{
+    return m_total > m_limit || (m_share && m_share->isAbove(m_share->limit()));
+}
+
+bool HeldBytesBudget::hasRoomFor(size_t bytes) const
+{
+    return m_total + bytes <= m_limit && (!m_share || m_share->hasRoomFor(bytes));
 }
 
 size_t HeldBytesBudget::highMark() const
--- a/tests/callers/callercrowd.cpp
+++ b/tests/callers/callercrowd.cpp
@@ -275,15 +275,30 @@
 }
 
 void CallerCrowd::sendTo(uint16_t port, size_t callers, std::string_view bytes)
+{
+    sendToEach({port}, callers, {std::string(bytes)});
+}
+
+std::vector<uint16_t> CallerCrowd::addresses() const
+{
+    return {m_settings.callers.port, m_settings.readiness.port, m_settings.directory.port,
+            m_settings.fleet.port,   m_settings.stagePort,      m_settings.metricsPort};
+}
+
+void CallerCrowd::sendToEach(const std::vector<uint16_t> &ports, size_t callers,
+                             const std::vector<std::string> &texts)
 {
     const size_t first = m_callers.size();
-    std::vector<size_t> sent(callers, 0);
     for (size_t i = 0; i < callers; ++i) {
-        m_callers.push_back(RawPeer::connectTo(port));
+        for (const uint16_t port : ports) {
+            m_callers.push_back(RawPeer::connectTo(port));
+        }
     }
+    std::vector<size_t> sent(m_callers.size() - first, 0);
     for (int idle = 0; idle < idleIterations; ++idle) {
-        for (size_t i = 0; i < callers; ++i) {
+        for (size_t i = 0; i < sent.size(); ++i) {
             RawPeer &peer = m_callers[first + i];
+            const std::string_view bytes = texts[i / ports.size() % texts.size()];
             const size_t count = sent[i] < bytes.size() && !peer.isRefused()
                                      ? peer.sendSome(bytes.substr(sent[i]))
                                      : 0;
@@ -361,7 +376,7 @@
     for (int i = 0; i < maxIterations && !peer.hasEnded(); ++i) {
         runOnce();
     }
-    const std::string name = "\ncitronpick_relay_held_bytes_peak ";
+    const std::string name = "\ncitronpick_process_held_bytes_peak ";
     const size_t at = peer.received().find(name);
     double bytes = 0;
     REQUIRE(at != std::string::npos);
--- a/tests/callers/callercrowd.h
+++ b/tests/callers/callercrowd.h
@@ -56,6 +56,11 @@
     void send(size_t callers, std::string_view bytes);
     //! The same to another port of the daemon.
     void sendTo(uint16_t port, size_t callers, std::string_view bytes);
+    //! The same to each of \a ports, with all connections open at once and \a texts in turn.
+    void sendToEach(const std::vector<uint16_t> &ports, size_t callers,
+                    const std::vector<std::string> &texts);
+    //! Ports of all listeners of the daemon.
+    std::vector<uint16_t> addresses() const;
     //! Opens connections without end, so that \a callers of them are always open, and sends
     //! nothing.
     void stayConnected(size_t callers);
--- a/tests/callers/callerlimitstest.cpp
+++ b/tests/callers/callerlimitstest.cpp
@@ -203,6 +203,38 @@
     checkHolds(callers);
 }
 
+// Guards against bounds that hold for each address and not for all of them together: callers at
+// several addresses at once took the memory and the descriptors of the process, or ended it, as
+// writes outside the event loop met more ready connections than one of its turns handles.
+TEST_CASE("Load pattern: bodies for all addresses at once")
+{
+    CallerCrowd callers;
+    callers.sendToEach(callers.addresses(), crowd,
+                       {head(absl::StrCat("Content-Length: ", megabyte))
+                        + std::string(megabyte - 1, 'x')});
+    checkHolds(callers);
+}
+
+// Guards against the same for callers that differ in what they send.
+TEST_CASE("Load pattern: all kinds of bodies for all addresses at once")
+{
+    std::string smallChunks = head("Transfer-Encoding: chunked");
+    constexpr size_t payload = 200000;
+    for (size_t i = 0; i < payload; ++i) {
+        smallChunks += "1\r\nx\r\n";
+    }
+    const std::string largeChunk = "100000\r\n" + std::string(megabyte, 'x') + "\r\n";
+    CallerCrowd callers;
+    callers.sendToEach(
+        callers.addresses(), crowd,
+        {head(absl::StrCat("Content-Length: ", megabyte)) + std::string(megabyte - 1, 'x'),
+         smallChunks + "0\r\n\r", head("Transfer-Encoding: chunked") + largeChunk + "0\r\n\r",
+         head("Transfer-Encoding: chunked") + largeChunk + largeChunk + largeChunk,
+         head("Content-Length: 100000000000") + std::string(megabyte, 'x'),
+         "POST /once/crowd HTTP/1.1\r\nHost: shop\r\nX-Piece: " + std::string(14000, 'x')});
+    checkHolds(callers);
+}
+
 // Guards against a budget that refuses the greatest request that is allowed.
 TEST_CASE("A request of the greatest size is served in calm")
 {
