Own pipelines: the memory that callers make the daemon hold is bounded

Cause: h2o's server buffers requests until they are whole, within a limit for each request and none for all; silent connections kept others out.

Change: memoryMb and maxDescriptors, as in relay mode. Above five eighths of the memory the connections that hold most for longest are reset, and large bodies refused as not run (overloaded). The measure is resident memory; what each connection holds is estimated from the bytes that the system received on it, because H2O counts those of its last read only. At the greatest number of connections the oldest silent one ends. The administration takes bodies of 4 KB and shares the limit, messages of other daemons have an eighth of the memory. Defaults: 512 MB, descriptors unknown.

Tried before and left: bytes allocated as the measure (22 ms a look for a heap with many free blocks), shutdown() instead of a reset (125 MB: the system goes on receiving), bytes_read of the socket (the same).

--- a/src/config/internal/schemas.cpp
+++ b/src/config/internal/schemas.cpp
@@ -63,6 +63,8 @@
         "port": { "$ref": "#/definitions/port" }
       }
     },
+    "memoryMb": { "type": "integer", "minimum": 64, "maximum": 1048576 },
+    "maxDescriptors": { "type": "integer", "minimum": 256, "maximum": 1048576 },
     "drain": {
       "type": "object", "additionalProperties": false,
       "properties": {
--- a/src/config/internal/settings.cpp
+++ b/src/config/internal/settings.cpp
@@ -93,6 +93,8 @@
         .platform = endpointOf(document.at("platform")),
         .entryLifetime = millisecondsAt(caller, "entryLifetimeMs", defaults.entryLifetime),
         .limits = limitsOf(caller),
+        .memoryMb = document.value("memoryMb", defaults.memoryMb),
+        .maxDescriptors = document.value("maxDescriptors", defaults.maxDescriptors),
         .drain = {.acceptPeriod = millisecondsAt(drain, "acceptMs", defaults.drain.acceptPeriod),
                   .maxDuration = millisecondsAt(drain, "limitMs", defaults.drain.maxDuration)},
         .logLevel = document.value("log", Json::object()).value("level", defaults.logLevel),
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -63,6 +63,9 @@
     Endpoint platform;
     model::Duration entryLifetime = model::seconds(3); //!< Cache time of daemon addresses.
     CallerLimits limits;
+    size_t memoryMb = 512; //!< Memory of the instance for this process.
+    //! Descriptors of the process; zero when unknown.
+    size_t maxDescriptors = 0;
     DrainSettings drain;
     std::string logLevel = "info";
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -11,6 +11,8 @@
 #include "daemon/ieventsink.h"
 #include "net/eventloop.h"
 #include "net/httpclient.h"
+#include "net/httpmemorylimit.h"
+#include "net/sharedlimit.h"
 #include "observability/timeline.h"
 
 namespace citronpick::daemon
@@ -59,10 +61,13 @@
     void execute(core::Command &command);
     void checkReady(model::TimePoint now);
     void checkDrainLimit(model::TimePoint now);
+    void reportRoom(model::TimePoint now);
 
     net::EventLoop &m_loop;
     config::Settings m_settings;
     observability::Timeline m_timeline;
+    net::HttpMemoryLimit m_memory;
+    net::SharedLimit m_fleetBytes;
     net::HttpClient m_client;
     std::unique_ptr<core::Core> m_core;
     std::unique_ptr<AttemptRunner> m_attempts;
@@ -76,6 +81,9 @@
     model::TimePoint m_nextSweep;
     model::TimePoint m_drainLimit = model::TimePoint::max();
     bool m_hasExecutedCommands = false; //!< Commands were executed since the last loop iteration.
+    uint64_t m_reportedClosed = 0; //!< Connections closed for room, as logged.
+    uint64_t m_reportedRefused = 0;
+    model::TimePoint m_nextRoomReport;
     bool m_wasReady = false;
     bool m_isFinished = false;
     model::TimePoint m_exitDeadline = model::TimePoint::max();
--- a/src/daemon/internal/adminapi.cpp
+++ b/src/daemon/internal/adminapi.cpp
@@ -14,6 +14,9 @@
 using Json = nlohmann::json;
 
 constexpr size_t maxEvents = 5000;
+//! Administrative requests have no body.
+constexpr uint64_t maxBodyBytes = 4U << 10U;
+constexpr uint32_t maxConnections = 64;
 
 //! Replaces invalid UTF-8 in strings, which dump() would otherwise reject with an exception.
 std::string dumpJson(const Json &value)
@@ -24,11 +27,12 @@
 } // namespace
 
 AdminApi::AdminApi(net::EventLoop &loop, const config::Settings &settings, const core::Core &core,
-                   const observability::Timeline &timeline)
+                   const observability::Timeline &timeline, net::HttpMemoryLimit &memory)
     : m_settings(settings)
     , m_core(core)
     , m_timeline(timeline)
-    , m_server(loop, *this, {.maxConnections = 64})
+    , m_server(loop, *this,
+               {.maxBodyBytes = maxBodyBytes, .maxConnections = maxConnections, .memory = &memory})
 {
 }
 
--- a/src/daemon/internal/adminapi.h
+++ b/src/daemon/internal/adminapi.h
@@ -16,7 +16,7 @@
 {
 public:
     AdminApi(net::EventLoop &loop, const config::Settings &settings, const core::Core &core,
-             const observability::Timeline &timeline);
+             const observability::Timeline &timeline, net::HttpMemoryLimit &memory);
 
     void listen(net::ListenSocket socket)
     {
--- a/src/daemon/internal/callerapi.cpp
+++ b/src/daemon/internal/callerapi.cpp
@@ -1,5 +1,6 @@
 #include "daemon/internal/callerapi.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include <absl/strings/str_cat.h>
@@ -21,6 +22,18 @@
 constexpr size_t maxIdLength = 128;
 constexpr uint32_t maxExpectedTokens = 1000000;
 constexpr const char *streamType = "application/x-ndjson";
+//! Until then, what takes the room has usually been closed.
+constexpr model::Duration roomRetryAfter = model::seconds(1);
+
+//! With a known number of descriptors, a quarter is left for upstreams, peers and files.
+uint32_t maxConnectionsOf(const config::Settings &settings)
+{
+    const uint32_t most = settings.limits.maxConnections;
+    const size_t descriptors = settings.maxDescriptors * 3 / 4;
+    return settings.maxDescriptors == 0
+               ? most
+               : static_cast<uint32_t>(std::min<size_t>(most, descriptors));
+}
 
 //! Accepts visible ASCII of limited length only, since identifiers are written to headers, logs and
 //! the timeline.
@@ -59,15 +72,17 @@
 } // namespace
 
 CallerApi::CallerApi(net::EventLoop &loop, const config::Settings &settings, const core::Core &core,
-                     AttemptRunner &attempts, IEventSink &sink)
+                     AttemptRunner &attempts, net::HttpMemoryLimit &memory, IEventSink &sink)
     : m_settings(settings)
     , m_core(core)
     , m_attempts(attempts)
+    , m_memory(memory)
     , m_sink(sink)
     , m_server(loop, *this,
                {.maxBodyBytes = settings.limits.maxBodyBytes,
-                .maxConnections = settings.limits.maxConnections,
-                .requestTimeout = settings.limits.requestTimeout})
+                .maxConnections = maxConnectionsOf(settings),
+                .requestTimeout = settings.limits.requestTimeout,
+                .memory = &memory})
 {
 }
 
@@ -109,8 +124,25 @@
     sendText(request.number(), 404, net::jsonType, R"({"reason":"unknown-path"})");
 }
 
+void CallerApi::refuseForRoom(const net::HttpServerRequest &request)
+{
+    ++m_refusedForRoom;
+    const std::string_view callerId = request.header("x-citronpick-request");
+    m_openRequests.emplace(
+        request.number(),
+        OpenRequest {.callerId = isValidId(callerId) ? std::string(callerId) : std::string()});
+    respond({.request = model::RequestId(request.number()),
+             .outcome = model::Outcome::NotRun,
+             .reason = model::Reason::Overloaded,
+             .retryAfter = roomRetryAfter});
+}
+
 void CallerApi::onRun(const net::HttpServerRequest &request)
 {
+    if (!m_memory.hasRoomFor(request.body().size())) {
+        refuseForRoom(request);
+        return;
+    }
     std::string error;
     auto event = parseRequest(request, error);
     if (!event) {
@@ -325,7 +357,11 @@
              metricsPage(m_core, {.openConnections = m_server.openConnections(),
                                   .openAttempts = m_attempts.openAttempts(),
                                   .streamBufferBytes = buffered,
-                                  .badRequests = m_badRequests}));
+                                  .badRequests = m_badRequests,
+                                  .residentBytes = m_memory.residentBytes(),
+                                  .maxResidentBytes = m_memory.maxResidentBytes(),
+                                  .refusedForRoom = m_refusedForRoom,
+                                  .closedForRoom = m_memory.closedConnections()}));
 }
 
 void CallerApi::sendText(uint64_t number, uint16_t status, const std::string &type,
--- a/src/daemon/internal/callerapi.h
+++ b/src/daemon/internal/callerapi.h
@@ -21,7 +21,7 @@
 {
 public:
     CallerApi(net::EventLoop &loop, const config::Settings &settings, const core::Core &core,
-              AttemptRunner &attempts, IEventSink &sink);
+              AttemptRunner &attempts, net::HttpMemoryLimit &memory, IEventSink &sink);
 
     void listen(net::ListenSocket socket)
     {
@@ -48,6 +48,12 @@
         return m_openRequests.size();
     }
 
+    //! Number of requests that were refused because their bodies had no room.
+    uint64_t refusedForRoom() const
+    {
+        return m_refusedForRoom;
+    }
+
     void onRequest(const net::HttpServerRequest &request) override;
     void onClosed(uint64_t number, bool wasAnswered) override;
     void onDrained(uint64_t number) override;
@@ -66,6 +72,7 @@
     void onMetrics(const net::HttpServerRequest &request);
     std::optional<pipeline::RequestArrived> parseRequest(const net::HttpServerRequest &request,
                                                          std::string &error) const;
+    void refuseForRoom(const net::HttpServerRequest &request);
     void respondBadRequest(uint64_t number, const std::string &callerId, const std::string &error);
     void sendText(uint64_t number, uint16_t status, const std::string &type, std::string text);
     void beginStream(uint64_t number, OpenRequest &open);
@@ -75,11 +82,13 @@
     const config::Settings &m_settings;
     const core::Core &m_core;
     AttemptRunner &m_attempts;
+    net::HttpMemoryLimit &m_memory;
     IEventSink &m_sink;
     net::HttpServer m_server;
     //! Keyed by exchange number, which is also the request number.
     absl::flat_hash_map<uint64_t, OpenRequest> m_openRequests;
     uint64_t m_badRequests = 0;
+    uint64_t m_refusedForRoom = 0;
 };
 
 } // namespace citronpick::daemon
--- a/src/daemon/internal/daemon.cpp
+++ b/src/daemon/internal/daemon.cpp
@@ -22,6 +22,10 @@
 constexpr model::Duration tickInterval = model::milliseconds(5);
 constexpr model::Duration sweepInterval = model::milliseconds(200);
 constexpr size_t timelineCapacity = 4096;
+//! Part of the instance's memory for messages of other daemons.
+constexpr size_t fleetBytesPart = 8;
+//! Callers that are refused or closed for room are logged together, once in this interval.
+constexpr model::Duration roomReportInterval = model::seconds(1);
 //! Time for sending buffered answers after the last request has ended.
 constexpr model::Duration flushPeriod = model::milliseconds(300);
 
@@ -31,6 +35,8 @@
     : m_loop(loop)
     , m_settings(std::move(settings))
     , m_timeline(timelineCapacity)
+    , m_memory(m_settings.memoryMb << 20U)
+    , m_fleetBytes((m_settings.memoryMb << 20U) / fleetBytesPart)
     , m_client(loop)
 {
 }
@@ -81,8 +87,9 @@
     const model::TimePoint now = net::EventLoop::now();
     m_core = std::make_unique<core::Core>(coreOptions(incarnation), now);
     m_attempts = std::make_unique<AttemptRunner>(m_client, *this, incarnation);
-    m_callers = std::make_unique<CallerApi>(m_loop, m_settings, *m_core, *m_attempts, *this);
-    m_admin = std::make_unique<AdminApi>(m_loop, m_settings, *m_core, m_timeline);
+    m_callers
+        = std::make_unique<CallerApi>(m_loop, m_settings, *m_core, *m_attempts, m_memory, *this);
+    m_admin = std::make_unique<AdminApi>(m_loop, m_settings, *m_core, m_timeline, m_memory);
     m_fleet = std::make_unique<FleetApi>(m_loop, m_client,
                                          FleetIdentity {.daemon = m_settings.daemon,
                                                         .endpoint = m_settings.fleet,
@@ -92,7 +99,7 @@
                                                              [this] {
                                                                  return configurationFile();
                                                              }},
-                                         *this);
+                                         *this, net::ListenerLimits {.heldBytes = &m_fleetBytes});
     m_platform = std::make_unique<PlatformReader>(m_client, m_settings, *this, incarnation.value());
     m_callers->listen(*std::move(caller));
     m_admin->listen(*std::move(admin));
@@ -117,6 +124,7 @@
     m_loop.runOnce(mustNotBlock ? model::Duration::zero() : std::min(wait, tickInterval));
     handleEvents();
     now = net::EventLoop::now();
+    m_memory.run(now);
     if (now >= m_nextTick) {
         m_nextTick = now + tickInterval;
         m_client.expire(now);
@@ -127,6 +135,7 @@
             m_nextSweep = now + sweepInterval;
             m_callers->closeAbandonedExchanges();
             m_fleet->sweep(now);
+            reportRoom(now);
         }
         checkReady(now);
         checkDrainLimit(now);
@@ -139,6 +148,25 @@
     return !isFlushed && now < m_exitDeadline;
 }
 
+void Daemon::reportRoom(model::TimePoint now)
+{
+    const uint64_t closed = m_memory.closedConnections();
+    const uint64_t refused = m_callers->refusedForRoom();
+    if (now < m_nextRoomReport || (closed == m_reportedClosed && refused == m_reportedRefused)) {
+        return;
+    }
+    record({.code = EventCode::RoomMade,
+            .request = {},
+            .subject = m_settings.daemon.text(),
+            .detail = absl::StrCat("refused=", refused - m_reportedRefused,
+                                   " closed=", closed - m_reportedClosed,
+                                   " residentBytes=", m_memory.residentBytes(),
+                                   " limit=", m_memory.maxResidentBytes())});
+    m_reportedClosed = closed;
+    m_reportedRefused = refused;
+    m_nextRoomReport = now + roomReportInterval;
+}
+
 void Daemon::requestStop()
 {
     if (!m_core->isDraining()) {
--- a/src/daemon/internal/metricspage.cpp
+++ b/src/daemon/internal/metricspage.cpp
@@ -153,6 +153,15 @@
               static_cast<double>(core.operations().size()));
     addMetric(families, "citronpick_bad_requests_total", "Malformed requests",
               static_cast<double>(counts.badRequests), MetricType::Counter);
+    addMetric(families, "citronpick_resident_bytes", "Resident memory of the process",
+              static_cast<double>(counts.residentBytes));
+    addMetric(families, "citronpick_resident_bytes_limit",
+              "Resident memory above which callers are refused or closed",
+              static_cast<double>(counts.maxResidentBytes));
+    addMetric(families, "citronpick_room_refused_total", "Requests refused for lack of memory",
+              static_cast<double>(counts.refusedForRoom), MetricType::Counter);
+    addMetric(families, "citronpick_room_closed_total", "Connections closed for lack of memory",
+              static_cast<double>(counts.closedForRoom), MetricType::Counter);
     addMetric(families, "citronpick_dropped_answers_total",
               "Answers dropped because they arrived too late",
               static_cast<double>(core.requests().droppedAnswers()), MetricType::Counter);
--- a/src/daemon/internal/metricspage.h
+++ b/src/daemon/internal/metricspage.h
@@ -14,6 +14,10 @@
     size_t openAttempts = 0;
     size_t streamBufferBytes = 0;
     uint64_t badRequests = 0;
+    size_t residentBytes = 0;
+    size_t maxResidentBytes = 0;
+    uint64_t refusedForRoom = 0;
+    uint64_t closedForRoom = 0;
 };
 
 //! Formats the metrics of a Daemon in the Prometheus text format.
--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -347,13 +347,13 @@
     }
     const bool isDone = m_listenedUntil && isIdle && now >= *m_listenedUntil + flushPeriod;
     if (now >= m_drainEndsAt || isDone) {
-        record({.code = isIdle ? EventCode::DrainComplete : EventCode::DrainCut,
-                .request = {},
-                .subject = m_settings.daemon.text(),
-                .detail
-                = absl::StrCat("requests=", m_relay->requestCount(),
-                               " connections=", m_exchanges->server().connectionCount(),
-                               " afterMs=", model::toMilliseconds(now - *m_drainingSince))});
+        record(
+            {.code = isIdle ? EventCode::DrainComplete : EventCode::DrainCut,
+             .request = {},
+             .subject = m_settings.daemon.text(),
+             .detail = absl::StrCat("requests=", m_relay->requestCount(),
+                                    " connections=", m_exchanges->server().connectionCount(),
+                                    " afterMs=", model::toMilliseconds(now - *m_drainingSince))});
         // The event loop runs once more and may read another request.
         m_relay->beginShutdown(now, model::Duration::zero());
         m_isFinished = true;
--- a/src/net/eventloop.h
+++ b/src/net/eventloop.h
@@ -21,8 +21,8 @@
     EventLoop(const EventLoop &) = delete;
     EventLoop &operator=(const EventLoop &) = delete;
 
-    //! Handles pending events; if there are none, waits for them for at most \a wait. Sockets may be
-    //! written to and closed between the turns as well.
+    //! Handles pending events; if there are none, waits for them for at most \a wait. Sockets may
+    //! be written to and closed between the turns as well.
     void runOnce(model::Duration wait);
 
     st_h2o_evloop_t *handle() const
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -8,6 +8,7 @@
 
 #include "net/eventloop.h"
 #include "net/http.h"
+#include "net/httpmemorylimit.h"
 #include "net/listensocket.h"
 
 struct st_h2o_req_t;
@@ -62,6 +63,7 @@
     uint64_t maxBodyBytes = 1U << 20U;
     uint32_t maxConnections = 4096;
     model::Duration requestTimeout = model::seconds(10);
+    HttpMemoryLimit *memory = nullptr; //!< Must outlive the server; null for no limit.
 };
 
 //! HTTP/1.1 and HTTP/2 server on one listening socket, without TLS.
--- a/src/net/internal/eventloop.cpp
+++ b/src/net/internal/eventloop.cpp
@@ -16,9 +16,9 @@
 }
 
 // H2O queues the callback of a write that completes at once, and expects the queue to be empty when
-// a turn begins: the turn would poll the socket for a write that has ended, and frees closed sockets
-// that are still queued. Its timers empty the queue with this function after each callback. Writes
-// and closes since the last turn need the same.
+// a turn begins: the turn would poll the socket for a write that has ended, and frees closed
+// sockets that are still queued. Its timers empty the queue with this function after each callback.
+// Writes and closes since the last turn need the same.
 void EventLoop::runOnce(model::Duration wait)
 {
     h2o_timeout__do_post_callback(m_loop);
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -1,12 +1,16 @@
 #include "net/httpserver.h"
 
 #include <algorithm>
+#include <optional>
 #include <sys/socket.h>
+#include <utility>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
 
 #include "net/internal/h2o.h"
+#include "net/internal/httpconnections.h"
+#include "net/internal/socketoptions.h"
 
 namespace citronpick::net
 {
@@ -52,6 +56,11 @@
     }
 
 private:
+    internal::HttpConnections &connections()
+    {
+        return m_limits.memory ? m_limits.memory->connections() : m_ownConnections;
+    }
+
     struct Handler {
         h2o_handler_t base;
         Impl *owner;
@@ -71,12 +80,16 @@
         bool isEnding;
         bool isComplete; //!< The handler has provided the whole response.
         bool isReportedClosed; //!< The handler knows that the exchange has ended.
+        size_t reportedBytes; //!< As held for the response.
     };
 
     static bool hasPeerDisconnected(h2o_conn_t *connection);
     static int onRequest(h2o_handler_t *handler, h2o_req_t *request);
     static void onAccept(h2o_socket_t *listener, const char *error);
-    static void onConnectionClosed(void *data);
+    static h2o_socket_t *socketOf(const h2o_req_t *request);
+    void noteRequest(const h2o_req_t *request);
+    //! Must be called after each change of what is held for the response.
+    static void account(Exchange &exchange);
     static void onProceed(h2o_generator_t *generator, h2o_req_t *request);
     static void onStop(h2o_generator_t *generator, h2o_req_t *request);
     static void onDispose(void *data);
@@ -94,6 +107,7 @@
     h2o_socket_t *m_listener = nullptr;
     uint16_t m_port = 0;
     size_t m_connectionCount = 0;
+    internal::HttpConnections m_ownConnections; //!< Used without a limit on memory.
     absl::flat_hash_map<uint64_t, Exchange *> m_exchanges;
     uint64_t m_lastNumber = 0;
 };
@@ -155,19 +169,50 @@
     if (!socket) {
         return;
     }
-    if (owner.m_connectionCount >= owner.m_limits.maxConnections) {
+    if (owner.m_connectionCount >= owner.m_limits.maxConnections
+        && !owner.connections().closeOldestSilent(&owner)) {
         h2o_socket_close(socket);
         return;
     }
     ++owner.m_connectionCount;
-    socket->on_close.cb = &Impl::onConnectionClosed;
-    socket->on_close.data = &owner;
+    if (owner.m_limits.memory) {
+        internal::limitReceiveBuffer(socket, owner.m_limits.memory->receiveBufferBytes());
+    }
+    owner.connections().add(
+        socket, &owner, [&owner] { --owner.m_connectionCount; }, EventLoop::now());
     h2o_accept(&owner.m_accept, socket);
 }
 
-void HttpServer::Impl::onConnectionClosed(void *data)
+h2o_socket_t *HttpServer::Impl::socketOf(const h2o_req_t *request)
+{
+    return request->conn->callbacks->get_socket(request->conn);
+}
+
+// With HTTP/2, frames of other requests may have arrived as well.
+void HttpServer::Impl::noteRequest(const h2o_req_t *request)
 {
-    --static_cast<Impl *>(data)->m_connectionCount;
+    if (internal::HttpConnection *connection = connections().find(socketOf(request))) {
+        constexpr size_t frameHeadBytes = 9;
+        const std::optional<size_t> ownBytes
+            = request->version < http2Version
+                  ? std::nullopt
+                  : std::optional<size_t>(request->entity.len + 2 * frameHeadBytes);
+        connection->noteRequest(ownBytes, EventLoop::now());
+    }
+}
+
+void HttpServer::Impl::account(Exchange &exchange)
+{
+    internal::HttpConnection *connection
+        = exchange.owner->connections().find(socketOf(exchange.request));
+    if (!connection) {
+        return;
+    }
+    const size_t bytes = (exchange.body && *exchange.body ? (*exchange.body)->size() : 0)
+                         + (exchange.queued ? exchange.queued->size() : 0)
+                         + (exchange.sending ? exchange.sending->size() : 0);
+    connection->responseBytes += bytes;
+    connection->responseBytes -= std::exchange(exchange.reportedBytes, bytes);
 }
 
 int HttpServer::Impl::onRequest(h2o_handler_t *handler, h2o_req_t *request)
@@ -182,6 +227,7 @@
     exchange->request = request;
     exchange->number = ++owner.m_lastNumber;
     owner.m_exchanges.emplace(exchange->number, exchange);
+    owner.noteRequest(request);
     owner.m_handler.onRequest(HttpServerRequest(request, exchange->number));
     return 0;
 }
@@ -189,9 +235,10 @@
 void HttpServer::Impl::onDispose(void *data)
 {
     auto &exchange = *static_cast<Exchange *>(data);
-    delete exchange.body;
-    delete exchange.queued;
-    delete exchange.sending;
+    delete std::exchange(exchange.body, nullptr);
+    delete std::exchange(exchange.queued, nullptr);
+    delete std::exchange(exchange.sending, nullptr);
+    account(exchange);
     Impl &owner = *exchange.owner;
     const uint64_t number = exchange.number;
     const bool wasAnswered = exchange.isComplete;
@@ -229,6 +276,7 @@
     exchange->isResponseStarted = true;
     exchange->isComplete = true;
     exchange->body = new model::BodyPtr(std::move(body));
+    account(*exchange);
     const size_t length = *exchange->body ? (*exchange->body)->size() : 0;
     exchange->request->res.content_length = length;
     begin(*exchange, status, headers);
@@ -256,6 +304,7 @@
         return;
     }
     exchange->queued->append(bytes);
+    account(*exchange);
     flush(*exchange);
 }
 
@@ -291,7 +340,9 @@
         return;
     }
     exchange.isSending = false;
-    exchange.sending->clear();
+    // Releases the memory as well, because a caller may stay without taking more.
+    std::string().swap(*exchange.sending);
+    account(exchange);
     const bool isDrained = exchange.queued->empty();
     Impl &owner = *exchange.owner;
     const uint64_t number = exchange.number;
--- a/src/net/internal/socketoptions.cpp
+++ b/src/net/internal/socketoptions.cpp
@@ -15,10 +15,9 @@
     // Keep-alive probes detect a peer that became unreachable while the connection was idle.
     constexpr int probeIdleSeconds = 1;
     constexpr int probeIntervalSeconds = 1;
-    // Bytes that were received and not yet read count towards the memory of the process.
-    constexpr int receiveBufferBytes = 64 << 10;
+    constexpr size_t receiveBufferBytes = 64U << 10U;
+    limitReceiveBuffer(socket, receiveBufferBytes);
     const int descriptor = h2o_socket_get_fd(socket);
-    setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof(receiveBufferBytes));
     setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedTimeoutMs,
                sizeof(unacknowledgedTimeoutMs));
@@ -28,6 +27,13 @@
                sizeof(probeIntervalSeconds));
 }
 
+void limitReceiveBuffer(h2o_socket_t *socket, size_t bytes)
+{
+    // Such bytes count towards the memory of the process.
+    const int size = static_cast<int>(bytes);
+    setsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+}
+
 bool wasReset(h2o_socket_t *socket)
 {
     tcp_info info {};
--- a/src/net/internal/socketoptions.h
+++ b/src/net/internal/socketoptions.h
@@ -12,6 +12,9 @@
 //! no room for more data.
 void setSocketOptions(h2o_socket_t *socket, model::Duration unacknowledgedTimeout);
 
+//! Bounds the bytes that are received and not yet read.
+void limitReceiveBuffer(h2o_socket_t *socket, size_t bytes);
+
 //! Whether the peer reset the connection instead of closing it.
 bool wasReset(h2o_socket_t *socket);
 
--- a/src/net/tests/rawpeer.h
+++ b/src/net/tests/rawpeer.h
@@ -2,6 +2,7 @@
 #define CITRONPICK_NET_TESTS_RAWPEER_H
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <fcntl.h>
 #include <functional>
 #include <netinet/in.h>
@@ -47,12 +48,14 @@
     RawPeer(RawPeer &&other) noexcept
         : m_descriptor(std::exchange(other.m_descriptor, -1))
         , m_received(std::move(other.m_received))
+        , m_wasReset(other.m_wasReset)
     {
     }
     RawPeer &operator=(RawPeer &&other) noexcept
     {
         std::swap(m_descriptor, other.m_descriptor);
         std::swap(m_received, other.m_received);
+        std::swap(m_wasReset, other.m_wasReset);
         return *this;
     }
 
@@ -106,6 +109,7 @@
             if (count == 0) {
                 m_hasEnded = true;
             }
+            m_wasReset = m_wasReset || (count < 0 && errno == ECONNRESET);
             if (count <= 0) {
                 return m_received;
             }
@@ -117,6 +121,11 @@
         received();
         return m_hasEnded;
     }
+    bool wasReset()
+    {
+        received();
+        return m_wasReset;
+    }
     void clear()
     {
         m_received.clear();
@@ -145,6 +154,7 @@
     std::string m_received;
     bool m_hasEnded = false;
     bool m_isRefused = false;
+    bool m_wasReset = false;
 };
 
 //! Listening socket on a free port that accepts connections one by one.
