--- a/src/net/internal/httpconnections.cpp
+++ b/src/net/internal/httpconnections.cpp
@@ -87,7 +87,7 @@
 {
     connection.isClosing = true;
     const sockaddr nowhere {.sa_family = AF_UNSPEC, .sa_data = {}};
-    connect(h2o_socket_get_fd(connection.socket), &nowhere, sizeof(nowhere));
+    static_cast<void>(connect(h2o_socket_get_fd(connection.socket), &nowhere, sizeof(nowhere)));
 }
 
 } // namespace citronpick::net::internal
