Relay: after a second SIGTERM the daemon listens until its requests have ended

Cause: the second signal closed the listener at once, while the process no longer ends 0.2 s later.

Change: the listener stays open until nothing is in progress, or until the time of the first signal; callers are told 503 meanwhile. Without requests the daemon still ends at once.

--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -310,8 +310,8 @@
                 .subject = m_settings.daemon.text(),
                 .detail = absl::StrCat("afterMs=", model::toMilliseconds(now - *m_drainingSince),
                                        " requests=", m_relay->requestCount())});
+        m_isDrainHastened = true;
         m_relay->hastenShutdown(now);
-        stopListening(now);
         return;
     }
     m_drainingSince = now;
@@ -327,14 +327,6 @@
                                    " connections=", m_exchanges->server().connectionCount())});
 }
 
-void RelayDaemon::stopListening(model::TimePoint now)
-{
-    if (!m_listenedUntil) {
-        m_exchanges->server().stopListening();
-        m_listenedUntil = now;
-    }
-}
-
 void RelayDaemon::checkDrain(model::TimePoint now)
 {
     if (!m_drainingSince) {
@@ -342,8 +334,12 @@
     }
     const bool isIdle = m_relay->requestCount() == 0 && m_peerJobs->openExchanges() == 0
                         && !m_exchanges->server().hasUnsentResponses();
-    if (now - *m_drainingSince >= m_settings.drain.acceptPeriod) {
-        stopListening(now);
+    // Callers that still use this address are told at once to go elsewhere.
+    const bool mayClose
+        = now - *m_drainingSince >= m_settings.drain.acceptPeriod || (m_isDrainHastened && isIdle);
+    if (!m_listenedUntil && mayClose) {
+        m_exchanges->server().stopListening();
+        m_listenedUntil = now;
     }
     const bool isDone = m_listenedUntil && isIdle && now >= *m_listenedUntil + flushPeriod;
     if (now >= m_drainEndsAt || isDone) {
--- a/src/daemon/relaydaemon.h
+++ b/src/daemon/relaydaemon.h
@@ -96,7 +96,6 @@
     void applyLeavingFacts(const fleet::FleetUpdates &updates, model::TimePoint now);
     void refreshPeers();
     void checkReady(model::TimePoint now);
-    void stopListening(model::TimePoint now);
     void checkDrain(model::TimePoint now);
     void reportRoom(model::TimePoint now);
     model::Duration timeToNextRun(model::TimePoint now) const;
@@ -132,6 +131,7 @@
     bool m_isExecuting = false;
     bool m_wasReady = false;
     std::optional<model::TimePoint> m_drainingSince;
+    bool m_isDrainHastened = false; //!< A second stop was requested.
     std::optional<model::TimePoint> m_listenedUntil; //!< Since then no connections are accepted.
     model::TimePoint m_drainEndsAt = model::TimePoint::max();
     bool m_isFinished = false;
