--- a/src/net/tests/rawpeer.h
+++ b/src/net/tests/rawpeer.h
@@ -71,12 +71,12 @@
     }
 
     //! Does not wait until the connection is established.
-    static RawPeer beginConnecting(uint16_t port)
+    static RawPeer beginConnecting(uint16_t port, const std::string &host = "127.0.0.1")
     {
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_port = htons(port);
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        inet_pton(AF_INET, host.c_str(), &address.sin_addr);
         const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
         connect(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address));
         return RawPeer(descriptor);
--- a/tests/soak/daemonprocess.cpp
+++ b/tests/soak/daemonprocess.cpp
@@ -82,6 +82,20 @@
 
 // A program that is still being loaded has no signal handlers; the number in its status is the mask
 // of the signals that it handles.
+size_t DaemonProcess::peakResidentBytes() const
+{
+    std::ifstream status(absl::StrCat("/proc/", m_pid, "/status"));
+    uint64_t kilobytes = 0;
+    for (std::string line; std::getline(status, line);) {
+        absl::string_view rest(line);
+        if (absl::ConsumePrefix(&rest, "VmHWM:") && absl::ConsumeSuffix(&rest, "kB")
+            && absl::SimpleAtoi(rest, &kilobytes)) {
+            return kilobytes << 10U;
+        }
+    }
+    return 0;
+}
+
 bool DaemonProcess::handles(int signal) const
 {
     std::ifstream status(absl::StrCat("/proc/", m_pid, "/status"));
--- a/tests/soak/daemonprocess.h
+++ b/tests/soak/daemonprocess.h
@@ -53,6 +53,8 @@
     {
         return m_log;
     }
+    //! Greatest resident memory of the current life; zero while it does not run.
+    size_t peakResidentBytes() const;
     bool isPaused() const
     {
         return m_isPaused;
--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -15,6 +15,7 @@
 constexpr uint64_t firstNoticesSeed = 2000;
 constexpr uint64_t firstEvacuationsSeed = 3000;
 constexpr uint64_t firstConfigurationsSeed = 4000;
+constexpr uint64_t firstCallersSeed = 5000;
 constexpr uint64_t deadlyInterval = 5;
 constexpr uint64_t deadlyStopsInterval = 3;
 //! Requests before a deadly part comes are compared with those after its quarantine.
@@ -90,6 +91,12 @@
                 FaultKind::KillDaemon,
                 FaultKind::PauseDaemon,
                 FaultKind::HangUp};
+    case PlanKind::Callers:
+        return {FaultKind::UnlimitedCallers, FaultKind::ReplicaSilent,
+                FaultKind::ConfigurationChanges, FaultKind::ReplicaLeaves};
+    case PlanKind::CallersAndStops:
+        return {FaultKind::UnlimitedCallers, FaultKind::ReplicaSilent,
+                FaultKind::ConfigurationChanges, FaultKind::HangUp, FaultKind::StopDaemon};
     }
     return {};
 }
@@ -99,6 +106,7 @@
     switch (plan) {
     case PlanKind::Mixed:
     case PlanKind::PlannedWork:
+    case PlanKind::CallersAndStops:
         return {FaultKind::StopSeries, FaultKind::StopTwice, FaultKind::HangUpInStop,
                 FaultKind::StageSlow, FaultKind::StageSlow};
     case PlanKind::Mild:
@@ -115,6 +123,9 @@
     if (seed < firstPlannedSeed) {
         return seed % mildInterval == 0 ? PlanKind::Mild : PlanKind::Mixed;
     }
+    if (seed >= firstCallersSeed) {
+        return seed % 2 == 0 ? PlanKind::Callers : PlanKind::CallersAndStops;
+    }
     if (seed >= firstConfigurationsSeed) {
         return seed % 2 == 0 ? PlanKind::Configurations : PlanKind::ConfigurationsAndStops;
     }
@@ -183,6 +194,10 @@
         return "returns-cold";
     case FaultKind::ConfigurationGrows:
         return "configuration-grows";
+    case FaultKind::ReplicaSilent:
+        return "replica-silent";
+    case FaultKind::UnlimitedCallers:
+        return "unlimited-callers";
     }
     return "unknown";
 }
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -38,6 +38,8 @@
     EvacuateZone, //!< The operator orders that replicas of a zone get no work.
     ReplicaReturnsCold, //!< A replica crashes and is cold after its restart.
     ConfigurationGrows, //!< A new configuration version has many routes more.
+    ReplicaSilent, //!< Replicas send nothing for requests and go on afterwards.
+    UnlimitedCallers, //!< Callers of one daemon send many bodies that do not end.
 };
 
 //! Which faults a seed gets.
@@ -53,11 +55,14 @@
     EvacuationsAndStops,
     Configurations, //!< Growing configurations beside outages of the store.
     ConfigurationsAndStops,
+    Callers, //!< Callers that keep no limits and silent upstreams, beside configurations.
+    CallersAndStops,
 };
 
 //! Seeds from 1000 on get plans of planned work only, each fifth with a deadly part. Those from
 //! 2000 on get notices, those from 3000 on emptied zones and cold upstreams, those from 4000 on
-//! growing configurations, each second one with stopped daemons.
+//! growing configurations, those from 5000 on callers that keep no limits, each second one with
+//! stopped daemons.
 PlanKind planKindOf(uint64_t seed);
 
 constexpr model::Duration minDeadlyPlan = model::seconds(28);
--- a/tests/soak/faultplantest.cpp
+++ b/tests/soak/faultplantest.cpp
@@ -55,6 +55,21 @@
     }
 }
 
+TEST_CASE(
+    "Plans from seed 5000 on have callers without limits and silent upstreams beside planned work")
+{
+    for (const uint64_t seed : {5000, 5001}) {
+        std::set<FaultKind> kinds;
+        for (const PlannedFault &fault : planFaults(seed, model::seconds(300))) {
+            kinds.insert(fault.kind);
+        }
+        CHECK(kinds.contains(FaultKind::UnlimitedCallers));
+        CHECK(kinds.contains(FaultKind::ReplicaSilent));
+        CHECK_FALSE(kinds.contains(FaultKind::KillDaemon));
+        CHECK(kinds.contains(FaultKind::StopTwice) == (seed % 2 == 1));
+    }
+}
+
 TEST_CASE("Faults of a plan are ordered by their start")
 {
     const std::vector<PlannedFault> plan = planFaults(1001, model::seconds(60));
--- a/tests/soak/soakfaults.cpp
+++ b/tests/soak/soakfaults.cpp
@@ -62,6 +62,8 @@
     case FaultKind::SaysLeaving:
     case FaultKind::AsksRest:
     case FaultKind::EvacuateZone:
+    case FaultKind::ReplicaSilent:
+    case FaultKind::UnlimitedCallers:
         return true;
     default:
         return false;
@@ -162,6 +164,15 @@
     case FaultKind::HangUp:
         process.sendSighup();
         return true;
+    case FaultKind::UnlimitedCallers:
+        m_unlimitedCallers.push_back(
+            {.fault = fault,
+             .callers = std::make_unique<UnlimitedCallers>(
+                 config::Endpoint {
+                     .host = daemonHost(fault.target % static_cast<uint32_t>(m_daemons.size())),
+                     .port = static_cast<uint16_t>(m_options.basePort)},
+                 m_spec.host, fault.variant)});
+        return true;
     default:
         return false;
     }
@@ -285,6 +296,9 @@
     case FaultKind::StageSlow:
         setStageSlowness(fault, minSlowness + fault.variant % slownessRange);
         break;
+    case FaultKind::ReplicaSilent:
+        setSilent(fault, true);
+        break;
     case FaultKind::DeadlyPart:
         beginDeadlyPart(fault);
         break;
@@ -411,6 +425,14 @@
     case FaultKind::StageSlow:
         setStageSlowness(fault, 1);
         break;
+    case FaultKind::ReplicaSilent:
+        setSilent(fault, false);
+        break;
+    case FaultKind::UnlimitedCallers:
+        std::erase_if(m_unlimitedCallers,
+                      [&fault](const Crowd &crowd) { return crowd.fault == fault; });
+        checkMemory();
+        break;
     case FaultKind::SaysLeaving:
     case FaultKind::AsksRest:
         endNotices(fault);
@@ -445,6 +467,19 @@
     }
 }
 
+// One replica of a pool or all of them.
+void SoakRun::setSilent(const PlannedFault &fault, bool isSilent)
+{
+    const std::string prefix = m_spec.pools[fault.target % m_spec.pools.size()].name + "-";
+    const std::string chosen = replicaFor(fault).standIn->id();
+    for (Replica &replica : m_replicas) {
+        const std::string &id = replica.standIn->id();
+        if (id == chosen || (fault.variant % 2 == 0 && id.starts_with(prefix))) {
+            replica.standIn->setSilent(isSilent);
+        }
+    }
+}
+
 void SoakRun::setLeaving(Replica &replica, bool isLeaving)
 {
     replica.isLeaving = isLeaving;
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -50,12 +50,22 @@
     return drainSettings.at(number % drainSettings.size());
 }
 
-std::string daemonHost(uint32_t daemon)
+//! Of daemons whose callers keep no limits.
+constexpr size_t smallMemoryMb = 64;
+constexpr size_t fewDescriptors = 512;
+
+} // namespace
+
+std::string SoakRun::daemonHost(uint32_t daemon)
 {
     return absl::StrCat("127.0.0.", 11 + daemon);
 }
 
-} // namespace
+bool SoakRun::hasUnlimitedCallers() const
+{
+    const PlanKind plan = planKindOf(m_options.seed);
+    return plan == PlanKind::Callers || plan == PlanKind::CallersAndStops;
+}
 
 SoakRun::SoakRun(SoakOptions options, platform::standin::DeploymentSpec spec)
     : m_options(std::move(options))
@@ -132,6 +142,10 @@
         return absl::StrCat("\"", daemonHost(number), ":", m_options.basePort + port, "\"");
     };
     const DrainSettings &drain = drainSettingsOf(m_daemons[daemon].drainSettings);
+    const std::string limits = hasUnlimitedCallers()
+                                   ? absl::StrCat(R"("memoryMb": )", smallMemoryMb,
+                                                  R"(, "maxDescriptors": )", fewDescriptors, ", ")
+                                   : std::string();
     std::string seeds;
     for (uint32_t i = 0; i < std::min(3U, m_options.daemons); ++i) {
         absl::StrAppend(&seeds, seeds.empty() ? "" : ", ", address(i, 3));
@@ -142,8 +156,8 @@
         address(daemon, 2), R"(, "fleet": )", address(daemon, 3),
         R"(, "fleetKey": "fault-soak-key", "fleetPorts": [)", m_options.basePort + 4, ", ",
         m_options.basePort + 5, R"(], "seeds": [)", seeds, R"(], "registry": ")",
-        config::toText(m_daemons[daemon].storeLink->address()), R"(", "drain": { "acceptMs": )",
-        drain.acceptMs, R"(, "limitMs": )", drain.limitMs,
+        config::toText(m_daemons[daemon].storeLink->address()), R"(", )", limits,
+        R"("drain": { "acceptMs": )", drain.acceptMs, R"(, "limitMs": )", drain.limitMs,
         R"( }, "coldStarts": { "overshoot": 1, "slack": )", coldSlack, " } }");
 }
 
@@ -187,6 +201,9 @@
         }
         checkLeaving(replica);
     }
+    for (const Crowd &crowd : m_unlimitedCallers) {
+        crowd.callers->run();
+    }
     runScheduledPuts();
     checkOrders();
     runDaemons();
@@ -247,6 +264,7 @@
     }
     checkStops();
     checkConfigurations();
+    checkMemory();
     if (m_deadlyPart) {
         for (const std::string &broken : checkDeadlyPart(*m_deadlyPart, m_ledger, m_trafficStart)) {
             m_ledger.recordViolation(broken);
@@ -272,6 +290,18 @@
     }
 }
 
+void SoakRun::checkMemory()
+{
+#ifndef CITRONPICK_SANITIZED
+    for (uint32_t i = 0; i < m_daemons.size(); ++i) {
+        const size_t peak = m_daemons[i].process->peakResidentBytes();
+        if (hasUnlimitedCallers() && peak > smallMemoryMb << 20U) {
+            m_ledger.recordViolation(absl::StrCat("daemon ", i, " took ", peak, " bytes"));
+        }
+    }
+#endif
+}
+
 void SoakRun::checkConfigurations()
 {
     for (uint32_t i = 0; i < m_daemons.size(); ++i) {
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -16,6 +16,7 @@
 #include "soak/deadlypartpromise.h"
 #include "soak/faultplan.h"
 #include "soak/faultproxy.h"
+#include "soak/unlimitedcallers.h"
 
 namespace citronpick::soak
 {
@@ -87,12 +88,19 @@
         uint32_t drainSettings = 0; //!< Number of the drain settings in its file.
         std::vector<ProcessLife> stoppedLives;
     };
+    //! Callers that keep no limits, until the fault ends.
+    struct Crowd {
+        PlannedFault fault;
+        std::unique_ptr<UnlimitedCallers> callers;
+    };
     struct Counts {
         size_t served = 0;
         size_t failed = 0;
         size_t refused = 0;
     };
 
+    static std::string daemonHost(uint32_t daemon);
+    bool hasUnlimitedCallers() const;
     absl::Status startReplicas();
     absl::Status startDaemons();
     std::string settingsFor(uint32_t daemon) const;
@@ -119,6 +127,9 @@
     void forgetNotices(uint32_t daemon);
     void endFault(const PlannedFault &fault);
     void setLinkFault(Replica &replica, LinkFault fault);
+    void setSilent(const PlannedFault &fault, bool isSilent);
+    //! Finds daemons that took more memory than they are told to have.
+    void checkMemory();
     void setStageSlowness(const PlannedFault &fault, int64_t factor);
     void send(const ScheduledSignal &scheduled);
     void setLeaving(Replica &replica, bool isLeaving);
@@ -144,6 +155,7 @@
     std::vector<ScheduledEnd> m_scheduledEnds;
     std::vector<ScheduledSignal> m_scheduledSignals;
     std::vector<ScheduledPut> m_scheduledPuts;
+    std::vector<Crowd> m_unlimitedCallers;
     std::optional<DeadlyPart> m_deadlyPart;
     std::map<std::string, Order> m_orders; //!< By zone.
     size_t m_ordersInForce = 0;
