--- a/src/net/internal/socketoptions.cpp
+++ b/src/net/internal/socketoptions.cpp
@@ -2,11 +2,36 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <linux/sockios.h>
+
 namespace citronpick::net::internal
 {
 
+namespace
+{
+
+size_t queueBytes(h2o_socket_t *socket, unsigned long request)
+{
+    int bytes = 0;
+    const int result = ioctl(h2o_socket_get_fd(socket), request, &bytes);
+    return result == 0 && bytes > 0 ? static_cast<size_t>(bytes) : 0;
+}
+
+} // namespace
+
+size_t unreadBytes(h2o_socket_t *socket)
+{
+    return queueBytes(socket, FIONREAD);
+}
+
+size_t unacknowledgedBytes(h2o_socket_t *socket)
+{
+    return queueBytes(socket, SIOCOUTQ);
+}
+
 void setSocketOptions(h2o_socket_t *socket, model::Duration unacknowledgedTimeout)
 {
     const auto unacknowledgedTimeoutMs
--- a/src/net/internal/socketoptions.h
+++ b/src/net/internal/socketoptions.h
@@ -15,6 +15,12 @@
 //! Bounds the bytes that are received and not yet read.
 void limitReceiveBuffer(h2o_socket_t *socket, size_t bytes);
 
+//! Bytes that were received and not yet read.
+size_t unreadBytes(h2o_socket_t *socket);
+
+//! Bytes that were sent and not yet acknowledged by the peer.
+size_t unacknowledgedBytes(h2o_socket_t *socket);
+
 //! Whether the peer reset the connection instead of closing it.
 bool wasReset(h2o_socket_t *socket);
 
