--- a/src/apps/citronpickd/main.cpp
+++ b/src/apps/citronpickd/main.cpp
@@ -30,6 +30,7 @@
 
 // Signal handlers may only set flags. The main loop polls them every few milliseconds.
 volatile std::sig_atomic_t stopSignalCount = 0;
+volatile std::sig_atomic_t hasHungUp = 0;
 volatile std::sig_atomic_t otherSignal = 0;
 
 void onStopSignal(int)
@@ -39,7 +40,11 @@
 
 void onOtherSignal(int number)
 {
-    otherSignal = number;
+    if (number == SIGHUP) {
+        hasHungUp = 1;
+    } else {
+        otherSignal = number;
+    }
 }
 
 void installSignalHandlers()
@@ -102,8 +107,8 @@
             ++handledStopSignals;
             daemon.requestStop();
         }
-        if (otherSignal == SIGHUP) {
-            otherSignal = 0;
+        if (hasHungUp != 0) {
+            hasHungUp = 0;
             reloadSettings(daemon, path);
         }
     }
@@ -129,11 +134,13 @@
             ++handledStopSignals;
             daemon.requestStop();
         }
-        if (otherSignal != 0) {
+        const int ignored = hasHungUp != 0 ? SIGHUP : otherSignal;
+        if (ignored != 0) {
             daemon.record({.code = observability::EventCode::SignalIgnored,
                            .request = {},
                            .subject = "signal",
-                           .detail = "number=" + std::to_string(otherSignal)});
+                           .detail = "number=" + std::to_string(ignored)});
+            hasHungUp = 0;
             otherSignal = 0;
         }
     }
--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -337,7 +337,7 @@
     // Callers that still use this address are told at once to go elsewhere.
     const bool mayClose
         = now - *m_drainingSince >= m_settings.drain.acceptPeriod || (m_isDrainHastened && isIdle);
-    if (!m_listenedUntil && mayClose) {
+    if (!m_listenedUntil && (mayClose || now >= m_drainEndsAt)) {
         m_exchanges->server().stopListening();
         m_listenedUntil = now;
     }
