Caller connections: heads count with the memory of their fields

Cause: a head of a caller counted by its bytes, and not at all once it was complete; a field of 4 bytes takes 64 and more. The operator's limit on heads was checked only while a head was incomplete, so that one which arrived at once could be several times larger.

Change: fields count with their memory, also while the request waits for its answer; whole heads are held to the limit; above the limit on held bytes small requests are refused as well (503), but for those up to 4 KB.

--- a/src/net/internal/exchangereader.cpp
+++ b/src/net/internal/exchangereader.cpp
@@ -16,6 +16,8 @@
 constexpr size_t maxPipelinedBytes = 64U << 10U;
 //! A caller that reads a large answer slowly may read nothing for some seconds.
 constexpr model::Duration unacknowledgedTimeout = model::seconds(8);
+//! Requests up to this size, with their heads, are taken in any case.
+constexpr size_t minRoomBytes = 4U << 10U;
 //! A lingering connection discards no more bytes than this.
 constexpr size_t maxLingerBytes = 1U << 20U;
 
@@ -189,8 +191,11 @@
 void ExchangeServer::Impl::dispatchRequest(Connection &connection)
 {
     const size_t bodyBytes = connection.request.body.size();
-    const bool isSmall = bodyBytes <= m_heldBytes.smallShare();
-    if (!isSmall && !m_heldBytes.hasRoomFor(bodyBytes)) {
+    const size_t bytes = bodyBytes + connection.headBytes;
+    const bool isSmall = bytes <= m_heldBytes.smallShare();
+    const bool hasRoom = isSmall ? bytes <= minRoomBytes || !m_heldBytes.isAboveLimit()
+                                 : m_heldBytes.hasRoomFor(bytes);
+    if (!hasRoom) {
         ++m_roomCounters.refused;
         rejectForRoom(connection);
         return;
@@ -221,6 +226,7 @@
     // An assignment would keep the memory of the body.
     IncomingRequest released;
     std::swap(connection.request, released);
+    connection.headBytes = 0;
     h2o_buffer_consume(&connection.socket->input, connection.socket->input->size);
     releaseIfEmpty(connection.socket->input);
     // What still arrives is discarded.
--- a/src/net/internal/exchangeroom.cpp
+++ b/src/net/internal/exchangeroom.cpp
@@ -38,7 +38,7 @@
     const size_t inputBytes = input->size == 0 ? 0 : input->capacity;
     m_heldBytes.update(
         connection.held,
-        {inputBytes + unread, connection.parser.headBytes(),
+        {inputBytes + unread, connection.parser.headBytes() + connection.headBytes,
          heapBytes(connection.request.body) + copiesOfBody * connection.dispatchedBytes,
          heapBytes(connection.queued) + heapBytes(connection.sending)});
 }
--- a/src/net/internal/exchangeserverimpl.h
+++ b/src/net/internal/exchangeserverimpl.h
@@ -30,6 +30,7 @@
 
         void onHead(MessageHead head) override
         {
+            headBytes = memoryOf(head.headers);
             request.head = std::move(head);
         }
         void onBody(std::string_view bytes) override
@@ -58,6 +59,7 @@
         bool isLingering = false;
         bool isRejected = false; //!< What follows is discarded.
         size_t lingerBytes = 0; //!< Bytes discarded after a rejection or while lingering.
+        size_t headBytes = 0; //!< Memory of the request's head once it is complete.
         size_t dispatchedBytes = 0; //!< Body of the request that awaits its response.
         HeldBytes held {}; //!< As reported to the budget.
         bool hasSentContinue = false;
--- a/src/net/internal/exchangewriter.cpp
+++ b/src/net/internal/exchangewriter.cpp
@@ -103,6 +103,7 @@
     m_exchanges.erase(connection.exchange);
     connection.exchange = 0;
     connection.dispatchedBytes = 0;
+    connection.headBytes = 0;
     connection.parser.reset();
     connection.timeoutStart = EventLoop::now();
     flush(connection);
--- a/src/net/internal/messageparser.cpp
+++ b/src/net/internal/messageparser.cpp
@@ -76,18 +76,36 @@
         if (m_error == ParseError::None && (code != HPE_OK || m_parser.upgrade)) {
             m_error = ParseError::Malformed;
         }
-        if (m_error == ParseError::None && !m_isHeadComplete && headMemory() > m_maxHeadBytes) {
+        if (m_error == ParseError::None && !m_isHeadComplete && limitedBytes() > m_maxHeadBytes) {
             m_error = ParseError::HeadTooLarge;
         }
         return consumed;
     }
 
-    // Fields of a few bytes take a multiple of these in memory. The limit on the heads of callers
-    // is the operator's, in bytes of the head itself.
+    // Fields of a few bytes take a multiple of these in memory.
     size_t headMemory() const
     {
-        const bool isResponse = m_kind == Kind::Response;
-        return m_headBytes + (isResponse ? m_head.headers.size() * sizeof(Header) : 0);
+        return m_headBytes + m_head.headers.size() * sizeof(Header);
+    }
+
+    // The limit on the heads of callers is the operator's, in bytes of the head itself.
+    size_t limitedBytes() const
+    {
+        return m_kind == Kind::Response ? headMemory() : m_headBytes;
+    }
+
+    // The whole head may have arrived at once, so that its bytes were not counted.
+    bool isCompleteHeadTooLarge() const
+    {
+        if (m_kind == Kind::Response) {
+            return memoryOf(m_head.headers) > m_maxHeadBytes;
+        }
+        constexpr size_t separatorBytes = 3; // A colon and the end of the line.
+        size_t bytes = m_head.target.size();
+        for (const Header &header : m_head.headers) {
+            bytes += header.name.size() + header.value.size() + separatorBytes;
+        }
+        return bytes > m_maxHeadBytes;
     }
 
     bool finish()
@@ -161,8 +179,7 @@
         constexpr int hasNoBody = 1;
         constexpr int failed = -1;
         Impl &impl = self(parser);
-        // The whole head may have arrived at once.
-        if (impl.m_kind == Kind::Response && memoryOf(impl.m_head.headers) > impl.m_maxHeadBytes) {
+        if (impl.isCompleteHeadTooLarge()) {
             impl.m_error = ParseError::HeadTooLarge;
             return failed;
         }
--- a/tests/callers/callerlimitstest.cpp
+++ b/tests/callers/callerlimitstest.cpp
@@ -110,6 +110,19 @@
     checkHolds(callers);
 }
 
+// Guards against complete heads of many small fields, which take a multiple of their bytes.
+TEST_CASE("Load pattern: heads of many small fields whose bodies do not come")
+{
+    std::string bytes = "POST /once/crowd HTTP/1.1\r\nHost: shop\r\nContent-Length: 1\r\n";
+    constexpr size_t headBytes = 60000;
+    while (bytes.size() < headBytes) {
+        bytes += "a:\r\n";
+    }
+    CallerCrowd callers;
+    callers.send(crowd, bytes + "\r\n");
+    checkHolds(callers);
+}
+
 // Guards against silent connections that keep all others out.
 TEST_CASE("Load pattern: connections that say nothing")
 {
