Caller connections: at their greatest number the longest idle one ends

Cause: at the greatest number only connections that never sent a request ended; one request made a connection immune.

Change: without such a connection the one that has been idle for longest ends. Connections that hold an unread request are passed over.

Evidence: "Load pattern: connections that stay after a refused request" failed before: no ordinary answer.

--- a/src/net/internal/exchangereader.cpp
+++ b/src/net/internal/exchangereader.cpp
@@ -82,7 +82,7 @@
 
 void ExchangeServer::Impl::acceptConnection(h2o_socket_t *socket)
 {
-    if (!hasRoomForConnection() && !closeOldestSilent()) {
+    if (!hasRoomForConnection() && !closeOldestIdle()) {
         ++m_roomCounters.unaccepted;
         h2o_socket_close(socket);
         return;
--- a/src/net/internal/exchangeroom.cpp
+++ b/src/net/internal/exchangeroom.cpp
@@ -90,13 +90,20 @@
     reject(connection, unavailable, {{.name = "retry-after", .value = "1"}});
 }
 
-// At the maximum number of connections, closes the oldest one that never sent a request.
-bool ExchangeServer::Impl::closeOldestSilent()
+// At the maximum number of connections, closes the oldest one that never sent a request, or else
+// the one that has been idle for longest.
+bool ExchangeServer::Impl::closeOldestIdle()
+{
+    return closeOldest([](const Connection &connection) { return connection.isSilent(); })
+           || closeOldest([](const Connection &connection) { return connection.isIdle(); });
+}
+
+bool ExchangeServer::Impl::closeOldest(const std::function<bool(const Connection &)> &isEligible)
 {
     Connection *oldest = nullptr;
     for (const auto &[id, connection] : m_connections) {
-        if (connection->isSilent()
-            && (!oldest || connection->timeoutStart < oldest->timeoutStart)) {
+        if ((!oldest || connection->timeoutStart < oldest->timeoutStart) && isEligible(*connection)
+            && !hasUnreadRequest(*connection)) {
             oldest = connection.get();
         }
     }
--- a/src/net/internal/exchangeserverimpl.h
+++ b/src/net/internal/exchangeserverimpl.h
@@ -1,6 +1,7 @@
 #ifndef CITRONPICK_NET_INTERNAL_EXCHANGESERVERIMPL_H
 #define CITRONPICK_NET_INTERNAL_EXCHANGESERVERIMPL_H
 
+#include <functional>
 #include <optional>
 
 #include <absl/container/flat_hash_map.h>
@@ -73,6 +74,10 @@
         {
             return exchange == 0 && !isLingering && !isRejected && !parser.isAtStart();
         }
+        bool isIdle() const
+        {
+            return exchange == 0 && !isWriting && !isLingering && parser.isAtStart();
+        }
         bool isSilent() const
         {
             return !hadExchange && exchange == 0 && !isWriting && !parser.isHeadComplete();
@@ -115,7 +120,8 @@
     void makeRoom(model::Duration minAge);
     void closeForRoom(uint64_t id);
     void rejectForRoom(Connection &connection);
-    bool closeOldestSilent();
+    bool closeOldestIdle();
+    bool closeOldest(const std::function<bool(const Connection &)> &isEligible);
     void sweep(model::TimePoint now);
     static bool hasUnreadRequest(const Connection &connection);
     void controlReading();
--- a/tests/callers/callerlimitstest.cpp
+++ b/tests/callers/callerlimitstest.cpp
@@ -123,6 +123,15 @@
     checkHolds(callers);
 }
 
+// Guards against callers that keep others out by a refused request on each of their connections.
+TEST_CASE("Load pattern: connections that stay after a refused request")
+{
+    CallerCrowd callers;
+    callers.send(CallerCrowd::maxConnections,
+                 "GET /nowhere HTTP/1.1\r\nHost: shop\r\nX-Request-Id: crowd\r\n\r\n");
+    checkHolds(callers);
+}
+
 // Guards against silent connections that keep all others out.
 TEST_CASE("Load pattern: connections that say nothing")
 {
