Caller connections: room is made at most once in each millisecond

Each call looks at all connections, and above the limit each read made one. The copy of a request for its upstream is released once it has been sent.

--- a/src/net/internal/exchangereader.cpp
+++ b/src/net/internal/exchangereader.cpp
@@ -115,7 +115,10 @@
     Connection &connection = *static_cast<Connection *>(socket->data);
     Impl &self = connection.owner;
     self.handleReadable(connection, error != nullptr);
-    if (self.m_heldBytes.isAboveLimit()) {
+    // Each call looks at all connections.
+    constexpr model::Duration roomInterval = model::milliseconds(1);
+    if (self.m_heldBytes.isAboveLimit() && EventLoop::now() >= self.m_nextRoom) {
+        self.m_nextRoom = EventLoop::now() + roomInterval;
         self.makeRoom(model::Duration::zero());
     }
 }
--- a/src/net/internal/exchangeserverimpl.h
+++ b/src/net/internal/exchangeserverimpl.h
@@ -139,6 +139,7 @@
     HeldBytesBudget m_heldBytes;
     std::optional<SharedLimit::Share> m_connectionShare;
     RoomCounters m_roomCounters;
+    model::TimePoint m_nextRoom; //!< Room is made at most once in each millisecond.
     h2o_socket_t *m_listener = nullptr;
     absl::flat_hash_map<uint64_t, std::unique_ptr<Connection>> m_connections;
     absl::flat_hash_map<uint64_t, Connection *> m_exchanges;
--- a/src/net/internal/upstreamclient.cpp
+++ b/src/net/internal/upstreamclient.cpp
@@ -285,7 +285,8 @@
             connection.owner.fail(connection, CallFailure::ConnectionLost);
             return;
         }
-        connection.requestBytes.clear();
+        // Releases the memory as well, because the answer may take long.
+        std::string().swap(connection.requestBytes);
     }
 
     static void onRead(h2o_socket_t *socket, const char *error)
