Own pipelines: daemons' connections are bounded by the descriptors

Cause: callers had three quarters of maxDescriptors, the administration 64, and nothing bounded those of the fleet but 2,048.

Change: callers have half, daemons an eighth.

Evidence: "Load pattern: connections to the address of the fleet of pipelines" failed before.

--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -68,6 +68,7 @@
     observability::Timeline m_timeline;
     net::HttpMemoryLimit m_memory;
     net::SharedLimit m_fleetBytes;
+    net::SharedLimit m_fleetConnections;
     net::HttpClient m_client;
     std::unique_ptr<core::Core> m_core;
     std::unique_ptr<AttemptRunner> m_attempts;
--- a/src/daemon/internal/callerapi.cpp
+++ b/src/daemon/internal/callerapi.cpp
@@ -25,11 +25,12 @@
 //! Until then, what takes the room has usually been closed.
 constexpr model::Duration roomRetryAfter = model::seconds(1);
 
-//! With a known number of descriptors, a quarter is left for upstreams, peers and files.
+//! With a known number of descriptors, half are left for upstreams, peers, administration and
+//! files.
 uint32_t maxConnectionsOf(const config::Settings &settings)
 {
     const uint32_t most = settings.limits.maxConnections;
-    const size_t descriptors = settings.maxDescriptors * 3 / 4;
+    const size_t descriptors = settings.maxDescriptors / 2;
     return settings.maxDescriptors == 0
                ? most
                : static_cast<uint32_t>(std::min<size_t>(most, descriptors));
--- a/src/daemon/internal/daemon.cpp
+++ b/src/daemon/internal/daemon.cpp
@@ -1,5 +1,7 @@
 #include "daemon/daemon.h"
 
+#include <limits>
+
 #include <absl/strings/str_cat.h>
 
 #include "daemon/internal/adminapi.h"
@@ -22,8 +24,15 @@
 constexpr model::Duration tickInterval = model::milliseconds(5);
 constexpr model::Duration sweepInterval = model::milliseconds(200);
 constexpr size_t timelineCapacity = 4096;
-//! Part of the instance's memory for messages of other daemons.
+//! Parts of the instance's memory and descriptors for messages of other daemons.
 constexpr size_t fleetBytesPart = 8;
+constexpr size_t fleetConnectionsPart = 8;
+
+size_t fleetConnections(size_t maxDescriptors)
+{
+    return maxDescriptors == 0 ? std::numeric_limits<size_t>::max()
+                               : maxDescriptors / fleetConnectionsPart;
+}
 //! Callers that are refused or closed for room are logged together, once in this interval.
 constexpr model::Duration roomReportInterval = model::seconds(1);
 //! Time for sending buffered answers after the last request has ended.
@@ -37,6 +46,7 @@
     , m_timeline(timelineCapacity)
     , m_memory(m_settings.memoryMb << 20U)
     , m_fleetBytes((m_settings.memoryMb << 20U) / fleetBytesPart)
+    , m_fleetConnections(fleetConnections(m_settings.maxDescriptors))
     , m_client(loop)
 {
 }
@@ -90,16 +100,18 @@
     m_callers
         = std::make_unique<CallerApi>(m_loop, m_settings, *m_core, *m_attempts, m_memory, *this);
     m_admin = std::make_unique<AdminApi>(m_loop, m_settings, *m_core, m_timeline, m_memory);
-    m_fleet = std::make_unique<FleetApi>(m_loop, m_client,
-                                         FleetIdentity {.daemon = m_settings.daemon,
-                                                        .endpoint = m_settings.fleet,
-                                                        .key = m_settings.fleetKey,
-                                                        .incarnation = incarnation},
-                                         FleetDocuments {.configuration =
-                                                             [this] {
-                                                                 return configurationFile();
-                                                             }},
-                                         *this, net::ListenerLimits {.heldBytes = &m_fleetBytes});
+    m_fleet = std::make_unique<FleetApi>(
+        m_loop, m_client,
+        FleetIdentity {.daemon = m_settings.daemon,
+                       .endpoint = m_settings.fleet,
+                       .key = m_settings.fleetKey,
+                       .incarnation = incarnation},
+        FleetDocuments {.configuration =
+                            [this] {
+                                return configurationFile();
+                            }},
+        *this,
+        net::ListenerLimits {.heldBytes = &m_fleetBytes, .connections = &m_fleetConnections});
     m_platform = std::make_unique<PlatformReader>(m_client, m_settings, *this, incarnation.value());
     m_callers->listen(*std::move(caller));
     m_admin->listen(*std::move(admin));
--- a/tests/callers/pipelinelimitstest.cpp
+++ b/tests/callers/pipelinelimitstest.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 #include <absl/strings/str_cat.h>
@@ -76,7 +78,8 @@
         const uint32_t stream = 2 * i + 1;
         bytes += frame(fields.size(), headersType, endHeaders, stream) + fields;
         for (size_t sent = 0; sent < bytesOfEach; sent += dataBytes) {
-            bytes += frame(dataBytes, dataType, 0, stream) + std::string(dataBytes, 'x');
+            const size_t count = std::min(dataBytes, bytesOfEach - sent);
+            bytes += frame(count, dataType, 0, stream) + std::string(count, 'x');
         }
     }
     return bytes;
@@ -180,6 +183,33 @@
     checkHolds(callers);
 }
 
+// Guards against many requests on one connection that each take memory before their bodies come.
+TEST_CASE("Load pattern: many HTTP/2 requests with a byte of their bodies", "[!mayfail]")
+{
+    PipelineCrowd callers;
+    constexpr uint32_t streams = 100;
+    callers.send({callers.callerPort()}, PipelineCrowd::maxConnections - 1,
+                 {openStreams(streams, 1)});
+    checkHolds(callers);
+}
+
+// Guards against callers at another address that take all descriptors.
+TEST_CASE("Load pattern: connections to the address of the fleet of pipelines")
+{
+    PipelineCrowd callers;
+    callers.send({callers.addresses().back()}, PipelineCrowd::maxDescriptors, {"POST"});
+    checkHolds(callers);
+}
+
+// Guards against callers that keep others out by a refused request on each of their connections.
+TEST_CASE("Load pattern: connections to pipelines that stay after a refused request")
+{
+    PipelineCrowd callers;
+    callers.send({callers.callerPort()}, PipelineCrowd::maxConnections,
+                 {"GET /nowhere HTTP/1.1\r\nHost: a\r\n\r\n"});
+    checkHolds(callers);
+}
+
 // Guards against bounds that hold for each address and not for all of them together.
 TEST_CASE("Load pattern: all kinds of bodies for all addresses of pipelines at once")
 {
