Own pipelines: a reset connection is noticed while its request runs

Found by review (by reading): h2o doesn't read while it processes a request of HTTP/1, so that a reset connection stayed, counted as about to end, and its request ran on; recv() fails there instead of giving 0. Such connections are no candidates any more, and errors count as gone. Passes over all connections come 5 ms apart, and memory is not given back more often than every 2 s where that brings nothing. caller_limits_test, net_test and integration_test pass.

--- a/src/net/httpmemorylimit.h
+++ b/src/net/httpmemorylimit.h
@@ -70,6 +70,7 @@
     size_t m_residentBytes = 0;
     uint64_t m_closedConnections = 0;
     model::TimePoint m_nextTrim;
+    model::TimePoint m_nextPass;
     std::unique_ptr<internal::HttpConnections> m_connections;
 };
 
--- a/src/net/internal/httpconnections.cpp
+++ b/src/net/internal/httpconnections.cpp
@@ -28,6 +28,8 @@
 {
     update(now);
     hadRequest = true;
+    isHttp2 = ownBytes.has_value();
+    ++openExchanges;
     completeBytes = ownBytes ? std::min(receivedBytes, completeBytes + *ownBytes) : receivedBytes;
 }
 
--- a/src/net/internal/httpconnections.h
+++ b/src/net/internal/httpconnections.h
@@ -21,7 +21,9 @@
     //! Of the bytes received, those that belong to complete requests.
     size_t completeBytes = 0;
     size_t responseBytes = 0; //!< Held for responses that have not been sent.
+    size_t openExchanges = 0; //!< Requests that have been received and not been answered.
     bool hadRequest = false;
+    bool isHttp2 = false;
     bool isClosing = false;
     size_t receivedBytes = 0; //!< As of the last call of update().
     size_t sentBytes = 0;
@@ -32,10 +34,12 @@
     //! A request was received completely. \a ownBytes of those received belong to it, all of them
     //! if that is unknown.
     void noteRequest(std::optional<size_t> ownBytes, model::TimePoint now);
-    //! What closing the connection gives back, at most.
+    //! What closing the connection gives back, at most. While H2O processes a request of HTTP/1, it
+    //! reads no other one.
     size_t heldBytes() const
     {
-        return receivedBytes - completeBytes + responseBytes;
+        const bool isReading = isHttp2 || openExchanges == 0;
+        return (isReading ? receivedBytes - completeBytes : 0) + responseBytes;
     }
 };
 
--- a/src/net/internal/httpmemorylimit.cpp
+++ b/src/net/internal/httpmemorylimit.cpp
@@ -6,6 +6,7 @@
 #include <fcntl.h>
 #include <malloc.h>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 #include "net/heldbytes.h"
@@ -34,6 +35,9 @@
 
 //! Returning free memory to the system takes time where there are many free blocks.
 constexpr model::Duration trimInterval = model::milliseconds(100);
+constexpr model::Duration fruitlessTrimInterval = model::seconds(2);
+//! A pass looks at all connections.
+constexpr model::Duration passInterval = model::milliseconds(5);
 
 // Zero if unknown.
 size_t residentBytesNow()
@@ -76,11 +80,13 @@
 {
     m_residentBytes = residentBytesNow();
     if (m_residentBytes > m_maxResidentBytes && now >= m_nextTrim) {
-        m_nextTrim = now + trimInterval;
         malloc_trim(0);
-        m_residentBytes = residentBytesNow();
+        const size_t before = std::exchange(m_residentBytes, residentBytesNow());
+        const bool isFruitless = m_residentBytes + smallShareBytes > before;
+        m_nextTrim = now + (isFruitless ? fruitlessTrimInterval : trimInterval);
     }
-    if (m_residentBytes > m_maxResidentBytes) {
+    if (m_residentBytes > m_maxResidentBytes && now >= m_nextPass) {
+        m_nextPass = now + passInterval;
         closeConnections(now);
     }
 }
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -1,6 +1,7 @@
 #include "net/httpserver.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <optional>
 #include <sys/socket.h>
 #include <utility>
@@ -240,6 +241,10 @@
     delete std::exchange(exchange.sending, nullptr);
     account(exchange);
     Impl &owner = *exchange.owner;
+    if (internal::HttpConnection *connection
+        = owner.connections().find(socketOf(exchange.request))) {
+        --connection->openExchanges;
+    }
     const uint64_t number = exchange.number;
     const bool wasAnswered = exchange.isComplete;
     const bool wasReported = exchange.isReportedClosed;
@@ -378,7 +383,8 @@
 {
     h2o_socket_t *socket = connection->callbacks->get_socket(connection);
     char byte = 0;
-    return recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    const ssize_t count = recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
 }
 
 // Called when the caller has disconnected. Nothing to do: H2O disposes of the request's memory
