--- a/tests/callers/callercrowd.cpp
+++ b/tests/callers/callercrowd.cpp
@@ -9,6 +9,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
+#include "callers/crowdconnections.h"
 #include "callers/daemonprocess.h"
 
 namespace citronpick::testing
@@ -19,9 +20,6 @@
 
 //! Iterations of a millisecond after which a test gives up; no check depends on it otherwise.
 constexpr int maxIterations = 4000;
-//! Iterations without a byte after which the daemon is taken to have stopped reading.
-constexpr int idleIterations = 300;
-
 constexpr const char *configuration = R"({
   "version": 1,
   "routes": [
@@ -264,25 +262,7 @@
 void CallerCrowd::sendToEach(const std::vector<uint16_t> &ports, size_t callers,
                              const std::vector<std::string> &texts)
 {
-    const size_t first = m_callers.size();
-    for (size_t i = 0; i < callers; ++i) {
-        for (const uint16_t port : ports) {
-            m_callers.push_back(RawPeer::connectTo(port));
-        }
-    }
-    std::vector<size_t> sent(m_callers.size() - first, 0);
-    for (int idle = 0; idle < idleIterations; ++idle) {
-        for (size_t i = 0; i < sent.size(); ++i) {
-            RawPeer &peer = m_callers[first + i];
-            const std::string_view bytes = texts[i / ports.size() % texts.size()];
-            const size_t count = sent[i] < bytes.size() && !peer.isRefused()
-                                     ? peer.sendSome(bytes.substr(sent[i]))
-                                     : 0;
-            sent[i] += count;
-            idle = count > 0 ? 0 : idle;
-        }
-        runOnce();
-    }
+    sendFromEach(m_callers, ports, callers, texts, [this] { runOnce(); });
 }
 
 void CallerCrowd::stayConnected(size_t callers)
@@ -304,22 +284,7 @@
         = absl::StrCat("POST /once/ordinary HTTP/1.1\r\nHost: shop\r\nX-Request-Id: ordinary\r\n"
                        "Content-Length: ",
                        body.size(), "\r\n\r\n", std::string(body));
-    RawPeer peer;
-    size_t sent = request.size();
-    for (int i = 0; i < maxIterations; ++i) {
-        if (peer.received().starts_with("HTTP/1.1 200")) {
-            return true;
-        }
-        const bool isRefused = !peer.received().empty() || peer.hasEnded() || peer.isRefused();
-        if (i == 0 || isRefused) {
-            runOnce();
-            peer = RawPeer::connectTo(m_settings.callers.port);
-            sent = 0;
-        }
-        sent += sent < request.size() ? peer.sendSome(std::string_view(request).substr(sent)) : 0;
-        runOnce();
-    }
-    return false;
+    return isAnswered(request, m_settings.callers.port, maxIterations, [this] { runOnce(); });
 }
 
 bool CallerCrowd::isAlive() const
--- a/tests/callers/pipelinecrowd.cpp
+++ b/tests/callers/pipelinecrowd.cpp
@@ -7,6 +7,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "callers/crowdconnections.h"
 #include "callers/daemonprocess.h"
 
 namespace citronpick::testing
@@ -15,10 +16,8 @@
 namespace
 {
 
-//! Iterations of a millisecond after which a test gives up; no check depends on it otherwise.
+//! Reached only by failing tests.
 constexpr int maxIterations = 8000;
-//! Iterations without a byte after which the daemon is taken to have stopped reading.
-constexpr int idleIterations = 300;
 
 std::string settingsText(const std::vector<uint16_t> &ports, uint16_t platformPort)
 {
@@ -100,25 +99,7 @@
 void PipelineCrowd::send(const std::vector<uint16_t> &ports, size_t callers,
                          const std::vector<std::string> &texts)
 {
-    const size_t first = m_callers.size();
-    for (size_t i = 0; i < callers; ++i) {
-        for (const uint16_t port : ports) {
-            m_callers.push_back(RawPeer::connectTo(port));
-        }
-    }
-    std::vector<size_t> sent(m_callers.size() - first, 0);
-    for (int idle = 0; idle < idleIterations; ++idle) {
-        for (size_t i = 0; i < sent.size(); ++i) {
-            RawPeer &peer = m_callers[first + i];
-            const std::string_view bytes = texts[i / ports.size() % texts.size()];
-            const size_t count = sent[i] < bytes.size() && !peer.isRefused()
-                                     ? peer.sendSome(bytes.substr(sent[i]))
-                                     : 0;
-            sent[i] += count;
-            idle = count > 0 ? 0 : idle;
-        }
-        runOnce();
-    }
+    sendFromEach(m_callers, ports, callers, texts, [this] { runOnce(); });
 }
 
 void PipelineCrowd::stayConnected(size_t callers)
@@ -135,22 +116,7 @@
         "POST /v1/run/plain HTTP/1.1\r\nHost: a\r\nx-citronpick-request: ordinary\r\n"
         "x-citronpick-account: ordinary\r\nContent-Length: ",
         body.size(), "\r\n\r\n", body);
-    RawPeer peer;
-    size_t sent = request.size();
-    for (int i = 0; i < maxIterations; ++i) {
-        if (peer.received().starts_with("HTTP/1.1 200")) {
-            return true;
-        }
-        const bool isRefused = !peer.received().empty() || peer.hasEnded() || peer.isRefused();
-        if (i == 0 || isRefused) {
-            runOnce();
-            peer = RawPeer::connectTo(callerPort());
-            sent = 0;
-        }
-        sent += sent < request.size() ? peer.sendSome(std::string_view(request).substr(sent)) : 0;
-        runOnce();
-    }
-    return false;
+    return isAnswered(request, callerPort(), maxIterations, [this] { runOnce(); });
 }
 
 bool PipelineCrowd::isAlive() const
