--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -12,7 +12,6 @@
 #include "daemon/internal/peerjobs.h"
 #include "daemon/internal/peerwatchers.h"
 #include "daemon/internal/registryreader.h"
-#include "daemon/internal/relaymetrics.h"
 #include "model/abslview.h"
 #include "model/hash.h"
 #include "model/overloaded.h"
@@ -34,8 +33,6 @@
 constexpr const char *stageKeySuffix = ":stage";
 //! Time for sending buffered answers after the last request has ended.
 constexpr model::Duration flushPeriod = model::milliseconds(200);
-//! Callers that are refused or closed for room are logged together, once in this interval.
-constexpr model::Duration roomReportInterval = model::seconds(1);
 
 } // namespace
 
@@ -356,25 +353,6 @@
     }
 }
 
-void RelayDaemon::reportRoom(model::TimePoint now)
-{
-    const net::RoomCounters &room = m_exchanges->server().roomCounters();
-    if (now < m_nextRoomReport || room == m_reportedRoom) {
-        return;
-    }
-    const net::HeldBytesBudget &budget = m_exchanges->server().heldBytes();
-    record({.code = EventCode::RoomMade,
-            .request = {},
-            .subject = m_settings.daemon.text(),
-            .detail = absl::StrCat("refused=", room.refused - m_reportedRoom.refused,
-                                   " slowReaders=", room.slowReaders - m_reportedRoom.slowReaders,
-                                   " silent=", room.silent - m_reportedRoom.silent,
-                                   " unaccepted=", room.unaccepted - m_reportedRoom.unaccepted,
-                                   " heldBytes=", budget.total(), " limit=", budget.limit())});
-    m_reportedRoom = room;
-    m_nextRoomReport = now + roomReportInterval;
-}
-
 void RelayDaemon::reload(const config::RelaySettings &settings)
 {
     m_settings.entryLifetime = settings.entryLifetime;
@@ -387,19 +365,4 @@
             .detail = absl::StrCat("seeds=", settings.seeds.size())});
 }
 
-std::string RelayDaemon::metricsPage() const
-{
-    return relayMetricsPage({.relay = *m_relay,
-                             .fleet = *m_fleet,
-                             .documents = m_fleetApi->documentCounters(),
-                             .appliedConfigurations = m_appliedConfigurations,
-                             .heldBytes = m_exchanges->server().heldBytes(),
-                             .room = m_exchanges->server().roomCounters(),
-                             .connections = m_exchanges->server().connectionCount(),
-                             .limits = m_limits,
-                             .upstreamConnects = m_client.connectsStarted(),
-                             .suppressedLines = m_logLimiter.suppressedTotal(),
-                             .now = net::EventLoop::now()});
-}
-
 } // namespace citronpick::daemon
--- a/src/relay/tests/unansweredtest.cpp
+++ b/src/relay/tests/unansweredtest.cpp
@@ -71,7 +71,7 @@
     }
     CHECK(fixture.count<CancelAttempt>() == 0);
     CHECK(fixture.count<AbortAnswer>() == 0);
-    // Its silence is held against the upstream all the same.
+    // The silence still counts as a failure of the upstream.
     CHECK(fixture.system.upstreams().find(attempt.upstream)->consecutiveFailures > 0);
     SECTION("until the caller leaves")
     {
