RawPeer: a moved peer takes its whole state along

Cause: the move constructor and assignment of the tests' RawPeer left out m_hasEnded and m_isRefused. A peer that was replaced after the daemon had closed its connection kept "ended", so that PipelineCrowd::isAnswered() took each new connection for closed and gave it one turn of the loop.

--- a/src/net/tests/rawpeer.h
+++ b/src/net/tests/rawpeer.h
@@ -48,13 +48,17 @@
     RawPeer(RawPeer &&other) noexcept
         : m_descriptor(std::exchange(other.m_descriptor, -1))
         , m_received(std::move(other.m_received))
-        , m_wasReset(other.m_wasReset)
+        , m_hasEnded(std::exchange(other.m_hasEnded, false))
+        , m_isRefused(std::exchange(other.m_isRefused, false))
+        , m_wasReset(std::exchange(other.m_wasReset, false))
     {
     }
     RawPeer &operator=(RawPeer &&other) noexcept
     {
         std::swap(m_descriptor, other.m_descriptor);
         std::swap(m_received, other.m_received);
+        std::swap(m_hasEnded, other.m_hasEnded);
+        std::swap(m_isRefused, other.m_isRefused);
         std::swap(m_wasReset, other.m_wasReset);
         return *this;
     }
