An upstream's 408, 429 or 503 is not passed on as "not run" unless it says so

Cause: RelaySystem::onAttemptEnd forwarded each complete failure that has the upstream's proof. A 503 without X-Not-Executed states nothing to the daemon, but is a promise to the caller.

A failure with such a status that the upstream does not confirm counts as a lost answer: it is repeated where the kind of request, its attempts and the budget allow it, and answered 502 otherwise. Log line 806 why=unconfirmed-refusal and a metric. This works for streams that have not begun and for idempotent requests as well, as all of them take this path.

--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -201,6 +201,10 @@
         onAnswerLost(exchange, attempt.upstream, AttemptFailure::Malformed, now);
         return;
     }
+    if (facts.promisesNotRun) {
+        onUnconfirmedRefusal(exchange, attempt.upstream, facts, now);
+        return;
+    }
     constexpr uint16_t firstServerError = 500;
     if (facts.status >= firstServerError && mayRepeat(exchange.route->kind)
         && !exchange.isAnswerStarted && acquireRetry(exchange, now)) {
@@ -257,6 +261,17 @@
     refuse(id, Refusal::UpstreamsFull, retryAfterOf(exchange.pool, fullPoolRetryAfter, now));
 }
 
+// The caller would send the request again after such a status, although it may have run here.
+void RelaySystem::onUnconfirmedRefusal(Exchange &exchange, const model::UpstreamId &upstream,
+                                       const AnswerFacts &facts, model::TimePoint now)
+{
+    ++m_counters.unconfirmedRefusals;
+    record(EventCode::AttemptLost, exchange, upstream.text(),
+           absl::StrCat("why=", model::toAbsl(toString(AttemptFailure::Unconfirmed)),
+                        " status=", facts.status));
+    onAnswerLost(exchange, upstream, AttemptFailure::Unconfirmed, now);
+}
+
 void RelaySystem::onAttemptFailed(model::AttemptId id, AttemptFailure failure,
                                   const std::string &lastEvent, model::TimePoint now)
 {
--- a/src/relay/internal/relaysystem.cpp
+++ b/src/relay/internal/relaysystem.cpp
@@ -47,6 +47,8 @@
         return "malformed";
     case AttemptFailure::TimedOut:
         return "timed-out";
+    case AttemptFailure::Unconfirmed:
+        return "unconfirmed-refusal";
     }
     return "broken";
 }
--- a/src/relay/relaycounters.h
+++ b/src/relay/relaycounters.h
@@ -16,6 +16,8 @@
     uint64_t arrived = 0;
     uint64_t answersForwarded = 0;
     uint64_t refused = 0;
+    //! Answers whose status promises that a request has not run, while their upstreams do not.
+    uint64_t unconfirmedRefusals = 0;
     uint64_t answersAborted = 0;
     uint64_t callersDisconnected = 0;
     uint64_t attempts = 0;
--- a/src/relay/relayevents.h
+++ b/src/relay/relayevents.h
@@ -41,6 +41,8 @@
 struct AnswerFacts {
     uint16_t status = 0;
     bool wasNotRun = false; //!< The upstream states that it has not run the request.
+    //! Callers take the status for a statement that the request has not run and never will.
+    bool promisesNotRun = false;
     bool isMisdirected = false; //!< A different upstream than expected answers at the address.
     bool hasProvenance = false; //!< The answer carries proof that the upstream produced it.
     //! The body has a content encoding, so it is not the body that the upstream produced.
@@ -60,6 +62,7 @@
     Broken,
     Malformed,
     TimedOut,
+    Unconfirmed, //!< The status promises that the request has not run; the upstream does not.
 };
 
 std::string_view toString(AttemptFailure failure);
--- a/src/relay/tests/exchangetest.cpp
+++ b/src/relay/tests/exchangetest.cpp
@@ -124,6 +124,28 @@
     CHECK_FALSE(guaranteesNotRun(fixture.take<RefuseRequest>().refusal));
 }
 
+// Guards against a status that callers take for "not run" while the upstream does not state it
+// (REFUSED).
+TEST_CASE("An unconfirmed refusal counts as a lost answer")
+{
+    AnswerFacts unconfirmed = RelayFixture::success(503);
+    unconfirmed.promisesNotRun = true;
+    for (const char *path : {"/once/x", "/stream/x"}) {
+        RelayFixture fixture;
+        fixture.arrive(path);
+        fixture.answer(fixture.take<StartAttempt>().attempt, unconfirmed);
+        CHECK(fixture.count<StartAttempt>() == 0);
+        CHECK(fixture.count<ForwardAnswer>() == 0);
+        CHECK(fixture.take<RefuseRequest>().refusal == Refusal::UpstreamFailed);
+        CHECK(fixture.system.counters().unconfirmedRefusals == 1);
+    }
+    RelayFixture fixture;
+    fixture.arrive("/safe/x");
+    fixture.answer(fixture.take<StartAttempt>().attempt, unconfirmed);
+    fixture.answer(fixture.take<StartAttempt>().attempt, RelayFixture::success());
+    CHECK(fixture.count<ForwardAnswer>() == 1);
+}
+
 TEST_CASE("An idempotent request is retried on other upstreams up to its maximum of attempts")
 {
     RelayFixture fixture;
