--- a/src/daemon/internal/batchrunner.cpp
+++ b/src/daemon/internal/batchrunner.cpp
@@ -37,6 +37,15 @@
         }));
 }
 
+size_t inputCountOf(const std::vector<relay::BatchItem> &items)
+{
+    size_t count = 0;
+    for (const relay::BatchItem &item : items) {
+        count += item.inputs.size();
+    }
+    return count;
+}
+
 } // namespace
 
 BatchRunner::BatchRunner(net::UpstreamClient &client, const IWireFormat &format,
@@ -60,6 +69,7 @@
                        .incarnation = command.incarnation,
                        .address = command.address,
                        .items = command.items.size(),
+                       .inputs = inputCountOf(command.items),
                        .startedAt = net::EventLoop::now()};
     m_callsByBatch[command.batch] = number;
 }
@@ -266,12 +276,13 @@
 void BatchRunner::record(const Call &call, std::string_view outcome)
 {
     const model::Duration took = net::EventLoop::now() - call.startedAt;
-    m_host.record({.code = observability::EventCode::BatchEnded,
-                   .request = {},
-                   .subject = call.upstream.text(),
-                   .detail = absl::StrCat("batch=", call.batch.value(), " pieces=", call.items,
-                                          " outcome=", model::toAbsl(outcome),
-                                          " tookMs=", model::toMilliseconds(took))});
+    m_host.record(
+        {.code = observability::EventCode::BatchEnded,
+         .request = {},
+         .subject = call.upstream.text(),
+         .detail = absl::StrCat("batch=", call.batch.value(), " pieces=", call.items,
+                                " inputs=", call.inputs, " outcome=", model::toAbsl(outcome),
+                                " tookMs=", model::toMilliseconds(took))});
 }
 
 } // namespace citronpick::daemon
--- a/src/daemon/internal/batchrunner.h
+++ b/src/daemon/internal/batchrunner.h
@@ -47,6 +47,7 @@
         uint64_t incarnation = 0;
         config::Endpoint address;
         size_t items = 0;
+        size_t inputs = 0; //!< Of all items.
         model::TimePoint startedAt;
         relay::AnswerFacts facts;
         bool hasAskedRest = false;
--- a/src/relay/internal/relaystages.cpp
+++ b/src/relay/internal/relaystages.cpp
@@ -166,6 +166,7 @@
     record(EventCode::StageFinished, *exchange, absl::StrCat("stage-", owner.stage),
            absl::StrCat("outcome=", model::toAbsl(toString(result.failure)),
                         " pieces=", result.handles.size(),
+                        " inputs=", exchange->plan.inputsOf(owner.stage).size(),
                         " afterMs=", model::toMilliseconds(now - exchange->arrived.startedAt)));
     switch (result.failure) {
     case JobFailure::None:
