Stages: a result is given once, however many omitted stages lead to it

Cause: StagePlan walked along "after" through omitted stages by paths and added the results of each stage that it met.

Change: the stages whose results are used are collected once each; inputs of pieces and of requests and their readiness follow from them. Two omitted last stages after the same one and a stage named twice in "after" are covered, and readiness no longer takes a time that doubles with each omitted stage.

--- a/src/relay/internal/stageplan.cpp
+++ b/src/relay/internal/stageplan.cpp
@@ -28,17 +28,49 @@
                        [](const Stage &stage) { return stage.phase == Phase::Done; });
 }
 
-// A stage is settled when its successors can use its results. A skipped stage is settled when the
-// stages before it are.
-bool StagePlan::isSettled(const Stage &stage) const
+// A skipped stage is replaced by the stages before it. One of these may precede the same stage
+// directly as well, or through another skipped stage; its results are still used once.
+void StagePlan::collectSources(uint32_t stage, std::vector<bool> &isVisited,
+                               std::vector<uint32_t> &sources) const
 {
-    return stage.phase == Phase::Done && (stage.pieceCount != 0 || areSettled(stage.after));
+    if (isVisited[stage]) {
+        return;
+    }
+    isVisited[stage] = true;
+    if (m_stages[stage].pieceCount != 0) {
+        sources.push_back(stage);
+        return;
+    }
+    for (const uint32_t before : m_stages[stage].after) {
+        collectSources(before, isVisited, sources);
+    }
+}
+
+std::vector<uint32_t> StagePlan::sourcesOf(const std::vector<uint32_t> &stages) const
+{
+    std::vector<bool> isVisited(m_stages.size());
+    std::vector<uint32_t> sources;
+    for (const uint32_t stage : stages) {
+        collectSources(stage, isVisited, sources);
+    }
+    return sources;
+}
+
+std::vector<ResultHandle> StagePlan::resultsOf(const std::vector<uint32_t> &sources) const
+{
+    std::vector<ResultHandle> results;
+    for (const uint32_t source : sources) {
+        const std::vector<ResultHandle> &handles = m_stages[source].handles;
+        results.insert(results.end(), handles.begin(), handles.end());
+    }
+    return results;
 }
 
-bool StagePlan::areSettled(const std::vector<uint32_t> &stages) const
+bool StagePlan::areInputsReady(uint32_t stage) const
 {
-    return std::all_of(stages.begin(), stages.end(),
-                       [this](uint32_t stage) { return isSettled(m_stages[stage]); });
+    const std::vector<uint32_t> sources = sourcesOf(m_stages[stage].after);
+    return std::all_of(sources.begin(), sources.end(),
+                       [this](uint32_t source) { return m_stages[source].phase == Phase::Done; });
 }
 
 // A stage without successors is deferred until all stages with successors are done. If it ran
@@ -56,7 +88,7 @@
 {
     std::vector<uint32_t> ready;
     for (uint32_t i = 0; i < m_stages.size(); ++i) {
-        const bool canStart = m_stages[i].phase == Phase::Waiting && areSettled(m_stages[i].after);
+        const bool canStart = m_stages[i].phase == Phase::Waiting && areInputsReady(i);
         if (canStart && !isDeferred(m_stages[i])) {
             ready.push_back(i);
         }
@@ -67,23 +99,9 @@
     return ready;
 }
 
-void StagePlan::appendInputs(uint32_t stage, std::vector<ResultHandle> &inputs) const
-{
-    for (const uint32_t before : m_stages[stage].after) {
-        if (m_stages[before].pieceCount == 0) {
-            appendInputs(before, inputs);
-            continue;
-        }
-        const std::vector<ResultHandle> &handles = m_stages[before].handles;
-        inputs.insert(inputs.end(), handles.begin(), handles.end());
-    }
-}
-
 std::vector<ResultHandle> StagePlan::inputsOf(uint32_t stage) const
 {
-    std::vector<ResultHandle> inputs;
-    appendInputs(stage, inputs);
-    return inputs;
+    return resultsOf(sourcesOf(m_stages[stage].after));
 }
 
 bool StagePlan::isOnlyUserOfInputs(uint32_t stage) const
@@ -107,9 +125,8 @@
 model::TimePoint StagePlan::inputsExpiry(uint32_t stage) const
 {
     model::TimePoint until = model::TimePoint::max();
-    for (const uint32_t before : m_stages[stage].after) {
-        until = std::min(until, m_stages[before].pieceCount == 0 ? inputsExpiry(before)
-                                                                 : m_stages[before].expiresAt);
+    for (const uint32_t source : sourcesOf(m_stages[stage].after)) {
+        until = std::min(until, m_stages[source].expiresAt);
     }
     return until;
 }
@@ -134,19 +151,13 @@
 
 std::vector<ResultHandle> StagePlan::finalResults() const
 {
-    std::vector<ResultHandle> results;
+    std::vector<uint32_t> last;
     for (uint32_t i = 0; i < m_stages.size(); ++i) {
-        const Stage &stage = m_stages[i];
-        if (stage.hasSuccessor) {
-            continue;
+        if (!m_stages[i].hasSuccessor) {
+            last.push_back(i);
         }
-        if (stage.pieceCount == 0) {
-            appendInputs(i, results);
-            continue;
-        }
-        results.insert(results.end(), stage.handles.begin(), stage.handles.end());
     }
-    return results;
+    return resultsOf(sourcesOf(last));
 }
 
 bool StagePlan::areSuccessorsDone(uint32_t stage) const
--- a/src/relay/stageplan.h
+++ b/src/relay/stageplan.h
@@ -34,7 +34,8 @@
     {
         return m_stages[stage].pieceCount;
     }
-    //! Results of the preceding stages that \a stage uses, skipped stages replaced by their inputs.
+    //! Results of the preceding stages that \a stage uses, each once, skipped stages replaced by
+    //! their inputs.
     std::vector<ResultHandle> inputsOf(uint32_t stage) const;
     //! Whether no other stage uses the inputs of \a stage. False if a preceding stage is skipped.
     bool isOnlyUserOfInputs(uint32_t stage) const;
@@ -46,7 +47,7 @@
     //! Earliest expiry of the inputs of \a stage.
     model::TimePoint inputsExpiry(uint32_t stage) const;
 
-    //! Results of the stages without successors, in order.
+    //! Results of the stages without successors, in order and each once.
     std::vector<ResultHandle> finalResults() const;
     //! Intermediate results that no unfinished stage needs; each is returned once.
     std::vector<ResultHandle> takeUnneeded();
@@ -75,10 +76,13 @@
         bool hasSuccessor = false;
     };
 
-    void appendInputs(uint32_t stage, std::vector<ResultHandle> &inputs) const;
-    bool isSettled(const Stage &stage) const;
+    //! The stages whose results stand for those of \a stages, each once.
+    std::vector<uint32_t> sourcesOf(const std::vector<uint32_t> &stages) const;
+    void collectSources(uint32_t stage, std::vector<bool> &isVisited,
+                        std::vector<uint32_t> &sources) const;
+    std::vector<ResultHandle> resultsOf(const std::vector<uint32_t> &sources) const;
+    bool areInputsReady(uint32_t stage) const;
     bool isDeferred(const Stage &stage) const;
-    bool areSettled(const std::vector<uint32_t> &stages) const;
     bool areSuccessorsDone(uint32_t stage) const;
 
     std::vector<Stage> m_stages;
--- a/src/relay/tests/stageplantest.cpp
+++ b/src/relay/tests/stageplantest.cpp
@@ -66,6 +66,58 @@
     CHECK(plan.finalResults() == Handles {"c"});
 }
 
+// Guards against pieces that are given a result twice (MIXED): a stage precedes another one both
+// directly and through a skipped stage, or through two of them.
+TEST_CASE("A stage that is reached over several skipped stages gives its results once")
+{
+    StagePlan direct({stage({}), stage({0}), stage({0, 1})}, {2, 0, 1});
+    CHECK(direct.takeReady() == Stages {0});
+    direct.complete(0, {"a1", "a2"}, never);
+    CHECK(direct.takeReady() == Stages {2});
+    CHECK(direct.inputsOf(2) == Handles {"a1", "a2"});
+
+    StagePlan diamond({stage({}), stage({0}), stage({0}), stage({1, 2})}, {1, 0, 0, 1});
+    CHECK(diamond.takeReady() == Stages {0});
+    diamond.complete(0, {"a"}, never);
+    CHECK(diamond.takeReady() == Stages {3});
+    CHECK(diamond.inputsOf(3) == Handles {"a"});
+
+    StagePlan repeated({stage({}), stage({0, 0})}, {1, 1});
+    repeated.takeReady();
+    repeated.complete(0, {"a"}, never);
+    CHECK(repeated.inputsOf(1) == Handles {"a"});
+}
+
+// Guards against requests that are given a result twice (MIXED).
+TEST_CASE("Skipped last stages after the same stage add its results to the request once")
+{
+    StagePlan plan({stage({}), stage({0}), stage({0})}, {2, 0, 0});
+    plan.takeReady();
+    plan.complete(0, {"a1", "a2"}, never);
+    CHECK(plan.isDone());
+    CHECK(plan.finalResults() == Handles {"a1", "a2"});
+    CHECK(plan.takeAllResults() == Handles {"a1", "a2"});
+}
+
+// Guards against a time that doubles with each skipped stage.
+TEST_CASE("Many skipped stages that all follow each other are handled at once")
+{
+    constexpr uint32_t count = 64;
+    std::vector<StageRule> stages;
+    std::vector<uint32_t> counts;
+    Stages before;
+    for (uint32_t i = 0; i < count; ++i) {
+        stages.push_back(stage(before));
+        counts.push_back(i == 0 || i + 1 == count ? 1 : 0);
+        before.push_back(i);
+    }
+    StagePlan plan(stages, counts);
+    CHECK(plan.takeReady() == Stages {0});
+    plan.complete(0, {"a"}, never);
+    CHECK(plan.takeReady() == Stages {count - 1});
+    CHECK(plan.inputsOf(count - 1) == Handles {"a"});
+}
+
 TEST_CASE("A plan whose stages are all skipped is done")
 {
     StagePlan plan({stage({}), stage({0})}, {0, 0});
