Stages: an omitted stage without inputs no longer hides the zone of the others

A stage after one with results and an omitted one without inputs had no known zone of its inputs, so that it ran where the request is expected to run, far from what it fetches.

Change: the zone is that of the last stage whose results are used.

Measured: the test in stageplantest failed before and passes now.

--- a/src/relay/internal/stageplan.cpp
+++ b/src/relay/internal/stageplan.cpp
@@ -133,11 +133,8 @@
 
 model::ZoneId StagePlan::inputsZone(uint32_t stage) const
 {
-    model::ZoneId zone;
-    for (const uint32_t before : m_stages[stage].after) {
-        zone = m_stages[before].pieceCount == 0 ? inputsZone(before) : m_stages[before].zone;
-    }
-    return zone;
+    const std::vector<uint32_t> sources = sourcesOf(m_stages[stage].after);
+    return sources.empty() ? model::ZoneId() : m_stages[sources.back()].zone;
 }
 
 void StagePlan::complete(uint32_t stage, std::vector<ResultHandle> handles, model::TimePoint until,
--- a/src/relay/tests/stageplantest.cpp
+++ b/src/relay/tests/stageplantest.cpp
@@ -99,6 +99,15 @@
     CHECK(plan.takeAllResults() == Handles {"a1", "a2"});
 }
 
+// Guards against stages that run far from their inputs.
+TEST_CASE("A skipped stage without inputs leaves the zone of the other inputs known")
+{
+    StagePlan plan({stage({}), stage({}), stage({0, 1})}, {1, 0, 1});
+    plan.takeReady();
+    plan.complete(0, {"a"}, never, model::ZoneId("z2"));
+    CHECK(plan.inputsZone(2) == model::ZoneId("z2"));
+}
+
 // Guards against a time that doubles with each skipped stage.
 TEST_CASE("Many skipped stages that all follow each other are handled at once")
 {
