Stages: work behind a queued stage is counted once for each stage

A stage that precedes another one both directly and through a third counted twice, so that its request seemed to lose more than it does when requests give way to each other.

Change: each preceding stage counts once.

--- a/src/relay/internal/relayforecast.cpp
+++ b/src/relay/internal/relayforecast.cpp
@@ -75,11 +75,21 @@
     it->second += model::scaled(took - it->second, stageTimeWeight);
 }
 
+// A stage that precedes another one on several paths is run once.
 model::Duration RelaySystem::workBefore(const Exchange &exchange, uint32_t stage)
 {
-    model::Duration work {};
     const std::vector<StageRule> &stages = exchange.route->stages;
-    for (const uint32_t before : stages[stage].after) {
+    std::vector<bool> isVisited(stages.size());
+    std::vector<uint32_t> pending = stages[stage].after;
+    model::Duration work {};
+    while (!pending.empty()) {
+        const uint32_t before = pending.back();
+        pending.pop_back();
+        if (isVisited[before]) {
+            continue;
+        }
+        isVisited[before] = true;
+        pending.insert(pending.end(), stages[before].after.begin(), stages[before].after.end());
         const PoolRule *pool = exchange.configuration->findPool(stages[before].pool);
         if (pool && pool->batch) {
             const double pieces = exchange.plan.pieceCount(before);
@@ -88,7 +98,6 @@
             work += model::scaled(pool->batch->itemTime, pieces)
                     + model::scaled(pool->batch->callTime, batches);
         }
-        work += workBefore(exchange, before);
     }
     return work;
 }
--- a/src/relay/tests/stagestest.cpp
+++ b/src/relay/tests/stagestest.cpp
@@ -124,6 +124,28 @@
     CHECK(fixture.take<ForwardJob>().content.inputs == Handles {"h"});
 }
 
+// Guards against requests that seem to have more work behind them than was done for them: they
+// displace others when there is too little room.
+TEST_CASE("The work of a stage that precedes another one on two paths counts once")
+{
+    RelayFixture fixture;
+    peersWithCoordinator(fixture);
+    ConfigurationContent content = RelayFixture::configuration(2)->content();
+    const size_t staged = 4;
+    content.routes[staged].stages = {{.pool = stagePool},
+                                     {.pool = stagePool, .after = {0}},
+                                     {.pool = stagePool, .after = {0, 1}}};
+    fixture.system.setConfiguration(std::make_shared<RelayConfiguration>(std::move(content)));
+    fixture.arrive("/staged/x");
+    // A piece takes 20 ms and an eighth of the 200 ms of a call.
+    for (const auto workSpent : {milliseconds(0), milliseconds(45), milliseconds(90)}) {
+        const auto forward = fixture.take<ForwardJob>();
+        CHECK(forward.content.workSpent == workSpent);
+        fixture.system.onForwardAnswered(forward.job, {.handles = {"h"}}, fixture.now);
+        fixture.collect();
+    }
+}
+
 TEST_CASE("Load pattern: only daemons with fast network links schedule pools")
 {
     RelayFixture fixture;
