Callers' tests: the upstream listens before the ports of the daemon are chosen

Cause: CallerCrowd chose the daemon's ports and released them, and then bound its upstream to any free port, which can be one of these.

Change: the upstream is bound first, as in the other fixtures. No check or bound has changed.

--- a/tests/callers/callercrowd.h
+++ b/tests/callers/callercrowd.h
@@ -94,8 +94,10 @@
 
     net::EventLoop m_loop;
     platform::standin::RegistryStandIn m_registry;
-    config::RelaySettings m_settings;
+    //! Listens before the ports of m_settings are chosen. These are free until the daemon has
+    //! started, and a listener of the test could take one of them.
     RawListener m_upstream;
+    config::RelaySettings m_settings;
     std::vector<std::unique_ptr<UpstreamConnection>> m_upstreamConnections;
     std::vector<RawPeer> m_callers;
     size_t m_stayingCallers = 0;
