--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -203,7 +203,7 @@
         return;
     }
     if (facts.promisesNotRun) {
-        onUnconfirmedRefusal(exchange, attempt.upstream, facts, now);
+        onUnconfirmedRefusal(exchange, attempt, facts, now);
         return;
     }
     constexpr uint16_t firstServerError = 500;
@@ -262,15 +262,17 @@
     refuse(id, Refusal::UpstreamsFull, retryAfterOf(exchange.pool, fullPoolRetryAfter, now));
 }
 
-// The caller would send the request again after such a status, although it may have run here.
-void RelaySystem::onUnconfirmedRefusal(Exchange &exchange, const model::UpstreamId &upstream,
+// The caller would send the request again after such a status, although it may have run here. The
+// upstream has given a whole answer all the same, as with any failure that is forwarded.
+void RelaySystem::onUnconfirmedRefusal(Exchange &exchange, const Attempt &attempt,
                                        const AnswerFacts &facts, model::TimePoint now)
 {
     ++m_counters.unconfirmedRefusals;
-    record(EventCode::AttemptLost, exchange, upstream.text(),
+    m_directory.noteSuccess(attempt.upstream, attempt.startedAt);
+    record(EventCode::AttemptLost, exchange, attempt.upstream.text(),
            absl::StrCat("why=", model::toAbsl(toString(AttemptFailure::Unconfirmed)),
                         " status=", facts.status));
-    onAnswerLost(exchange, upstream, AttemptFailure::Unconfirmed, now);
+    onAnswerLost(exchange, attempt.upstream, AttemptFailure::Unconfirmed, now);
 }
 
 void RelaySystem::onAttemptFailed(model::AttemptId id, AttemptFailure failure,
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -321,8 +321,8 @@
     void abandonAttempt(model::AttemptId id, AttemptFailure failure, const std::string &detail,
                         model::TimePoint now);
     void onRefusedByUpstream(Exchange &exchange, const AnswerFacts &facts, model::TimePoint now);
-    void onUnconfirmedRefusal(Exchange &exchange, const model::UpstreamId &upstream,
-                              const AnswerFacts &facts, model::TimePoint now);
+    void onUnconfirmedRefusal(Exchange &exchange, const Attempt &attempt, const AnswerFacts &facts,
+                              model::TimePoint now);
     void onAttemptNotSent(Exchange &exchange, const model::UpstreamId &upstream,
                           model::TimePoint now);
     void onAnswerLost(Exchange &exchange, const model::UpstreamId &upstream, AttemptFailure failure,
--- a/src/relay/tests/exchangetest.cpp
+++ b/src/relay/tests/exchangetest.cpp
@@ -146,6 +146,34 @@
     CHECK(fixture.count<ForwardAnswer>() == 1);
 }
 
+// Guards against an upstream that stays on trial although it answers, and against a request whose
+// end is counted twice.
+TEST_CASE("An unconfirmed refusal shows that its upstream answers, and ends its request once")
+{
+    AnswerFacts unconfirmed = RelayFixture::success(503);
+    unconfirmed.promisesNotRun = true;
+    RelayFixture fixture(1);
+    for (int i = 0; i < 2; ++i) {
+        fixture.arrive("/once/x");
+        fixture.fail(fixture.take<StartAttempt>().attempt, AttemptFailure::TimedOut);
+    }
+    const Upstream &upstream = *fixture.system.upstreams().find(model::UpstreamId("k0"));
+    REQUIRE(upstream.isOnTrial);
+    fixture.advanceTime(model::seconds(2));
+    fixture.commands.clear();
+    fixture.arrive("/once/x");
+    fixture.answer(fixture.take<StartAttempt>().attempt, unconfirmed);
+    CHECK_FALSE(upstream.isOnTrial);
+    CHECK(upstream.consecutiveFailures == 0);
+    CHECK(upstream.inFlight == 0);
+    CHECK(fixture.count<RefuseRequest>() == 1);
+    CHECK(fixture.system.requestCount() == 0);
+    const RelayCounters &counters = fixture.system.counters();
+    CHECK(counters.arrived == 3);
+    CHECK(counters.refused == 3);
+    CHECK(counters.answersForwarded == 0);
+}
+
 TEST_CASE("An idempotent request is retried on other upstreams up to its maximum of attempts")
 {
     RelayFixture fixture;
