Stages: times and waits are estimated along an order of the stages

The expected wait left out stages whose numbers are greater than that of the stage that uses them.

Change: a plan knows an order of its stages (stageOrder), and both estimates go through it once.

--- a/src/relay/internal/relayforecast.cpp
+++ b/src/relay/internal/relayforecast.cpp
@@ -138,16 +138,16 @@
 model::Duration RelaySystem::timeAfterStage(const Exchange &exchange, uint32_t stage,
                                             Estimate estimate) const
 {
-    model::Duration longest = engineTime(exchange, estimate);
     const std::vector<StageRule> &stages = exchange.route->stages;
-    for (uint32_t i = 0; i < stages.size(); ++i) {
-        const std::vector<uint32_t> &after = stages[i].after;
-        if (std::find(after.begin(), after.end(), stage) != after.end()) {
-            longest = std::max(longest, stageTime(exchange, i, estimate)
-                                            + timeAfterStage(exchange, i, estimate));
+    const std::vector<uint32_t> &order = exchange.plan.order();
+    std::vector<model::Duration> longest(stages.size(), engineTime(exchange, estimate));
+    for (auto later = order.rbegin(); later != order.rend(); ++later) {
+        const model::Duration path = stageTime(exchange, *later, estimate) + longest[*later];
+        for (const uint32_t before : stages[*later].after) {
+            longest[before] = std::max(longest[before], path);
         }
     }
-    return longest;
+    return longest[stage];
 }
 
 // Latest end of a stage with which its request meets its latency target. A stream that has begun
@@ -209,13 +209,11 @@
     const std::vector<StageRule> &stages = exchange.route->stages;
     std::vector<QueueWait> waitUntilDone(stages.size());
     CompletionEstimate completion;
-    for (uint32_t i = 0; i < stages.size(); ++i) {
+    for (const uint32_t i : exchange.plan.order()) {
         QueueWait before;
         for (const uint32_t earlier : stages[i].after) {
-            if (earlier < i) {
-                before.onTime = std::max(before.onTime, waitUntilDone[earlier].onTime);
-                before.late = std::max(before.late, waitUntilDone[earlier].late);
-            }
+            before.onTime = std::max(before.onTime, waitUntilDone[earlier].onTime);
+            before.late = std::max(before.late, waitUntilDone[earlier].late);
         }
         const QueueWait own = queueWait(exchange, i, now);
         waitUntilDone[i] = {.onTime = before.onTime + own.onTime, .late = before.late + own.late};
--- a/src/relay/internal/stageplan.cpp
+++ b/src/relay/internal/stageplan.cpp
@@ -2,10 +2,13 @@
 
 #include <algorithm>
 
+#include "relay/stageorder.h"
+
 namespace citronpick::relay
 {
 
 StagePlan::StagePlan(const std::vector<StageRule> &stages, const std::vector<uint32_t> &pieceCounts)
+    : m_order(stageOrder(stages))
 {
     m_stages.resize(stages.size());
     for (size_t i = 0; i < stages.size(); ++i) {
--- a/src/relay/stageplan.h
+++ b/src/relay/stageplan.h
@@ -28,6 +28,11 @@
         return m_stages.empty();
     }
     bool isDone() const;
+    //! See stageOrder().
+    const std::vector<uint32_t> &order() const
+    {
+        return m_order;
+    }
     //! Returns the stages that can start now and marks them as started.
     std::vector<uint32_t> takeReady();
     uint32_t pieceCount(uint32_t stage) const
@@ -86,6 +91,7 @@
     bool areSuccessorsDone(uint32_t stage) const;
 
     std::vector<Stage> m_stages;
+    std::vector<uint32_t> m_order;
 };
 
 } // namespace citronpick::relay
--- a/src/relay/tests/stagestest.cpp
+++ b/src/relay/tests/stagestest.cpp
@@ -34,6 +34,35 @@
     return {};
 }
 
+//! The fixture's configuration with other stages for the route "/staged/".
+RelayConfigurationPtr withStages(std::vector<StageRule> stages)
+{
+    ConfigurationContent content = RelayFixture::configuration(2)->content();
+    constexpr size_t staged = 4;
+    content.routes[staged].stages = std::move(stages);
+    return std::make_shared<RelayConfiguration>(std::move(content));
+}
+
+//! The log line of the refusal of a request that is refused on arrival.
+std::string refusalLine(RelayFixture &fixture, const std::string &path)
+{
+    fixture.system.onRequestArrived({.request = model::RequestId(++fixture.lastRequest),
+                                     .callerId = model::CallerRequestId("c"),
+                                     .host = "example",
+                                     .path = path,
+                                     .accountKey = "key",
+                                     .startedAt = fixture.now,
+                                     .pieceKey = "piece"},
+                                    fixture.now);
+    for (const RelayCommand &command : fixture.system.takeCommands()) {
+        const auto *event = std::get_if<observability::Event>(&command);
+        if (event && event->code == observability::EventCode::ExchangeRefused) {
+            return event->detail;
+        }
+    }
+    return {};
+}
+
 } // namespace
 
 TEST_CASE("A request is sent after its stages are done, with their final results as inputs")
@@ -130,12 +159,9 @@
 {
     RelayFixture fixture;
     peersWithCoordinator(fixture);
-    ConfigurationContent content = RelayFixture::configuration(2)->content();
-    const size_t staged = 4;
-    content.routes[staged].stages = {{.pool = stagePool},
-                                     {.pool = stagePool, .after = {0}},
-                                     {.pool = stagePool, .after = {0, 1}}};
-    fixture.system.setConfiguration(std::make_shared<RelayConfiguration>(std::move(content)));
+    fixture.system.setConfiguration(withStages({{.pool = stagePool},
+                                                {.pool = stagePool, .after = {0}},
+                                                {.pool = stagePool, .after = {0, 1}}}));
     fixture.arrive("/staged/x");
     // A piece takes 20 ms and an eighth of the 200 ms of a call.
     for (const auto workSpent : {milliseconds(0), milliseconds(45), milliseconds(90)}) {
@@ -146,6 +172,42 @@
     }
 }
 
+// Guards against a wait that leaves out the stages with later numbers.
+TEST_CASE("The expected wait for a chain of stages does not depend on their numbers")
+{
+    constexpr uint32_t count = 50;
+    std::vector<StageRule> forward(count, {.pool = stagePool});
+    std::vector<StageRule> backward(count, {.pool = stagePool});
+    for (uint32_t i = 1; i < count; ++i) {
+        forward[i].after = {i - 1};
+        backward[i - 1].after = {i};
+    }
+    for (const std::vector<StageRule> &stages : {forward, backward}) {
+        RelayFixture fixture;
+        fixture.system.setConfiguration(withStages(stages));
+        const std::string refusal = refusalLine(fixture, "/staged/x");
+        // Each stage has one piece: 200 ms for the call and 20 ms for the piece.
+        CHECK(refusal.find("why=too-late") != std::string::npos);
+        CHECK(refusal.find("lateWaitMs=11000 ") != std::string::npos);
+    }
+}
+
+// Guards against estimates whose time doubles with each stage.
+TEST_CASE("Load pattern: many stages that all follow each other are planned at once")
+{
+    constexpr uint32_t count = 64;
+    std::vector<StageRule> stages(count, {.pool = deskPool});
+    for (uint32_t i = 0; i < count; ++i) {
+        for (uint32_t before = 0; before < i; ++before) {
+            stages[i].after.push_back(before);
+        }
+    }
+    RelayFixture fixture;
+    fixture.system.setConfiguration(withStages(stages));
+    fixture.arrive("/staged/x");
+    CHECK(fixture.system.requestCount() <= 1);
+}
+
 TEST_CASE("Load pattern: only daemons with fast network links schedule pools")
 {
     RelayFixture fixture;
