--- a/src/relay/tests/stageplanmodeltest.cpp
+++ b/src/relay/tests/stageplanmodeltest.cpp
@@ -110,6 +110,48 @@
     return last;
 }
 
+model::TimePoint expiryOf(uint32_t stage)
+{
+    return model::TimePoint(model::seconds(100 - stage));
+}
+
+model::ZoneId zoneOf(uint32_t stage)
+{
+    return model::ZoneId(absl::StrCat("z", stage));
+}
+
+model::TimePoint expectedExpiry(const std::set<uint32_t> &stages)
+{
+    model::TimePoint earliest = model::TimePoint::max();
+    for (const uint32_t stage : stages) {
+        earliest = std::min(earliest, expiryOf(stage));
+    }
+    return earliest;
+}
+
+bool isZoneOfOne(const model::ZoneId &zone, const std::set<uint32_t> &stages)
+{
+    return stages.empty() ? zone.isEmpty()
+                          : std::any_of(stages.begin(), stages.end(),
+                                        [&](uint32_t stage) { return zone == zoneOf(stage); });
+}
+
+//! Whether another stage, or the request itself, uses one of the inputs of \a stage.
+bool areInputsShared(const DrawnPlan &drawn, uint32_t stage)
+{
+    const std::set<uint32_t> own = predecessors(drawn, stage);
+    const auto uses = [&](const std::set<uint32_t> &stages) {
+        return std::any_of(own.begin(), own.end(),
+                           [&](uint32_t input) { return stages.contains(input); });
+    };
+    for (uint32_t other = 0; other < drawn.stages.size(); ++other) {
+        if (other != stage && drawn.counts[other] > 0 && uses(predecessors(drawn, other))) {
+            return true;
+        }
+    }
+    return uses(usedStages(drawn, lastStages(drawn)));
+}
+
 //! Runs all stages, in drawn order where several can run, and checks what each is given and what
 //! is released.
 void runPlan(const DrawnPlan &drawn)
@@ -128,12 +170,15 @@
         started.erase(started.begin() + static_cast<ptrdiff_t>(at));
         const std::set<uint32_t> before = predecessors(drawn, stage);
         RC_ASSERT(std::includes(done.begin(), done.end(), before.begin(), before.end()));
+        RC_ASSERT(!plan.isOnlyUserOfInputs(stage) || !areInputsShared(drawn, stage));
         const std::vector<ResultHandle> inputs = plan.inputsOf(stage);
         RC_ASSERT(sorted(inputs) == sorted(expectedResults(drawn, before)));
         for (const ResultHandle &input : inputs) {
             RC_ASSERT(!released.contains(input));
         }
-        plan.complete(stage, handlesOf(drawn, stage), model::TimePoint::max());
+        RC_ASSERT(plan.inputsExpiry(stage) == expectedExpiry(before));
+        RC_ASSERT(isZoneOfOne(plan.inputsZone(stage), before));
+        plan.complete(stage, handlesOf(drawn, stage), expiryOf(stage), zoneOf(stage));
         done.insert(stage);
         for (const ResultHandle &handle : plan.takeUnneeded()) {
             RC_ASSERT(released.insert(handle).second);
