--- a/src/relay/internal/relaysystem.cpp
+++ b/src/relay/internal/relaysystem.cpp
@@ -239,8 +239,8 @@
            exchange->route ? exchange->route->id.text() : exchange->arrived.host,
            absl::StrCat("why=", model::toAbsl(toString(refusal)),
                         " attempts=", exchange->sentAttempts, " unsent=", exchange->unsentAttempts,
-                        " retryAfterMs=", model::toMilliseconds(retryAfter),
-                        " priority=", exchange->priority,
+                        " ran=", guaranteesNotRun(refusal) ? "no" : "maybe", " retryAfterMs=",
+                        model::toMilliseconds(retryAfter), " priority=", exchange->priority,
                         " onTimeWaitMs=", model::toMilliseconds(exchange->expected.onTimeWait),
                         " lateWaitMs=", model::toMilliseconds(exchange->expected.lateWait),
                         " revision=", m_configuration ? m_configuration->revision().value() : 0));
--- a/src/relay/tests/exchangetest.cpp
+++ b/src/relay/tests/exchangetest.cpp
@@ -174,6 +174,34 @@
     CHECK(counters.answersForwarded == 0);
 }
 
+// Guards against promises whose evidence cannot be found afterwards.
+TEST_CASE("The log line of a refusal tells whether the request may have run")
+{
+    const auto refusalLine
+        = [](RelayFixture &fixture, model::AttemptId attempt, const AnswerFacts &facts) {
+              fixture.system.onAttemptHead(attempt, facts, fixture.now);
+              fixture.system.onAttemptEnd(attempt, fixture.now);
+              for (const RelayCommand &command : fixture.system.takeCommands()) {
+                  const auto *event = std::get_if<observability::Event>(&command);
+                  if (event && event->code == observability::EventCode::ExchangeRefused) {
+                      return event->detail;
+                  }
+              }
+              return std::string();
+          };
+    AnswerFacts unconfirmed = RelayFixture::success(503);
+    unconfirmed.promisesNotRun = true;
+    RelayFixture fixture;
+    fixture.arrive("/once/x");
+    CHECK(refusalLine(fixture, fixture.take<StartAttempt>().attempt, unconfirmed)
+              .find("attempts=1 unsent=0 ran=maybe")
+          != std::string::npos);
+    fixture.arrive("/once/x");
+    CHECK(refusalLine(fixture, fixture.take<StartAttempt>().attempt, RelayFixture::notRun())
+              .find("attempts=1 unsent=0 ran=no")
+          != std::string::npos);
+}
+
 TEST_CASE("An idempotent request is retried on other upstreams up to its maximum of attempts")
 {
     RelayFixture fixture;
