--- a/src/fleet/internal/fleetmessages.cpp
+++ b/src/fleet/internal/fleetmessages.cpp
@@ -10,6 +10,9 @@
 namespace
 {
 
+//! A backlog that takes longer than this to send within the byte budget is large. Full exchanges of
+//! hundreds of members are about this far apart.
+constexpr double largeBacklogSeconds = 8.0;
 //! Estimated encoded size of one fact in a message.
 constexpr double factBytes = 60.0;
 //! Estimated encoded size of one prompt part, or one word of a sketch, of a crash report.
@@ -165,4 +168,21 @@
     return m_members.digest() ^ m_facts.digest();
 }
 
+// Crash reports come in numbers. In a small fleet their origin sends them to every member, and
+// what is lost on the way arrives with a periodic exchange.
+bool FleetSystem::hasReachedAll(const Fact &fact) const
+{
+    return std::holds_alternative<CrashFact>(fact.body) && fact.origin != m_self.id
+           && isSmallFleet();
+}
+
+bool FleetSystem::hasLargeBacklog() const
+{
+    double pendingSends = 0.0;
+    for (const auto &[id, sends] : m_pendingMembers) {
+        pendingSends += sends.remaining;
+    }
+    return pendingSends * memberBytes > m_options.bytesPerSecond * largeBacklogSeconds;
+}
+
 } // namespace citronpick::fleet
--- a/src/fleet/internal/fleetsystem.cpp
+++ b/src/fleet/internal/fleetsystem.cpp
@@ -16,9 +16,6 @@
 namespace
 {
 
-//! A backlog that takes longer than this to send within the byte budget is large. Full exchanges of
-//! hundreds of members are about this far apart.
-constexpr double largeBacklogSeconds = 8.0;
 //! A message with more members than this is a full exchange. Its members are already known to many
 //! daemons and reach the others by full exchanges too, so few incremental sends suffice.
 constexpr size_t fullExchangeThreshold = 50;
@@ -379,23 +376,6 @@
         = {.remaining = sendsPerItem(), .sent = hasReachedAll(fact) ? m_options.directFanout : 0};
 }
 
-// Crash reports come in numbers. In a small fleet their origin sends them to every member, and
-// what is lost on the way arrives with a periodic exchange.
-bool FleetSystem::hasReachedAll(const Fact &fact) const
-{
-    return std::holds_alternative<CrashFact>(fact.body) && fact.origin != m_self.id
-           && isSmallFleet();
-}
-
-bool FleetSystem::hasLargeBacklog() const
-{
-    double pendingSends = 0.0;
-    for (const auto &[id, sends] : m_pendingMembers) {
-        pendingSends += sends.remaining;
-    }
-    return pendingSends * memberBytes > m_options.bytesPerSecond * largeBacklogSeconds;
-}
-
 uint32_t FleetSystem::sendsPerItem() const
 {
     constexpr uint32_t safetyFactor = 3;
--- a/src/net/internal/httpconnections.h
+++ b/src/net/internal/httpconnections.h
@@ -20,7 +20,7 @@
     std::function<void()> onClosed;
     //! Of the bytes received, those that belong to complete requests.
     size_t completeBytes = 0;
-    size_t responseBytes = 0; //!< Held for responses that have not been sent.
+    size_t responseBytes = 0; //!< Buffered for responses that have not been sent.
     size_t openExchanges = 0; //!< Requests that have been received and not been answered.
     bool hadRequest = false;
     bool isHttp2 = false;
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -79,7 +79,7 @@
         bool isEnding;
         bool isComplete; //!< The handler has provided the whole response.
         bool isReportedClosed; //!< The handler knows that the exchange has ended.
-        size_t reportedBytes; //!< As held for the response.
+        size_t reportedBytes; //!< Last reported size of the buffered response.
     };
 
     static bool hasPeerDisconnected(h2o_conn_t *connection);
@@ -87,7 +87,7 @@
     static void onAccept(h2o_socket_t *listener, const char *error);
     static h2o_socket_t *socketOf(const h2o_req_t *request);
     void noteRequest(const h2o_req_t *request);
-    //! Must be called after each change of what is held for the response.
+    //! Must be called whenever the size of the buffered response changes.
     static void account(Exchange &exchange);
     static void onProceed(h2o_generator_t *generator, h2o_req_t *request);
     static void onStop(h2o_generator_t *generator, h2o_req_t *request);
--- a/src/net/internal/upstreamclient.cpp
+++ b/src/net/internal/upstreamclient.cpp
@@ -29,7 +29,7 @@
 //! Responses to earlier requests are discarded up to this size, so that one without an end cannot
 //! occupy a call until its timeout.
 constexpr uint64_t maxStaleBytes = 1U << 20U;
-//! Heads that have not ended are held for all calls together up to this size. Beyond it, a head
+//! Upper bound of the incomplete heads of all calls together. Beyond it, a head
 //! ends its call if it is larger than those of sound responses.
 constexpr size_t maxOpenHeadBytes = 4U << 20U;
 constexpr size_t usualHeadBytes = 4U << 10U;
--- a/src/pipeline/internal/requestanswers.cpp
+++ b/src/pipeline/internal/requestanswers.cpp
@@ -256,7 +256,7 @@
         return false;
     }
     // A failed test of an upstream is retried without using the attempt budget, because the request
-    // was chosen for the test.
+    // was selected for it by this daemon.
     if (attempt.isTest) {
         return true;
     }
--- a/src/registry/tests/silencetest.cpp
+++ b/src/registry/tests/silencetest.cpp
@@ -75,7 +75,7 @@
     }
 }
 
-// Guards against a watch that nobody answers and that ends only by a timeout longer than the time
+// Guards against a watch that is never answered and ends only by a timeout longer than the time
 // in which a change has to be in force.
 TEST_CASE("A watch whose connection went silent is replaced before the next change is due")
 {
--- a/src/relay/callerloss.h
+++ b/src/relay/callerloss.h
@@ -10,7 +10,7 @@
 namespace citronpick::relay
 {
 
-//! What a caller loses if its request gives way in a pool.
+//! What a caller loses if its request is displaced by others in the queue of a pool.
 struct CallerStake {
     uint32_t priority = 0; //!< Of the account, else of the route; zero is the most urgent.
     bool isLate = false; //!< The request no longer meets its latency target.
--- a/src/relay/tests/callerlosstest.cpp
+++ b/src/relay/tests/callerlosstest.cpp
@@ -15,7 +15,7 @@
     CHECK_FALSE(givesWayBefore(large, small));
 }
 
-// Guards against small requests that give way to a large one of the same priority.
+// Guards against small requests that are displaced by a large one of the same priority.
 TEST_CASE("At equal priority the request that loses least per unit of work gives way first")
 {
     const CallerStake large {.work = milliseconds(800)};
--- a/src/relay/tests/givingwaytest.cpp
+++ b/src/relay/tests/givingwaytest.cpp
@@ -130,7 +130,7 @@
     CHECK(nextBatch(fixture, running).front() == "fresh");
 }
 
-// Guards against large requests that give way to every later small one.
+// Guards against large requests that are displaced by every later small one.
 TEST_CASE("Load pattern: a large late request is served before smaller ones that came later")
 {
     BatchFixture fixture;
--- a/src/routing/irouter.h
+++ b/src/routing/irouter.h
@@ -22,7 +22,7 @@
     std::vector<model::UpstreamRow> excluded; //!< Upstreams that must not be chosen.
 };
 
-//! Reason for which an upstream was chosen.
+//! Why the router picked an upstream.
 enum class ChoiceKind {
     Normal,
     Prefix, //!< The upstream probably has the prompt prefix in its cache.
--- a/tests/callers/callerlimitstest.cpp
+++ b/tests/callers/callerlimitstest.cpp
@@ -164,7 +164,7 @@
     checkHolds(callers);
 }
 
-// Guards against answers that are held for callers that do not read them.
+// Guards against memory that answers take while their callers do not read them.
 TEST_CASE("Load pattern: answers that are not read")
 {
     for (const auto &[answer, path] : {std::pair(CrowdAnswer::Plain, "/once/crowd"),
--- a/tests/callers/pipelinelimitstest.cpp
+++ b/tests/callers/pipelinelimitstest.cpp
@@ -157,7 +157,7 @@
     checkHolds(callers);
 }
 
-// Guards against answers that are held for callers that do not read them.
+// Guards against memory that answers take while their callers do not read them.
 TEST_CASE("Load pattern: answers of pipelines that are not read")
 {
     PipelineCrowd callers;
