An answer without a length that a reset cuts during the upload is not complete

Callers saw: a part of an answer as a whole one (MIXED), when an upstream answered a long upload with a 200 without a length and reset the connection while the upload was being written.

Cause: the system reports a reset once. The write that was under way took the error, and reading then found an end without one, which completes such an answer.

Change: at the end of a connection the client asks for its state, which is CLOSE after a reset, whoever took the error, and CLOSE-WAIT after a close.

Why it works: the state does not depend on who asked for the error first. A close followed at once by a reset counts as a reset, since its order is no longer known.

--- a/src/net/internal/upstreamclient.cpp
+++ b/src/net/internal/upstreamclient.cpp
@@ -369,7 +369,10 @@
 
     void handleConnectionEnd(Connection &connection, const char *error)
     {
-        const bool isOrderly = error == h2o_socket_error_closed;
+        // If a write was under way, it has taken the error of a reset, and reading reports an
+        // ordinary end.
+        const bool isOrderly
+            = error == h2o_socket_error_closed && !internal::wasReset(connection.socket);
         const bool isResponseComplete = isOrderly && connection.parser.isHeadComplete()
                                         && !connection.isStaleResponse && finishParser(connection);
         if (connection.isCancelled) {
