A response whose status is not one of HTTP is malformed

Callers saw: an answer with status 000 held them until their deadline, and its body reached them in front of the next answer's.

Cause: statuses below 200 were taken for interim ones, while http_parser reads the body of 000. 101, 20, 0200 and 600 to 999 passed as well.

Change: the status line is checked before http_parser gets it; the status is 100 to 599, and not 101, after which another protocol follows.

Why it works: all answers of UpstreamClient go through this parser.

--- a/src/net/internal/messageparser.cpp
+++ b/src/net/internal/messageparser.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/ascii.h>
 
 #include "model/abslview.h"
+#include "net/internal/responselines.h"
 
 namespace citronpick::net
 {
@@ -56,11 +57,23 @@
         m_isHeadComplete = false;
         m_isComplete = false;
         m_error = ParseError::None;
+        m_lines.beginHead();
     }
 
     size_t feed(std::string_view bytes)
     {
-        if (m_isComplete || m_error != ParseError::None || bytes.empty()) {
+        size_t consumed = 0;
+        while (consumed < bytes.size() && !m_isComplete && m_error == ParseError::None) {
+            const std::string_view rest = bytes.substr(consumed);
+            consumed += parse(m_kind == Kind::Response ? m_lines.nextPiece(rest) : rest);
+        }
+        return consumed;
+    }
+
+    size_t parse(std::string_view bytes)
+    {
+        if (m_kind == Kind::Response && !m_lines.accept(bytes)) {
+            m_error = ParseError::Malformed;
             return 0;
         }
         const bool wasHeadComplete = m_isHeadComplete;
@@ -130,6 +143,7 @@
     bool m_isHeadComplete = false;
     bool m_isComplete = false;
     ParseError m_error = ParseError::None;
+    internal::ResponseLines m_lines;
 
 private:
     static Impl &self(http_parser *parser)
@@ -205,6 +219,7 @@
         const bool isInterim = impl.m_kind == Kind::Response && parser->status_code < 200;
         if (!isInterim) {
             impl.m_isHeadComplete = true;
+            impl.m_lines.beginBody();
             impl.m_sink.onHead(std::move(impl.m_head));
         }
         impl.m_head = {};
@@ -231,6 +246,7 @@
     {
         Impl &impl = self(parser);
         if (!impl.m_isHeadComplete) {
+            impl.m_lines.beginHead();
             return 0; // End of an interim response; the final response follows.
         }
         impl.m_isComplete = true;
