Interim responses, 204 and 304 end with their head

Callers saw: the body of an interim answer in front of the final one's (MIXED); a 204 or 304 that announces a length held them to their deadline.

Cause: http_parser follows the fields that announce a body; the parser told it of answers without one for HEAD requests only.

Change: it tells it for these statuses too. Bytes behind an interim head have to be the next head.

Why it works: RFC 9112 ends these answers at the empty line, whatever their fields say, and no byte is passed on without a final head.

--- a/src/net/internal/messageparser.cpp
+++ b/src/net/internal/messageparser.cpp
@@ -216,24 +216,37 @@
         }
         impl.m_head.isKeepAlive = http_should_keep_alive(parser) != 0;
         impl.m_head.endsWithConnection = impl.endsWithConnection();
-        const bool isInterim = impl.m_kind == Kind::Response && parser->status_code < 200;
-        if (!isInterim) {
+        const bool endsWithHead = impl.endsWithHead();
+        if (!impl.isInterim()) {
             impl.m_isHeadComplete = true;
             impl.m_lines.beginBody();
             impl.m_sink.onHead(std::move(impl.m_head));
         }
         impl.m_head = {};
         impl.m_wasHeaderValueLast = true;
-        return impl.m_expectsNoBody ? hasNoBody : 0;
+        return endsWithHead ? hasNoBody : 0;
     }
 
-    bool endsWithConnection() const
+    bool isInterim() const
+    {
+        constexpr uint16_t firstFinalStatus = 200;
+        return m_kind == Kind::Response && m_parser.status_code < firstFinalStatus;
+    }
+
+    // Whatever its fields say. http_parser would read the body that they announce, and wait for it.
+    bool endsWithHead() const
     {
         constexpr uint16_t noContent = 204;
         constexpr uint16_t notModified = 304;
-        const bool hasBody = m_kind == Kind::Response && !m_expectsNoBody
-                             && m_head.status != noContent && m_head.status != notModified;
-        return hasBody && !m_head.isChunked && !m_head.contentLength;
+        return m_expectsNoBody || isInterim()
+               || (m_kind == Kind::Response
+                   && (m_parser.status_code == noContent || m_parser.status_code == notModified));
+    }
+
+    bool endsWithConnection() const
+    {
+        return m_kind == Kind::Response && !endsWithHead() && !m_head.isChunked
+               && !m_head.contentLength;
     }
 
     static int onBody(http_parser *parser, const char *at, size_t length)
--- a/src/net/tests/brokenresponsetest.cpp
+++ b/src/net/tests/brokenresponsetest.cpp
@@ -72,6 +72,14 @@
     }
 }
 
+// Guards against bytes of an interim response that reach the caller before the final one.
+TEST_CASE("An interim response has no body")
+{
+    for (const BrokenResponse &response : net::testing::interimResponsesWithBody(identity)) {
+        checkFails(response);
+    }
+}
+
 TEST_CASE("Valid responses of unusual form are received")
 {
     using Row = std::pair<std::string, std::string>;
@@ -85,7 +93,7 @@
              + "X-Empty:\r\nX-Blank: \r\nX-Tab:\t a\tb \t\r\n!#$%&'*+-.^_`|~: 1\r\n"
                "Content-Length: 4\r\n\r\ngood",
          "good"},
-        {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: a\r\n\r\n"
+        {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: a\r\nContent-Length: 5\r\n\r\n"
          "HTTP/1.1 200 OK\r\n"
              + identity + "Content-Length: 4\r\n\r\ngood",
          "good"},
@@ -93,6 +101,9 @@
              + "Transfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\nX-Sum: 1\r\nX-Empty:\r\n\r\n",
          "good"},
         {"HTTP/1.1 200 OK\n" + identity + "Content-Length: 4\n\ngood", "good"},
+        {"HTTP/1.1 204 None\r\n" + identity + "Content-Length: 4\r\n\r\n", ""},
+        {"HTTP/1.1 304 Same\r\n" + identity + "Content-Length: 4\r\n\r\n", ""},
+        {"HTTP/1.1 304 Same\r\n" + identity + "Transfer-Encoding: chunked\r\n\r\n", ""},
     };
     for (const auto &[bytes, body] : rows) {
         for (const size_t step : {bytes.size(), size_t {1}, size_t {5}}) {
