A response with a blank at the beginning of a line is malformed, in trailers too

Callers saw: a line that begins with a blank as the rest of the field before it, so that a length announced by it was lost; blanks in the names of trailers passed as well.

Cause: http_parser joins such a line to the field before it and accepts blanks in names; names were checked after that, and only in heads.

Change: heads and trailers of responses reach http_parser line by line, and a line that begins with a blank or a tab ends the call, as does a name in a trailer that is none. Requests are read as before.

Why it works: no reader behind the parser sees such a line, whichever way it would take it.

--- a/src/net/internal/messageparser.cpp
+++ b/src/net/internal/messageparser.cpp
@@ -17,10 +17,10 @@
 constexpr size_t defaultMaxHeadBytes = 64U << 10U;
 
 // http_parser accepts a space in a header name, which other parsers take for the end of the name.
-bool isToken(std::string_view name)
+bool hasOnlyTokenCharacters(std::string_view name)
 {
     constexpr std::string_view symbols = "!#$%&'*+-.^_`|~";
-    return !name.empty() && std::all_of(name.begin(), name.end(), [symbols](char character) {
+    return std::all_of(name.begin(), name.end(), [symbols](char character) {
         return absl::ascii_isalnum(static_cast<unsigned char>(character))
                || symbols.find(character) != std::string_view::npos;
     });
@@ -42,6 +42,7 @@
         m_settings.on_header_value = &Impl::onValue;
         m_settings.on_headers_complete = &Impl::onHeadersComplete;
         m_settings.on_body = &Impl::onBody;
+        m_settings.on_chunk_header = &Impl::onChunkHeader;
         m_settings.on_message_complete = &Impl::onMessageComplete;
         reset();
     }
@@ -79,10 +80,14 @@
         const bool wasHeadComplete = m_isHeadComplete;
         const size_t consumed
             = http_parser_execute(&m_parser, &m_settings, bytes.data(), bytes.size());
-        const auto code = HTTP_PARSER_ERRNO(&m_parser);
+        auto code = HTTP_PARSER_ERRNO(&m_parser);
         if (m_isComplete) {
             return consumed;
         }
+        if (code == HPE_PAUSED) {
+            http_parser_pause(&m_parser, 0);
+            code = HPE_OK;
+        }
         if (!wasHeadComplete && !m_isHeadComplete) {
             m_headBytes += consumed;
         }
@@ -165,7 +170,13 @@
 
     static int onField(http_parser *parser, const char *at, size_t length)
     {
+        constexpr int failed = -1;
         Impl &impl = self(parser);
+        const bool isChecked = impl.m_kind == Kind::Response || !impl.m_isHeadComplete;
+        if (isChecked && !hasOnlyTokenCharacters({at, length})) {
+            impl.m_error = ParseError::Malformed;
+            return failed;
+        }
         if (impl.m_isHeadComplete) {
             return 0; // Trailers of a chunked body apply to this connection only.
         }
@@ -200,10 +211,6 @@
         for (Header &header : impl.m_head.headers) {
             absl::AsciiStrToLower(&header.name);
             absl::StripTrailingAsciiWhitespace(&header.value);
-            if (!isToken(header.name)) {
-                impl.m_error = ParseError::Malformed;
-                return failed;
-            }
         }
         if (impl.m_kind == Kind::Request) {
             impl.m_head.method = http_method_str(static_cast<http_method>(parser->method));
@@ -255,6 +262,17 @@
         return 0;
     }
 
+    // The last chunk has no bytes; the trailer follows. Pausing ends the call of http_parser, so
+    // that the trailer is passed to it line by line.
+    static int onChunkHeader(http_parser *parser)
+    {
+        if (parser->content_length == 0) {
+            self(parser).m_lines.beginTrailer();
+            http_parser_pause(parser, 1);
+        }
+        return 0;
+    }
+
     static int onMessageComplete(http_parser *parser)
     {
         Impl &impl = self(parser);
--- a/src/net/internal/responselines.cpp
+++ b/src/net/internal/responselines.cpp
@@ -33,6 +33,12 @@
     m_statusLine.clear();
 }
 
+void ResponseLines::beginTrailer()
+{
+    m_section = Section::Fields;
+    m_isAtLineStart = true;
+}
+
 void ResponseLines::beginBody()
 {
     m_section = Section::Body;
@@ -49,6 +55,12 @@
     if (m_section == Section::Body || piece.empty()) {
         return true;
     }
+    // A line that begins with a blank continues the field before it or is a field of its own,
+    // depending on who reads it. RFC 9112 lets a gateway discard the response.
+    const bool isBlankFirst = piece.front() == ' ' || piece.front() == '\t';
+    if (m_isAtLineStart && isBlankFirst) {
+        return false;
+    }
     m_isAtLineStart = piece.back() == '\n';
     if (m_section != Section::StatusLine) {
         return true;
--- a/src/net/internal/responselines.h
+++ b/src/net/internal/responselines.h
@@ -7,11 +7,12 @@
 namespace citronpick::net::internal
 {
 
-//! Checks the lines of response heads, which http_parser takes too leniently.
+//! Checks the lines of response heads and trailers, which http_parser takes too leniently.
 class ResponseLines
 {
 public:
     void beginHead();
+    void beginTrailer();
     void beginBody();
 
     //! The beginning of \a bytes, up to the end of the current line; all of them within a body.
--- a/src/net/tests/brokenresponsetest.cpp
+++ b/src/net/tests/brokenresponsetest.cpp
@@ -80,6 +80,14 @@
     }
 }
 
+// Guards against lines that readers take for different fields, or for the rest of a field.
+TEST_CASE("A response with a field whose name holds a blank or a control byte is malformed")
+{
+    for (const BrokenResponse &response : net::testing::responsesWithInvalidField(identity)) {
+        checkFails(response);
+    }
+}
+
 TEST_CASE("Valid responses of unusual form are received")
 {
     using Row = std::pair<std::string, std::string>;
