HttpClient reads responses with the parser of UpstreamClient

What was seen: peers, own pipelines, the configuration service and citronpickctl took answers with statuses that are none, lines that begin with a blank and broken trailers for whole ones; an upload that was answered early waited for its time limit.

Cause: H2O's HTTP/1 client parses responses by rules of its own, and reads only when the request has been sent.

Change: HttpClient keeps H2O's connection pool and reads with MessageParser, while it sends. Both clients share the check whether a connection was closed or reset.

Why it works: one parser decides for all readers.

--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -44,8 +44,7 @@
     //! Pauses or resumes reading a streamed response.
     void setPaused(uint64_t number, bool isPaused);
 
-    //! Fails calls that have exceeded their timeout or whose response head is too large. Must be
-    //! called every few milliseconds.
+    //! Fails calls that have exceeded their timeout. Must be called every few milliseconds.
     void expire(model::TimePoint now);
 
 private:
--- a/src/net/internal/httpclient.cpp
+++ b/src/net/internal/httpclient.cpp
@@ -12,6 +12,7 @@
 #include "model/abslview.h"
 #include "net/internal/iovec.h"
 #include "net/internal/socketoptions.h"
+#include "net/messageparser.h"
 
 namespace citronpick::net
 {
@@ -21,24 +22,14 @@
 namespace
 {
 
-// Calls have their own timeouts, which expire() enforces. H2O's I/O timeout is only an upper bound
-// for the connections that its pool manages.
-constexpr uint64_t h2oTimeoutMs = 700000;
 // Shorter than the idle timeouts that servers commonly use, so that a server rarely closes a
 // connection while a request is being sent on it.
 constexpr uint64_t idleConnectionTimeoutMs = 4000;
 constexpr size_t maxPooledConnections = 1024;
-// H2O buffers a response head without a limit of its own.
-constexpr size_t maxHeadBytes = 64U << 10U;
 
 // H2O reads the whole receive buffer of a socket at once. Without a limit the kernel would let that
 // buffer grow to many megabytes while reading a stream is paused.
-void limitReceiveBuffer(h2o_socket_t *socket)
-{
-    constexpr int receiveBufferBytes = 128 << 10;
-    setsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes,
-               sizeof(receiveBufferBytes));
-}
+constexpr size_t receiveBufferBytes = 128U << 10U;
 
 } // namespace
 
@@ -54,19 +45,35 @@
     void expire(model::TimePoint now);
 
 private:
-    struct Call {
-        Impl *owner = nullptr;
+    struct Call final : IMessageSink {
+        Call()
+            : parser(MessageParser::Kind::Response, *this)
+        {
+        }
+
+        void onHead(MessageHead head) override;
+        void onBody(std::string_view bytes) override;
+        void onComplete() override
+        {
+        }
+        void recordProgress(size_t newBodyBytes);
+
         uint64_t number = 0;
-        h2o_http1client_t *client = nullptr;
+        Impl *owner = nullptr;
+        h2o_socketpool_t *pool = nullptr;
+        h2o_socketpool_connect_request_t *connectRequest = nullptr; //!< While connecting.
+        h2o_socket_t *socket = nullptr;
+        MessageParser parser;
         HttpCallbacks callbacks;
         std::string head;
         model::BodyPtr body;
         std::array<h2o_iovec_t, 2> buffers {};
         bool isStreamed = false;
-        bool isSent = false; //!< Connected, and the request was passed to H2O.
-        bool isHeadReceived = false;
-        bool isHeadRequest = false;
-        bool isInCallback = false;
+        bool needsFreshConnection = false;
+        bool isWriting = false;
+        bool isPaused = false;
+        bool isKeepAlive = false;
+        bool isEnded = false; //!< No callback may follow.
         uint64_t maxBodyBytes = 0;
         uint64_t bodyBytes = 0;
         model::TimePoint connectDeadline;
@@ -75,36 +82,35 @@
         std::optional<model::Duration> stallTimeout;
         HttpResponse answer;
         std::string collectedBody; //!< Response body; not used for streamed calls.
-        //! H2O's read callback while reading is paused, otherwise null.
-        h2o_socket_cb pausedReadCallback = nullptr;
     };
-
-    static h2o_http1client_head_cb onConnect(h2o_http1client_t *client, const char *error,
-                                             h2o_iovec_t **buffers, size_t *count, int *isHead);
-    static h2o_http1client_body_cb onHead(h2o_http1client_t *client, const char *error, int,
-                                          int status, h2o_iovec_t, h2o_header_t *headers,
-                                          size_t headerCount, int);
-    static int onBody(h2o_http1client_t *client, const char *error);
-
-    static void recordProgress(Call &call, size_t bodyBytes);
-    static void handleHead(Call &call, int status, const h2o_header_t *headers, size_t count);
-    static bool handleBody(Call &call, h2o_socket_t *socket);
-    static bool wasCutOff(const Call &call, h2o_socket_t *socket);
-    static void resumeReading(Call &call);
-    static bool exceedsHeadLimit(const Call &call);
-    std::vector<uint64_t> callsWithOversizedHead() const;
-    void finish(Call &call);
-    void fail(Call &call, HttpError error);
-    std::unique_ptr<Call> detach(uint64_t number);
-    h2o_socketpool_t *poolFor(const config::Endpoint &endpoint);
+    //! A callback may end the call that is being read.
+    using CallPtr = std::shared_ptr<Call>;
+    using Pools = std::map<config::Endpoint, std::unique_ptr<h2o_socketpool_t>>;
+
+    static std::string requestHead(const HttpCall &call);
+    static void onConnect(h2o_socket_t *socket, const char *error, void *data);
+    static void onWritten(h2o_socket_t *socket, const char *error);
+    static void onRead(h2o_socket_t *socket, const char *error);
+
+    void send(Call &call);
+    void read(const CallPtr &call, const char *error);
+    //! Returns false if the call has ended.
+    bool parseInput(const CallPtr &call);
+    static bool isCompleteAtEnd(Call &call, const char *error);
+    void finish(const CallPtr &call);
+    void fail(const CallPtr &call, HttpError error);
+    CallPtr find(uint64_t number) const;
+    CallPtr detach(uint64_t number);
+    static void release(Call &call);
+    static void close(Call &call);
+    h2o_socketpool_t *poolFor(const config::Endpoint &endpoint, Pools &pools);
 
     EventLoop &m_loop;
     h2o_multithread_queue_t *m_queue;
     h2o_multithread_receiver_t m_receiver {};
-    h2o_timeout_t m_timeout {};
-    h2o_http1client_ctx_t m_context {};
-    std::map<config::Endpoint, std::unique_ptr<h2o_socketpool_t>> m_pools;
-    absl::flat_hash_map<uint64_t, std::unique_ptr<Call>> m_calls;
+    Pools m_pools;
+    Pools m_freshPools; //!< No connection is returned to them.
+    absl::flat_hash_map<uint64_t, CallPtr> m_calls;
     uint64_t m_lastNumber = 0;
 };
 
@@ -113,10 +119,6 @@
     , m_queue(h2o_multithread_create_queue(loop.handle()))
 {
     h2o_multithread_register_receiver(m_queue, &m_receiver, h2o_hostinfo_getaddr_receiver);
-    h2o_timeout_init(loop.handle(), &m_timeout, h2oTimeoutMs);
-    m_context.loop = loop.handle();
-    m_context.getaddr_receiver = &m_receiver;
-    m_context.io_timeout = &m_timeout;
 }
 
 HttpClient::Impl::~Impl()
@@ -130,306 +132,291 @@
     }
 }
 
-h2o_socketpool_t *HttpClient::Impl::poolFor(const config::Endpoint &endpoint)
+h2o_socketpool_t *HttpClient::Impl::poolFor(const config::Endpoint &endpoint, Pools &pools)
 {
-    auto &pool = m_pools[endpoint];
+    auto &pool = pools[endpoint];
     if (!pool) {
         pool = std::make_unique<h2o_socketpool_t>();
-        h2o_socketpool_init_by_hostport(pool.get(), toIovec(m_pools.find(endpoint)->first.host),
+        h2o_socketpool_init_by_hostport(pool.get(), toIovec(pools.find(endpoint)->first.host),
                                         endpoint.port, 0, maxPooledConnections);
         h2o_socketpool_set_timeout(pool.get(), m_loop.handle(), idleConnectionTimeoutMs);
     }
     return pool.get();
 }
 
-uint64_t HttpClient::Impl::start(const HttpCall &call, HttpCallbacks callbacks)
+std::string HttpClient::Impl::requestHead(const HttpCall &call)
 {
-    auto owned = std::make_unique<Call>();
-    Call &callState = *owned;
-    callState.owner = this;
-    callState.number = ++m_lastNumber;
-    callState.callbacks = std::move(callbacks);
-    callState.body = call.body;
-    callState.isStreamed = call.isStreamed;
-    callState.isHeadRequest = call.method == "HEAD";
-    callState.maxBodyBytes = call.maxBodyBytes;
-    const model::TimePoint now = EventLoop::now();
-    callState.connectDeadline = now + call.connectTimeout;
-    callState.callDeadline = now + call.timeout;
-    callState.partDeadline = now + call.headTimeout.value_or(call.timeout);
-    callState.stallTimeout = call.stallTimeout;
     const size_t length = call.body ? call.body->size() : 0;
-    callState.head = absl::StrCat(call.method, " ", call.path, " HTTP/1.1\r\nhost: ", call.to.host,
-                                  ":", call.to.port, "\r\ncontent-length: ", length,
-                                  call.needsFreshConnection ? "\r\nconnection: close\r\n" : "\r\n");
+    std::string head
+        = absl::StrCat(call.method, " ", call.path, " HTTP/1.1\r\nhost: ", call.to.host, ":",
+                       call.to.port, "\r\ncontent-length: ", length,
+                       call.needsFreshConnection ? "\r\nconnection: close\r\n" : "\r\n");
     for (const Header &header : call.headers) {
-        absl::StrAppend(&callState.head, header.name, ": ", header.value, "\r\n");
+        appendHeader(head, header.name, header.value);
     }
-    callState.head += "\r\n";
-    m_calls.emplace(callState.number, std::move(owned));
-    if (call.needsFreshConnection) {
-        h2o_http1client_connect(&callState.client, &callState, &m_context, toIovec(call.to.host),
-                                call.to.port, 0, &Impl::onConnect);
-    } else {
-        h2o_http1client_connect_with_pool(&callState.client, &callState, &m_context,
-                                          poolFor(call.to), &Impl::onConnect);
-    }
-    return callState.number;
+    head += "\r\n";
+    return head;
+}
+
+uint64_t HttpClient::Impl::start(const HttpCall &call, HttpCallbacks callbacks)
+{
+    const uint64_t number = ++m_lastNumber;
+    const auto started = std::make_shared<Call>();
+    started->owner = this;
+    started->number = number;
+    started->callbacks = std::move(callbacks);
+    started->head = requestHead(call);
+    started->body = call.body;
+    started->isStreamed = call.isStreamed;
+    started->needsFreshConnection = call.needsFreshConnection;
+    started->parser.setExpectsNoBody(call.method == "HEAD");
+    started->maxBodyBytes = call.maxBodyBytes;
+    const model::TimePoint now = EventLoop::now();
+    started->connectDeadline = now + call.connectTimeout;
+    started->callDeadline = now + call.timeout;
+    started->partDeadline = now + call.headTimeout.value_or(call.timeout);
+    started->stallTimeout = call.stallTimeout;
+    started->pool = poolFor(call.to, call.needsFreshConnection ? m_freshPools : m_pools);
+    m_calls.emplace(number, started);
+    h2o_socketpool_connect(&started->connectRequest, started->pool, m_loop.handle(), &m_receiver,
+                           &Impl::onConnect, started.get());
+    return number;
 }
 
-h2o_http1client_head_cb HttpClient::Impl::onConnect(h2o_http1client_t *client, const char *error,
-                                                    h2o_iovec_t **buffers, size_t *count,
-                                                    int *isHead)
+void HttpClient::Impl::onConnect(h2o_socket_t *socket, const char *error, void *data)
 {
-    Call &call = *static_cast<Call *>(client->data);
+    Call &call = *static_cast<Call *>(data);
+    call.connectRequest = nullptr;
     if (error) {
-        call.client = nullptr;
-        call.owner->fail(call, HttpError::ConnectFailed);
-        return nullptr;
+        call.owner->fail(call.owner->find(call.number), HttpError::ConnectFailed);
+        return;
     }
-    call.client = client;
-    call.isSent = true;
+    call.socket = socket;
+    socket->data = &call;
     if (call.isStreamed) {
-        limitReceiveBuffer(client->sock);
+        internal::limitReceiveBuffer(socket, receiveBufferBytes);
     }
+    call.owner->send(call);
+    if (!call.isPaused) {
+        h2o_socket_read_start(socket, &Impl::onRead);
+    }
+}
+
+void HttpClient::Impl::send(Call &call)
+{
+    const bool hasBody = call.body && !call.body->empty();
     call.buffers[0] = toIovec(call.head);
-    call.buffers[1] = call.body ? toIovec(*call.body) : h2o_iovec_init(nullptr, 0);
-    *buffers = call.buffers.data();
-    *count = call.body && !call.body->empty() ? 2 : 1;
-    *isHead = call.isHeadRequest ? 1 : 0;
-    return &Impl::onHead;
+    call.buffers[1] = hasBody ? toIovec(*call.body) : h2o_iovec_init(nullptr, 0);
+    call.isWriting = true;
+    h2o_socket_write(call.socket, call.buffers.data(), hasBody ? 2 : 1, &Impl::onWritten);
 }
 
-h2o_http1client_body_cb HttpClient::Impl::onHead(h2o_http1client_t *client, const char *error, int,
-                                                 int status, h2o_iovec_t, h2o_header_t *headers,
-                                                 size_t headerCount, int)
-{
-    Call &call = *static_cast<Call *>(client->data);
-    Impl &owner = *call.owner;
-    const uint64_t number = call.number;
-    const bool isEnd = error == h2o_http1client_error_is_eos;
-    if (error && !isEnd) {
-        call.client = nullptr;
-        owner.fail(call, HttpError::ConnectionLost);
-        return nullptr;
-    }
-    call.isInCallback = true;
-    owner.handleHead(call, status, headers, headerCount);
-    if (!owner.m_calls.contains(number)) {
-        return nullptr;
-    }
-    call.isInCallback = false;
-    if (isEnd) {
-        call.client = nullptr;
-        owner.finish(call);
-        return nullptr;
+void HttpClient::Impl::onWritten(h2o_socket_t *socket, const char *error)
+{
+    Call &call = *static_cast<Call *>(socket->data);
+    call.isWriting = false;
+    if (error) {
+        call.owner->fail(call.owner->find(call.number), HttpError::ConnectionLost);
     }
-    return &Impl::onBody;
 }
 
-// H2O closes the connection if this returns a value other than zero.
-int HttpClient::Impl::onBody(h2o_http1client_t *client, const char *error)
-{
-    constexpr int closeConnection = -1;
-    Call &call = *static_cast<Call *>(client->data);
-    Impl &owner = *call.owner;
-    const uint64_t number = call.number;
-    const bool isEnd = error == h2o_http1client_error_is_eos;
-    if (error && !isEnd) {
-        call.client = nullptr;
-        owner.fail(call, HttpError::ConnectionLost);
-        return closeConnection;
+void HttpClient::Impl::onRead(h2o_socket_t *socket, const char *error)
+{
+    const Call &call = *static_cast<Call *>(socket->data);
+    call.owner->read(call.owner->find(call.number), error);
+}
+
+void HttpClient::Impl::read(const CallPtr &call, const char *error)
+{
+    if (!parseInput(call)) {
+        return;
     }
-    call.isInCallback = true;
-    const bool isWithinLimit = owner.handleBody(call, client->sock);
-    if (!owner.m_calls.contains(number)) {
-        return closeConnection;
+    if (call->parser.isComplete()) {
+        finish(call);
+        return;
     }
-    call.isInCallback = false;
-    if (!isWithinLimit) {
-        call.client = nullptr;
-        owner.fail(call, HttpError::TooLarge);
-        return closeConnection;
+    if (!error) {
+        return;
     }
-    if (isEnd && wasCutOff(call, client->sock)) {
-        call.client = nullptr;
-        owner.fail(call, HttpError::ConnectionLost);
-        return closeConnection;
+    const bool isComplete = isCompleteAtEnd(*call, error);
+    if (call->isEnded) {
+        return;
     }
-    if (isEnd) {
-        call.client = nullptr;
-        owner.finish(call);
+    call->isKeepAlive = false;
+    if (isComplete) {
+        finish(call);
+    } else {
+        fail(call, HttpError::ConnectionLost);
     }
-    return 0;
 }
 
-void HttpClient::Impl::recordProgress(Call &call, size_t bodyBytes)
+bool HttpClient::Impl::parseInput(const CallPtr &call)
 {
-    call.partDeadline
-        = call.stallTimeout ? EventLoop::now() + *call.stallTimeout : call.callDeadline;
-    if (call.callbacks.onProgress) {
-        call.callbacks.onProgress(bodyBytes);
+    while (!call->parser.isComplete() && call->socket->input->size != 0) {
+        const h2o_buffer_t &input = *call->socket->input;
+        const size_t consumed = call->parser.feed({input.bytes, input.size});
+        if (call->isEnded) {
+            return false;
+        }
+        h2o_buffer_consume(&call->socket->input, consumed);
+        if (call->parser.error() != ParseError::None) {
+            fail(call, call->parser.error() == ParseError::HeadTooLarge
+                           ? HttpError::TooLarge
+                           : HttpError::MalformedResponse);
+            return false;
+        }
+        if (call->bodyBytes > call->maxBodyBytes) {
+            fail(call, HttpError::TooLarge);
+            return false;
+        }
+        if (consumed == 0) {
+            break;
+        }
     }
+    return true;
 }
 
-void HttpClient::Impl::handleHead(Call &call, int status, const h2o_header_t *headers, size_t count)
+bool HttpClient::Impl::isCompleteAtEnd(Call &call, const char *error)
 {
-    call.isHeadReceived = true;
-    recordProgress(call, 0);
-    call.answer.status = static_cast<uint16_t>(status);
-    call.answer.headers.reserve(count);
-    for (size_t i = 0; i < count; ++i) {
-        call.answer.headers.push_back(
-            {.name = std::string(headers[i].name->base, headers[i].name->len),
-             .value = std::string(headers[i].value.base, headers[i].value.len)});
-    }
-    if (call.isStreamed && call.callbacks.onHead) {
-        call.callbacks.onHead(call.answer);
-    }
+    return internal::hasEndedInOrder(call.socket, error) && call.parser.isHeadComplete()
+           && call.parser.finish();
 }
 
-bool HttpClient::Impl::handleBody(Call &call, h2o_socket_t *socket)
+void HttpClient::Impl::Call::recordProgress(size_t newBodyBytes)
 {
-    const std::string_view bytes(socket->input->bytes, socket->input->size);
-    call.bodyBytes += bytes.size();
-    recordProgress(call, bytes.size());
-    if (call.bodyBytes > call.maxBodyBytes) {
-        return false;
-    }
-    if (!call.isStreamed) {
-        call.collectedBody.append(bytes);
-        h2o_buffer_consume(&socket->input, socket->input->size);
-        return true;
-    }
-    // The callback may cancel the call, after which neither the call nor the socket may be used.
-    const std::string copy(bytes);
-    h2o_buffer_consume(&socket->input, socket->input->size);
-    if (!copy.empty()) {
-        call.callbacks.onData(copy);
+    partDeadline = stallTimeout ? EventLoop::now() + *stallTimeout : callDeadline;
+    if (callbacks.onProgress) {
+        callbacks.onProgress(newBodyBytes);
     }
-    return true;
 }
 
-// H2O reports the end of the connection as the end of the body, also after a reset and between two
-// chunks. No bytes were read then.
-bool HttpClient::Impl::wasCutOff(const Call &call, h2o_socket_t *socket)
+void HttpClient::Impl::Call::onHead(MessageHead messageHead)
 {
-    const bool endsWithConnection = socket->bytes_read == 0;
-    const bool isChunked = !headerValue(call.answer.headers, "transfer-encoding").empty();
-    return endsWithConnection && (isChunked || internal::wasReset(socket));
+    isKeepAlive = messageHead.isKeepAlive;
+    answer.status = messageHead.status;
+    answer.headers = std::move(messageHead.headers);
+    recordProgress(0);
+    if (isStreamed && callbacks.onHead) {
+        callbacks.onHead(answer);
+    }
 }
 
-std::unique_ptr<HttpClient::Impl::Call> HttpClient::Impl::detach(uint64_t number)
+void HttpClient::Impl::Call::onBody(std::string_view bytes)
 {
-    const auto it = m_calls.find(number);
-    if (it == m_calls.end()) {
-        return nullptr;
+    if (isEnded) {
+        return;
+    }
+    bodyBytes += bytes.size();
+    recordProgress(bytes.size());
+    if (bodyBytes > maxBodyBytes) {
+        return;
+    }
+    if (isStreamed) {
+        callbacks.onData(bytes);
+    } else {
+        collectedBody.append(bytes);
     }
-    std::unique_ptr<Call> call = std::move(it->second);
-    m_calls.erase(it);
-    return call;
 }
 
-void HttpClient::Impl::finish(Call &call)
+HttpClient::Impl::CallPtr HttpClient::Impl::find(uint64_t number) const
 {
-    const std::unique_ptr<Call> owned = detach(call.number);
-    owned->answer.body = model::makeBody(std::move(owned->collectedBody));
-    owned->callbacks.onResponse(std::move(owned->answer));
+    const auto it = m_calls.find(number);
+    return it == m_calls.end() ? nullptr : it->second;
 }
 
-void HttpClient::Impl::fail(Call &call, HttpError error)
+HttpClient::Impl::CallPtr HttpClient::Impl::detach(uint64_t number)
 {
-    const std::unique_ptr<Call> owned = detach(call.number);
-    owned->callbacks.onError(error);
+    CallPtr call = find(number);
+    if (call) {
+        call->isEnded = true;
+        m_calls.erase(number);
+    }
+    return call;
 }
 
-void HttpClient::Impl::cancel(uint64_t number)
+// Only a connection on which nothing is left to send or to read can carry another call.
+void HttpClient::Impl::release(Call &call)
 {
-    const std::unique_ptr<Call> call = detach(number);
-    // If its own callback cancels the call, the return value of onHead() or onBody() ends it.
-    if (!call || !call->client || call->isInCallback) {
+    h2o_socket_t *socket = std::exchange(call.socket, nullptr);
+    const bool isReusable = call.isKeepAlive && !call.needsFreshConnection && !call.isWriting
+                            && socket->input->size == 0;
+    if (!isReusable) {
+        h2o_socket_close(socket);
         return;
     }
-    resumeReading(*call);
-    if (call->isSent && internal::unacknowledgedBytes(call->client->sock) > 0) {
-        // After an ordinary close the system would go on sending the request.
-        internal::discardUnsentAtClose(call->client->sock);
-    }
-    h2o_http1client_cancel(call->client);
+    h2o_socket_read_stop(socket);
+    h2o_socketpool_return(call.pool, socket);
 }
 
-void HttpClient::Impl::setPaused(uint64_t number, bool isPaused)
+void HttpClient::Impl::close(Call &call)
 {
-    const auto it = m_calls.find(number);
-    if (it == m_calls.end() || !it->second->client || !it->second->client->sock) {
-        return;
+    if (call.connectRequest) {
+        h2o_socketpool_cancel_connect(std::exchange(call.connectRequest, nullptr));
     }
-    Call &call = *it->second;
-    if (!isPaused) {
-        resumeReading(call);
+    if (!call.socket) {
         return;
     }
-    if (!call.pausedReadCallback) {
-        call.pausedReadCallback = call.client->sock->_cb.read;
-        h2o_socket_read_stop(call.client->sock);
+    if (internal::unacknowledgedBytes(call.socket) > 0) {
+        // After an ordinary close the system would go on sending the request.
+        internal::discardUnsentAtClose(call.socket);
     }
+    h2o_socket_close(std::exchange(call.socket, nullptr));
 }
 
-void HttpClient::Impl::resumeReading(Call &call)
+void HttpClient::Impl::finish(const CallPtr &call)
 {
-    if (!call.pausedReadCallback) {
-        return;
-    }
-    h2o_socket_read_start(call.client->sock, call.pausedReadCallback);
-    call.pausedReadCallback = nullptr;
+    detach(call->number);
+    release(*call);
+    call->answer.body = model::makeBody(std::move(call->collectedBody));
+    call->callbacks.onResponse(std::move(call->answer));
 }
 
-bool HttpClient::Impl::exceedsHeadLimit(const Call &call)
+void HttpClient::Impl::fail(const CallPtr &call, HttpError error)
 {
-    return call.isSent && !call.isHeadReceived && call.client && call.client->sock
-           && call.client->sock->input->size > maxHeadBytes;
+    detach(call->number);
+    close(*call);
+    call->callbacks.onError(error);
 }
 
-std::vector<uint64_t> HttpClient::Impl::callsWithOversizedHead() const
+void HttpClient::Impl::cancel(uint64_t number)
 {
-    std::vector<uint64_t> numbers;
-    for (const auto &[number, call] : m_calls) {
-        if (exceedsHeadLimit(*call)) {
-            numbers.push_back(number);
-        }
+    if (const CallPtr call = detach(number)) {
+        close(*call);
     }
-    return numbers;
 }
 
-void HttpClient::Impl::expire(model::TimePoint now)
+void HttpClient::Impl::setPaused(uint64_t number, bool isPaused)
 {
-    for (const uint64_t number : callsWithOversizedHead()) {
-        const auto it = m_calls.find(number);
-        if (it == m_calls.end()) {
-            continue;
-        }
-        const HttpCallbacks callbacks = it->second->callbacks;
-        cancel(number);
-        callbacks.onError(HttpError::TooLarge);
+    const CallPtr call = find(number);
+    if (!call || call->isPaused == isPaused) {
+        return;
+    }
+    call->isPaused = isPaused;
+    if (!call->socket) {
+        return;
+    }
+    if (isPaused) {
+        h2o_socket_read_stop(call->socket);
+    } else {
+        h2o_socket_read_start(call->socket, &Impl::onRead);
     }
-    std::vector<uint64_t> expiredCalls;
+}
+
+void HttpClient::Impl::expire(model::TimePoint now)
+{
+    std::vector<CallPtr> expired;
     for (const auto &[number, call] : m_calls) {
-        const model::TimePoint deadline = call->isSent
+        const model::TimePoint deadline = call->socket
                                               ? std::min(call->partDeadline, call->callDeadline)
                                               : std::min(call->connectDeadline, call->callDeadline);
         if (now >= deadline) {
-            expiredCalls.push_back(number);
+            expired.push_back(call);
         }
     }
-    for (const uint64_t number : expiredCalls) {
-        const auto it = m_calls.find(number);
-        if (it == m_calls.end()) {
-            continue;
+    for (const CallPtr &call : expired) {
+        if (!call->isEnded) {
+            fail(call, call->socket ? HttpError::TimedOut : HttpError::ConnectFailed);
         }
-        const HttpError error = it->second->isSent ? HttpError::TimedOut : HttpError::ConnectFailed;
-        const HttpCallbacks callbacks = it->second->callbacks;
-        cancel(number);
-        callbacks.onError(error);
     }
 }
 
--- a/src/net/internal/messageparser.cpp
+++ b/src/net/internal/messageparser.cpp
@@ -91,6 +91,10 @@
         if (!wasHeadComplete && !m_isHeadComplete) {
             m_headBytes += consumed;
         }
+        const bool isOverflow = code == HPE_HEADER_OVERFLOW && m_kind == Kind::Response;
+        if (m_error == ParseError::None && isOverflow && !m_isHeadComplete) {
+            m_error = ParseError::HeadTooLarge;
+        }
         if (m_error == ParseError::None && (code != HPE_OK || m_parser.upgrade)) {
             m_error = ParseError::Malformed;
         }
--- a/src/net/internal/socketoptions.cpp
+++ b/src/net/internal/socketoptions.cpp
@@ -87,6 +87,9 @@
     return haveClosed;
 }
 
+namespace
+{
+
 bool wasReset(h2o_socket_t *socket)
 {
     tcp_info info {};
@@ -95,4 +98,13 @@
     return result == 0 && info.tcpi_state == TCP_CLOSE;
 }
 
+} // namespace
+
+// The system reports the error of a reset once. If a write was under way, it has taken the error,
+// and reading reports an ordinary end; the state of the connection is the same in both cases.
+bool hasEndedInOrder(h2o_socket_t *socket, const char *error)
+{
+    return error == h2o_socket_error_closed && !wasReset(socket);
+}
+
 } // namespace citronpick::net::internal
--- a/src/net/internal/socketoptions.h
+++ b/src/net/internal/socketoptions.h
@@ -33,8 +33,9 @@
 //! The same for many connections, with one system call.
 std::vector<bool> havePeersClosed(const std::vector<h2o_socket_t *> &sockets);
 
-//! Whether the peer reset the connection instead of closing it.
-bool wasReset(h2o_socket_t *socket);
+//! Whether \a error, which reading reported, is the end of a connection that the peer has closed
+//! and not reset.
+bool hasEndedInOrder(h2o_socket_t *socket, const char *error);
 
 } // namespace citronpick::net::internal
 
--- a/src/net/internal/upstreamclient.cpp
+++ b/src/net/internal/upstreamclient.cpp
@@ -369,10 +369,7 @@
 
     void handleConnectionEnd(Connection &connection, const char *error)
     {
-        // If a write was under way, it has taken the error of a reset, and reading reports an
-        // ordinary end.
-        const bool isOrderly
-            = error == h2o_socket_error_closed && !internal::wasReset(connection.socket);
+        const bool isOrderly = internal::hasEndedInOrder(connection.socket, error);
         const bool isResponseComplete = isOrderly && connection.parser.isHeadComplete()
                                         && !connection.isStaleResponse && finishParser(connection);
         if (connection.isCancelled) {
