--- a/src/apps/tests/ctltest.cpp
+++ b/src/apps/tests/ctltest.cpp
@@ -1,8 +1,11 @@
 #include <catch2/catch.hpp>
 
 #include <sstream>
+#include <thread>
 
 #include "adminclient.h"
+#include "net/tests/brokenresponses.h"
+#include "net/tests/rawpeer.h"
 #include "requesttrace.h"
 #include "table.h"
 #include "timelinemerge.h"
@@ -83,3 +86,32 @@
     CHECK(trace.isEmpty());
     CHECK(trace.outcome().find("No final event found") == 0);
 }
+
+// Guards against commands that print bytes that are no answer, or hang.
+TEST_CASE("A broken answer of a daemon is reported as no answer")
+{
+    using citronpick::net::testing::RawListener;
+    using citronpick::net::testing::RawPeer;
+    for (const auto &response : citronpick::net::testing::brokenResponses({})) {
+        INFO(response.name);
+        RawListener listener;
+        std::jthread daemon([&listener, &response](const std::stop_token &stop) {
+            RawPeer peer;
+            while (!stop.stop_requested() && !listener.accept(peer)) {
+                std::this_thread::yield();
+            }
+            while (!stop.stop_requested()
+                   && peer.received().find("\r\n\r\n") == std::string::npos) {
+                std::this_thread::yield();
+            }
+            peer.send(response.bytes);
+            while (!stop.stop_requested()) {
+                std::this_thread::yield();
+            }
+        });
+        const auto answer
+            = readAdminPage({.host = "127.0.0.1", .port = listener.port()}, "token", "upstreams");
+        REQUIRE_FALSE(answer.ok());
+        CHECK(std::string(answer.status().message()).find("garbage") != std::string::npos);
+    }
+}
--- a/src/daemon/tests/attemptrunnertest.cpp
+++ b/src/daemon/tests/attemptrunnertest.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "daemon/internal/attemptrunner.h"
+#include "net/tests/brokenresponses.h"
 #include "net/tests/rawpeer.h"
 
 using namespace citronpick;
@@ -40,6 +41,8 @@
             answered = *value;
         } else if (const auto *error = std::get_if<pipeline::AttemptFailed>(&event)) {
             failed = *error;
+        } else if (const auto *probe = std::get_if<core::ProbeEnded>(&event)) {
+            probed = *probe;
         }
     }
     void record(const observability::Event &) override
@@ -59,6 +62,7 @@
     RawPeer upstream;
     std::optional<pipeline::AttemptAnswered> answered;
     std::optional<pipeline::AttemptFailed> failed;
+    std::optional<core::ProbeEnded> probed;
 };
 
 } // namespace
@@ -86,3 +90,37 @@
     REQUIRE(attempt.failed);
     CHECK(attempt.failed->error == pipeline::AttemptError::MalformedAnswer);
 }
+
+// Guards against pipelines that go on with bytes that are no answer, or wait for one in vain.
+TEST_CASE("A broken answer fails its attempt as malformed")
+{
+    for (const auto &response : net::testing::brokenResponses({})) {
+        INFO(response.name);
+        ResumedAttempt attempt;
+        attempt.answer(response.bytes);
+        CHECK_FALSE(attempt.answered);
+        REQUIRE(attempt.failed);
+        CHECK(attempt.failed->error == pipeline::AttemptError::MalformedAnswer);
+    }
+}
+
+// Guards against upstreams in trouble that pass a liveness check.
+TEST_CASE("A liveness check with a broken answer fails at once")
+{
+    for (const auto &response : net::testing::brokenResponses({})) {
+        INFO(response.name);
+        ResumedAttempt attempt;
+        attempt.runner.probe({.upstream = model::UpstreamId("u"),
+                              .number = 1,
+                              .host = "127.0.0.1",
+                              .port = attempt.listener.port(),
+                              .path = "/",
+                              .timeout = model::seconds(60)});
+        RawPeer probe;
+        REQUIRE(runUntil(attempt.loop, [&] { return attempt.listener.accept(probe); }));
+        REQUIRE(runUntil(attempt.loop, [&] { return !probe.received().empty(); }));
+        probe.send(response.bytes);
+        REQUIRE(runUntil(attempt.loop, [&] { return attempt.probed.has_value(); }));
+        CHECK_FALSE(attempt.probed->isGood);
+    }
+}
