Broken answers of other daemons are recorded with their reason

What was seen: an exchange or a job whose answer is broken failed without a log line.

Cause: both discarded the reason that the client gave.

Change: 506 fleet-message-rejected with why=garbage or why=malformed; that of exchanges is bounded as for messages that are rejected.

Why it works: each call of a peer ends in one of these callbacks.

--- a/src/daemon/internal/fleetapi.cpp
+++ b/src/daemon/internal/fleetapi.cpp
@@ -86,7 +86,10 @@
     callbacks.onResponse = [this, exchange, stamp](const net::HttpResponse &answer) {
         onExchangeAnswer(exchange, stamp, answer);
     };
-    callbacks.onError = [this, exchange](net::HttpError) {
+    callbacks.onError = [this, exchange](net::HttpError error) {
+        if (error == net::HttpError::MalformedResponse) {
+            countRejected(net::toString(error));
+        }
         m_sink.post(core::FleetExchangeFailed {.exchange = exchange});
     };
     m_client.start(call, std::move(callbacks));
@@ -231,7 +234,7 @@
     respondSigned(exchange, stamp, *text);
 }
 
-void FleetApi::reject(uint64_t exchange, std::string_view reason)
+void FleetApi::countRejected(std::string_view reason)
 {
     ++m_rejectedCount;
     // Unauthenticated senders must not be able to flood the log: a rejection is logged
@@ -243,6 +246,11 @@
              .subject = m_identity.daemon.text(),
              .detail = absl::StrCat("why=", model::toAbsl(reason), " total=", m_rejectedCount)});
     }
+}
+
+void FleetApi::reject(uint64_t exchange, std::string_view reason)
+{
+    countRejected(reason);
     constexpr uint16_t forbidden = 403;
     m_server.respond(exchange, forbidden, {}, {});
 }
--- a/src/daemon/internal/fleetapi.h
+++ b/src/daemon/internal/fleetapi.h
@@ -139,6 +139,7 @@
                         const Transfer &transfer, std::string_view outcome);
     void receiveWatch(uint64_t exchange, const net::IncomingRequest &request);
     void respondSigned(uint64_t exchange, const std::string &stamp, const std::string &body);
+    void countRejected(std::string_view reason);
     void reject(uint64_t exchange, std::string_view reason);
 
     FleetIdentity m_identity;
--- a/src/daemon/internal/peerjobs.cpp
+++ b/src/daemon/internal/peerjobs.cpp
@@ -1,6 +1,9 @@
 #include "daemon/internal/peerjobs.h"
 
+#include <absl/strings/str_cat.h>
+
 #include "daemon/internal/stagejobcodec.h"
+#include "model/abslview.h"
 
 namespace citronpick::daemon
 {
@@ -147,12 +150,18 @@
     m_host.execute();
 }
 
-void PeerJobs::onFailure(uint64_t number, net::CallFailure)
+void PeerJobs::onFailure(uint64_t number, net::CallFailure failure)
 {
     const auto it = m_calls.find(number);
     if (it == m_calls.end()) {
         return;
     }
+    if (failure == net::CallFailure::Malformed) {
+        m_host.record({.code = observability::EventCode::FleetMessageRejected,
+                       .request = {},
+                       .subject = "stage",
+                       .detail = absl::StrCat("why=", model::toAbsl(net::toString(failure)))});
+    }
     const relay::JobId job = it->second.job;
     m_calls.erase(it);
     m_callsByJob.erase(job);
--- a/src/daemon/tests/fleetapitest.cpp
+++ b/src/daemon/tests/fleetapitest.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/str_cat.h>
 
 #include "daemon/internal/fleetapi.h"
+#include "net/tests/brokenresponses.h"
 #include "net/tests/rawpeer.h"
 
 using namespace citronpick;
@@ -119,3 +120,44 @@
     REQUIRE(result->ok());
     CHECK(**result == body);
 }
+
+// Guards against exchanges with other daemons that wait for an answer in vain, or fail unseen.
+TEST_CASE("A broken answer of another daemon fails its exchange and is recorded")
+{
+    for (const auto &response : net::testing::brokenResponses({})) {
+        INFO(response.name);
+        Fixture fixture;
+        fixture.api.send({.exchange = 7,
+                          .to = fixture.peerAddress(),
+                          .timeout = model::seconds(60),
+                          .message = {}});
+        RawPeer peer;
+        REQUIRE(fixture.runUntil([&] { return fixture.listener.accept(peer); }));
+        REQUIRE(fixture.runUntil([&] { return !peer.received().empty(); }));
+        peer.send(response.bytes);
+        REQUIRE(fixture.runUntil([&] { return !fixture.sink.posted.empty(); }));
+        CHECK(std::holds_alternative<core::FleetExchangeFailed>(fixture.sink.posted.front()));
+        REQUIRE(fixture.sink.recorded.size() == 1);
+        CHECK(fixture.sink.recorded.front().detail.find("why=garbage") != std::string::npos);
+    }
+}
+
+TEST_CASE("A document in a broken answer of another daemon is not used")
+{
+    for (const auto &response : net::testing::brokenResponses({})) {
+        INFO(response.name);
+        Fixture fixture;
+        std::optional<absl::StatusOr<std::string>> result;
+        fixture.api.fetchListing(
+            fixture.peerAddress(), 1,
+            [&result](const absl::StatusOr<std::string> &text) { result = text; });
+        RawPeer peer;
+        REQUIRE(fixture.runUntil([&] { return fixture.listener.accept(peer); }));
+        REQUIRE(fixture.runUntil([&] { return !peer.received().empty(); }));
+        peer.send(response.bytes);
+        REQUIRE(fixture.runUntil([&] { return result.has_value(); }));
+        CHECK_FALSE(result->ok());
+        REQUIRE(fixture.sink.recorded.size() == 1);
+        CHECK(fixture.sink.recorded.front().detail.find("outcome=garbage") != std::string::npos);
+    }
+}
