HttpClient keeps the bytes that it parses until the parser returns

Change: cancelling within the parser ends the call; its connection is closed when the parser has returned, as in UpstreamClient.

Evidence: the new test ends with a heap-use-after-free under the address sanitizer before, and passes after, with all of net_test.

--- a/src/net/internal/httpclient.cpp
+++ b/src/net/internal/httpclient.cpp
@@ -73,6 +73,7 @@
         bool isWriting = false;
         bool isPaused = false;
         bool isKeepAlive = false;
+        bool isParsing = false;
         bool isEnded = false; //!< No callback may follow.
         uint64_t maxBodyBytes = 0;
         uint64_t bodyBytes = 0;
@@ -238,12 +239,8 @@
     if (!error) {
         return;
     }
-    const bool isComplete = isCompleteAtEnd(*call, error);
-    if (call->isEnded) {
-        return;
-    }
     call->isKeepAlive = false;
-    if (isComplete) {
+    if (isCompleteAtEnd(*call, error)) {
         finish(call);
     } else {
         fail(call, HttpError::ConnectionLost);
@@ -254,8 +251,11 @@
 {
     while (!call->parser.isComplete() && call->socket->input->size != 0) {
         const h2o_buffer_t &input = *call->socket->input;
+        call->isParsing = true;
         const size_t consumed = call->parser.feed({input.bytes, input.size});
+        call->isParsing = false;
         if (call->isEnded) {
+            close(*call);
             return false;
         }
         h2o_buffer_consume(&call->socket->input, consumed);
@@ -380,7 +380,9 @@
 
 void HttpClient::Impl::cancel(uint64_t number)
 {
-    if (const CallPtr call = detach(number)) {
+    const CallPtr call = detach(number);
+    // Closing frees the bytes that are being parsed.
+    if (call && !call->isParsing) {
         close(*call);
     }
 }
--- a/src/net/tests/httpclientbrokentest.cpp
+++ b/src/net/tests/httpclientbrokentest.cpp
@@ -150,6 +150,45 @@
     }
 }
 
+// Guards against reading bytes of a connection that is already gone.
+TEST_CASE("A callback of HttpClient may cancel its call while more of the response is at hand")
+{
+    const bool cancelsInHead = GENERATE(false, true);
+    const std::string framing
+        = GENERATE(as<std::string>(), "Content-Length: 100000\r\n\r\n" + std::string(100000, 'b'),
+                   "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n5000\r\n" + std::string(0x5000, 'b')
+                       + "\r\n0\r\n\r\n",
+                   "\r\nuntil the end");
+    Fixture fixture;
+    int callbacks = 0;
+    uint64_t number = 0;
+    HttpCallbacks cancelling;
+    cancelling.onHead = [&](const HttpResponse &) {
+        if (cancelsInHead) {
+            ++callbacks;
+            fixture.client.cancel(number);
+        }
+    };
+    cancelling.onData = [&](std::string_view) {
+        ++callbacks;
+        fixture.client.cancel(number);
+    };
+    cancelling.onResponse = [&](const HttpResponse &) {
+        ++callbacks;
+    };
+    cancelling.onError = [&](HttpError) {
+        ++callbacks;
+    };
+    number = fixture.client.start(
+        {.to = {.host = "127.0.0.1", .port = fixture.listener.port()}, .isStreamed = true},
+        std::move(cancelling));
+    RawPeer peer = fixture.accept();
+    peer.send("HTTP/1.1 200 OK\r\n" + framing);
+    peer.finishSending();
+    CHECK(runUntil(fixture.loop, [&] { return peer.hasEnded() || peer.wasReset(); }));
+    CHECK(callbacks == 1);
+}
+
 TEST_CASE("HttpClient uses a connection again after a whole response only")
 {
     for (const auto &[bytes, isReused] :
