--- a/src/net/tests/brokenresponses.h
+++ b/src/net/tests/brokenresponses.h
@@ -102,11 +102,26 @@
              .bytes = "HTTP/1.1 100 Continue\r\n\r\nother" + final}};
 }
 
+//! Responses whose lengths contradict each other or are none.
+inline std::vector<BrokenResponse> responsesWithInvalidLength(const std::string &fields)
+{
+    std::vector<BrokenResponse> responses;
+    for (const char *lengths :
+         {"Content-Length: 4\r\nContent-Length: 5\r\n",
+          "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", "Content-Length: 4x\r\n",
+          "Content-Length: -4\r\n", "Content-Length: 99999999999999999999\r\n"}) {
+        responses.push_back(
+            {.name = lengths, .bytes = "HTTP/1.1 200 OK\r\n" + fields + lengths + "\r\ngood"});
+    }
+    return responses;
+}
+
 //! All of them.
 inline std::vector<BrokenResponse> brokenResponses(const std::string &fields)
 {
     std::vector<BrokenResponse> responses = responsesWithInvalidStatus(fields);
-    for (const auto &more : {responsesWithInvalidField(fields), interimResponsesWithBody(fields)}) {
+    for (const auto &more : {responsesWithInvalidField(fields), interimResponsesWithBody(fields),
+                             responsesWithInvalidLength(fields)}) {
         responses.insert(responses.end(), more.begin(), more.end());
     }
     return responses;
--- a/src/net/tests/brokenresponsetest.cpp
+++ b/src/net/tests/brokenresponsetest.cpp
@@ -88,6 +88,32 @@
     }
 }
 
+// Guards against bytes of one response that are taken for the next one.
+TEST_CASE("A response whose lengths contradict each other is malformed")
+{
+    for (const BrokenResponse &response : net::testing::responsesWithInvalidLength(identity)) {
+        checkFails(response);
+    }
+}
+
+// Guards against calls that an upstream holds with interim responses alone.
+TEST_CASE("Interim responses without an end fail the call")
+{
+    Fixture fixture;
+    RawPeer peer = startOnConnection(fixture, false);
+    constexpr size_t limit = 8U << 20U;
+    const std::string interim = "HTTP/1.1 103 Early\r\nX-A: 1\r\n\r\n";
+    size_t sent = 0;
+    while (sent < limit && fixture.handler.ends == 0 && !fixture.handler.failure) {
+        peer.send(interim);
+        sent += interim.size();
+        fixture.loop.runOnce(model::Duration::zero());
+    }
+    CHECK(sent < limit);
+    CHECK(fixture.handler.failure == CallFailure::Malformed);
+    CHECK(fixture.handler.heads == 0);
+}
+
 TEST_CASE("Valid responses of unusual form are received")
 {
     using Row = std::pair<std::string, std::string>;
