--- a/src/relay/internal/relaysystem.cpp
+++ b/src/relay/internal/relaysystem.cpp
@@ -253,7 +253,9 @@
 {
     const model::RequestId id = exchange.arrived.request;
     ++m_counters.answersAborted;
-    absl::StrAppend(&detail, " stopping=", m_shutdownAt == model::TimePoint::max() ? 0 : 1);
+    absl::StrAppend(&detail, " stopping=", m_shutdownAt == model::TimePoint::max() ? 0 : 1,
+                    " attempts=", exchange.sentAttempts, " unsent=", exchange.unsentAttempts,
+                    " jobs=", exchange.jobs.size(), " lastEvent=", exchange.lastEvent);
     record(EventCode::AnswerBroken, exchange, exchange.route->id.text(), std::move(detail));
     m_commands.emplace_back(AbortAnswer {.request = id});
     closeExchange(id);
