--- a/src/relay/tests/unansweredtest.cpp
+++ b/src/relay/tests/unansweredtest.cpp
@@ -144,3 +144,117 @@
         }
     }
 }
+
+// Guards against LOST: a stream whose upstream paused for longer than usual was given up for
+// another upstream, and was cut when that one had no room.
+TEST_CASE("A silent stream goes on at its upstream when the others refuse to resume it",
+          "[!mayfail]")
+{
+    RelayFixture fixture(2);
+    const StartAttempt silent = beginStream(fixture);
+    SECTION("in calm")
+    {
+    }
+    SECTION("in a planned stop")
+    {
+        fixture.system.beginShutdown(fixture.now, model::seconds(7));
+    }
+    fixture.system.onAttemptProgress(silent.attempt, "4", fixture.now);
+    fixture.advanceTime(milliseconds(1300));
+    const auto second = fixture.take<StartAttempt>();
+    CHECK(second.resumeAfter == "4");
+    CHECK(fixture.count<CancelAttempt>() == 0);
+    fixture.answer(second.attempt, RelayFixture::notRun());
+    CHECK(fixture.count<AbortAnswer>() == 0);
+    REQUIRE(fixture.system.requestCount() == 1);
+    SECTION("and is whole when it ends there")
+    {
+        fixture.system.onAttemptProgress(silent.attempt, "5", fixture.now);
+        fixture.end(silent.attempt);
+        CHECK(fixture.count<FinishStream>() == 1);
+    }
+    SECTION("and is aborted when it is lost there")
+    {
+        fixture.fail(silent.attempt, AttemptFailure::Broken, "4");
+        CHECK(fixture.count<AbortAnswer>() == 1);
+    }
+    SECTION("until its caller leaves")
+    {
+        fixture.system.onCallerDisconnected(model::RequestId(fixture.lastRequest), fixture.now);
+        fixture.collect();
+        CHECK(fixture.take<CancelAttempt>().attempt == silent.attempt);
+    }
+    CHECK(fixture.system.requestCount() == 0);
+}
+
+// Guards against LOST: the upstream of a silent stream was given up although its rest could not be
+// had elsewhere.
+TEST_CASE("A silent stream goes on at its upstream when its stages fail while it is resumed",
+          "[!mayfail]")
+{
+    RelayFixture fixture(2);
+    ConfigurationContent content = RelayFixture::configuration(2)->content();
+    content.routes[4].kind = RequestKind::ResumableStream;
+    content.routes[4].maxAttempts = 2;
+    for (StageRule &stage : content.routes[4].stages) {
+        stage.resultBytes = 10;
+    }
+    content.pools[2].batch->resultStorageBytes = 20;
+    fixture.system.setConfiguration(std::make_shared<RelayConfiguration>(std::move(content)));
+    fixture.arrive("/staged/x");
+    fixture.answerBatch();
+    fixture.answerBatch();
+    const auto silent = fixture.take<StartAttempt>();
+    fixture.head(silent.attempt, RelayFixture::success());
+    fixture.advanceTime(milliseconds(1300));
+    REQUIRE(fixture.count<RunBatch>() > 0);
+    CHECK(fixture.count<CancelAttempt>() == 0);
+    for (int i = 0; i < 8 && fixture.count<RunBatch>() > 0; ++i) {
+        fixture.answerBatch(ItemFailure::Error);
+        fixture.advanceTime(milliseconds(10));
+    }
+    CHECK(fixture.count<AbortAnswer>() == 0);
+    fixture.end(silent.attempt);
+    CHECK(fixture.count<FinishStream>() == 1);
+    CHECK(fixture.system.requestCount() == 0);
+}
+
+// Guards against ORDER: of two attempts that run at a time, one would repeat what the other sent.
+TEST_CASE("Only one of two attempts goes on with a stream", "[!mayfail]")
+{
+    RelayFixture fixture(2);
+    const StartAttempt silent = beginStream(fixture);
+    fixture.system.onAttemptProgress(silent.attempt, "4", fixture.now);
+    fixture.advanceTime(milliseconds(1300));
+    const auto second = fixture.take<StartAttempt>();
+    SECTION("the second one as soon as it answers")
+    {
+        fixture.head(second.attempt, RelayFixture::success());
+        CHECK(fixture.take<CancelAttempt>().attempt == silent.attempt);
+        CHECK(fixture.take<ResumeStream>().attempt == second.attempt);
+        fixture.end(second.attempt);
+    }
+    SECTION("the first one as soon as it goes on")
+    {
+        fixture.system.onAttemptProgress(silent.attempt, "5", fixture.now);
+        fixture.collect();
+        CHECK(fixture.take<CancelAttempt>().attempt == second.attempt);
+        fixture.end(silent.attempt);
+    }
+    SECTION("the first one when it ends")
+    {
+        fixture.end(silent.attempt);
+        CHECK(fixture.take<CancelAttempt>().attempt == second.attempt);
+    }
+    SECTION("the second one when the first one is lost")
+    {
+        fixture.fail(silent.attempt, AttemptFailure::Broken, "4");
+        CHECK(fixture.count<AbortAnswer>() == 0);
+        fixture.head(second.attempt, RelayFixture::success());
+        CHECK(fixture.take<ResumeStream>().attempt == second.attempt);
+        fixture.end(second.attempt);
+    }
+    CHECK(fixture.count<FinishStream>() == 1);
+    CHECK(fixture.count<AbortAnswer>() == 0);
+    CHECK(fixture.system.requestCount() == 0);
+}
