--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -18,6 +18,7 @@
 constexpr uint64_t firstCallersSeed = 5000;
 constexpr uint64_t firstLimitsSeed = 6000;
 constexpr uint64_t firstDeparturesSeed = 7000;
+constexpr uint64_t firstPausesSeed = 8000;
 constexpr uint64_t deadlyInterval = 5;
 constexpr uint64_t deadlyStopsInterval = 3;
 //! Requests before a deadly part comes are compared with those after its quarantine.
@@ -116,6 +117,9 @@
         return {FaultKind::CallersLeave, FaultKind::CallersLeave, FaultKind::PauseDaemon,
                 FaultKind::ReplicaSheds, FaultKind::StopDaemon,   FaultKind::KillDaemon,
                 FaultKind::HangUp};
+    case PlanKind::Pauses:
+        return {FaultKind::EnginesPause, FaultKind::StopDaemon, FaultKind::HangUp,
+                FaultKind::ConfigurationChanges};
     }
     return {};
 }
@@ -126,6 +130,7 @@
     case PlanKind::Mixed:
     case PlanKind::PlannedWork:
     case PlanKind::CallersAndStops:
+    case PlanKind::Pauses:
         return {FaultKind::StopSeries, FaultKind::StopTwice, FaultKind::HangUpInStop,
                 FaultKind::StageSlow, FaultKind::StageSlow};
     case PlanKind::Mild:
@@ -142,6 +147,9 @@
     if (seed < firstPlannedSeed) {
         return seed % mildInterval == 0 ? PlanKind::Mild : PlanKind::Mixed;
     }
+    if (seed >= firstPausesSeed) {
+        return PlanKind::Pauses;
+    }
     if (seed >= firstDeparturesSeed) {
         return seed % 2 == 0 ? PlanKind::Departures : PlanKind::DeparturesAndStops;
     }
@@ -229,6 +237,8 @@
         return "store-restored";
     case FaultKind::CallersLeave:
         return "callers-leave";
+    case FaultKind::EnginesPause:
+        return "engines-pause";
     }
     return "unknown";
 }
@@ -254,7 +264,8 @@
         const FaultKind kind = kinds[random.below(static_cast<uint32_t>(kinds.size()))];
         const bool isLong = kind == FaultKind::ReplicaLeaves || kind == FaultKind::StageSlow
                             || kind == FaultKind::SaysLeaving || kind == FaultKind::AsksRest
-                            || kind == FaultKind::EvacuateZone || kind == FaultKind::CallersLeave;
+                            || kind == FaultKind::EvacuateZone || kind == FaultKind::CallersLeave
+                            || kind == FaultKind::EnginesPause;
         const model::Duration shortest = kind == FaultKind::NamesLimit ? minLimitDuration
                                          : isLong                      ? minLongDuration
                                                                        : minDuration;
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -43,6 +43,7 @@
     NamesLimit, //!< A replica names the rate that it takes from all daemons together.
     StoreRestored, //!< The store comes back from an older copy; what is lost is written again.
     CallersLeave, //!< Half of the callers leave early.
+    EnginesPause, //!< All engines of a pool have little room and pause in each stream.
 };
 
 //! Which faults a seed gets.
@@ -64,13 +65,15 @@
     LimitsAndStops,
     Departures, //!< Callers that leave early beside daemons that are paused.
     DeparturesAndStops,
+    Pauses, //!< Engines that pause and are full, beside planned work.
 };
 
 //! Seeds from 1000 on get plans of planned work only, each fifth with a deadly part. Those from
 //! 2000 on get notices, those from 3000 on emptied zones and cold upstreams, those from 4000 on
 //! growing configurations, those from 5000 on callers that keep no limits, those from 6000 on
 //! upstreams that name a limit and restores of the store, those from 7000 on callers that leave
-//! early beside paused daemons, each second one with stopped daemons.
+//! early beside paused daemons, each second one with stopped daemons. Those from 8000 on get
+//! engines that pause beside planned work.
 PlanKind planKindOf(uint64_t seed);
 
 constexpr model::Duration minDeadlyPlan = model::seconds(28);
--- a/tests/soak/soakfaults.cpp
+++ b/tests/soak/soakfaults.cpp
@@ -37,6 +37,12 @@
 //! Slow stages take 10 to 80 times as long.
 constexpr uint32_t minSlowness = 10;
 constexpr uint32_t slownessRange = 71;
+//! Engines that pause do so for longer than daemons wait for an event before they look for another
+//! engine, and for less than callers wait.
+constexpr model::Duration shortestPause = model::milliseconds(1300);
+constexpr int64_t pauseRangeMs = 900;
+//! Streams that an engine runs at a time while it has little room.
+constexpr size_t littleRoom = 2;
 //! Routes by which a configuration grows. Sanitizers make its processing many times slower, which
 //! would leave daemons no time for anything else.
 #ifdef CITRONPICK_SANITIZED
@@ -74,6 +80,7 @@
     case FaultKind::NamesLimit:
     case FaultKind::StoreRestored:
     case FaultKind::CallersLeave:
+    case FaultKind::EnginesPause:
         return true;
     default:
         return false;
@@ -354,6 +361,11 @@
     case FaultKind::CallersLeave:
         m_callers->setPatience(minPatience + model::milliseconds(fault.variant % patienceRangeMs));
         break;
+    case FaultKind::EnginesPause:
+        setEngineTrouble(
+            {.pause = shortestPause + model::milliseconds(fault.variant % pauseRangeMs),
+             .maxRunning = littleRoom});
+        break;
     default:
         break;
     }
@@ -494,6 +506,9 @@
     case FaultKind::CallersLeave:
         m_callers->setPatience(std::nullopt);
         break;
+    case FaultKind::EnginesPause:
+        setEngineTrouble({});
+        break;
     default:
         break;
     }
@@ -521,6 +536,13 @@
     }
 }
 
+void SoakRun::setEngineTrouble(const platform::standin::EngineTrouble &trouble)
+{
+    for (Replica &replica : m_replicas) {
+        replica.standIn->setEngineTrouble(trouble);
+    }
+}
+
 // One replica of a pool or all of them.
 void SoakRun::setSilent(const PlannedFault &fault, bool isSilent)
 {
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -129,6 +129,7 @@
     void endFault(const PlannedFault &fault);
     void setLinkFault(Replica &replica, LinkFault fault);
     void setSilent(const PlannedFault &fault, bool isSilent);
+    void setEngineTrouble(const platform::standin::EngineTrouble &trouble);
     //! Finds daemons that took more memory than they are told to have.
     void checkMemory();
     void setStageSlowness(const PlannedFault &fault, int64_t factor);
