Log: versions of upstreams, and streams that their callers take up again

Nothing in the log tells which software an upstream ran that a stream was sent to, or that a request takes up a stream, so that a stream from two versions can't be found. The entry's version is read; 308, 309 and 804 name it, and 801 names what a request takes up. Nothing is decided by it yet.

--- a/src/daemon/internal/relayregistry.cpp
+++ b/src/daemon/internal/relayregistry.cpp
@@ -288,9 +288,10 @@
     record({.code = code,
             .request = {},
             .subject = id.text(),
-            .detail = absl::StrCat(revision, " pool=", listing->pool.text(),
-                                   " address=", config::toText(listing->address),
-                                   " zone=", listing->zone.text())});
+            .detail = absl::StrCat(
+                revision, " pool=", listing->pool.text(),
+                " address=", config::toText(listing->address), " zone=", listing->zone.text(),
+                " version=", listing->version.text(), " incarnation=", listing->incarnation)});
 }
 
 } // namespace citronpick::daemon
--- a/src/model/ids.h
+++ b/src/model/ids.h
@@ -79,6 +79,8 @@
 using DaemonId = Name<struct DaemonTag>;
 //! Request identifier chosen by the caller; its uniqueness depends on the caller.
 using CallerRequestId = Name<struct CallerRequestTag>;
+//! Version of the software that an upstream runs.
+using SoftwareVersion = Name<struct SoftwareVersionTag>;
 
 //! Identifies one arrival of a request at one daemon; a resent request gets a new number.
 using RequestId = Number<struct RequestTag>;
--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -96,6 +96,7 @@
                         " failures=", upstream.consecutiveFailures,
                         " leftMs=", model::toMilliseconds(exchange.deadline - now),
                         " afterMs=", model::toMilliseconds(now - exchange.arrived.startedAt),
+                        " version=", upstream.listing.version.text(),
                         exchange.plan.isEmpty() ? "" : absl::StrCat(" inputs=", inputs.size()),
                         criteria.hasEngines ? reasonsOf(choice) : ""));
     const bool needsFresh = needsFreshConnection(exchange, upstream.listing.address);
--- a/src/relay/internal/relaysystem.cpp
+++ b/src/relay/internal/relaysystem.cpp
@@ -195,7 +195,11 @@
            absl::StrCat("revision=", m_configuration->revision().value(),
                         " pool=", exchange.pool.text(), " account=", exchange.account.text(),
                         " leftMs=", model::toMilliseconds(exchange.deadline - now),
-                        " stages=", exchange.route->stages.size()));
+                        " stages=", exchange.route->stages.size(),
+                        exchange.arrived.lastEvent.empty()
+                            ? ""
+                            : absl::StrCat(" resumes=", exchange.arrived.resumes.text(),
+                                           " lastEvent=", exchange.arrived.lastEvent)));
     if (mayOutlastShutdown(exchange)) {
         refuse(id, Refusal::Stopping, stoppingRetryAfter);
         return;
--- a/src/relay/relayevents.h
+++ b/src/relay/relayevents.h
@@ -31,6 +31,10 @@
     model::TimePoint startedAt; //!< When the first byte of the request arrived.
     std::vector<uint32_t> pieceCounts; //!< Number of pieces of each stage.
     std::string pieceKey; //!< Identifies the data that stages without inputs process.
+    //! The attempt of the caller that brought the first event of the stream that this request takes
+    //! up; empty if the caller does not name it.
+    model::CallerRequestId resumes;
+    std::string lastEvent; //!< Id of the last event that the caller has; empty for a new stream.
     model::Fingerprint fingerprint; //!< Hash of caller and content; equal for a repeated request.
     std::vector<PromptPart> promptParts;
     uint64_t promptTokens = 0;
--- a/src/relay/upstreamdirectory.h
+++ b/src/relay/upstreamdirectory.h
@@ -31,6 +31,7 @@
     model::Duration coldFor {}; //!< How long it stays cold after the registration.
     //! Changes with each restart of an upstream under the same id.
     uint64_t incarnation = 0;
+    model::SoftwareVersion version; //!< Empty if the registration does not name it.
 
     friend bool operator==(const UpstreamListing &, const UpstreamListing &) = default;
 };
