A stream goes on only at the software version that began it

Cause: an entry's version was not read, so that further attempts, and requests that take up a stream, went to any upstream of the pool. Class: an answer is joined from runs that don't belong together. Why it works: the first event that is passed on binds a stream to its upstream's version, and further attempts go there only; if none is left the answer ends at once. A run without an event binds nothing. While a pool has several versions, a new resumable stream prefers the version that follows from its attempt's id and the counts in the registry, so that any daemon finds it again without having seen the stream. A request that takes up a stream is bound by what this daemon remembers, else by the counts that were in force in the time in which the stream may have begun; if those leave more than one version, it is refused (origin-unknown), and if that version has no upstream left, too (version-gone). Pools with one version, or with none named, refuse nothing. A route with several pools finds the pool of the attempt that began the stream.

--- a/src/daemon/internal/exchangerunner.cpp
+++ b/src/daemon/internal/exchangerunner.cpp
@@ -39,6 +39,8 @@
     case relay::Refusal::TooLate:
     case relay::Refusal::Quarantined:
     case relay::Refusal::StagesFailed:
+    case relay::Refusal::VersionGone:
+    case relay::Refusal::OriginUnknown:
         return 503;
     }
     return 502;
--- a/src/daemon/internal/relayregistry.cpp
+++ b/src/daemon/internal/relayregistry.cpp
@@ -248,7 +248,7 @@
     const model::UpstreamId id = m_format.upstreamOf(changed.key);
     const std::string revision = absl::StrCat("revision=", changed.revision);
     if (!changed.value) {
-        if (m_relay->upstreams().remove(id)) {
+        if (m_relay->onUpstreamRemoved(id)) {
             m_fleet->withdraw(fleet::LeavingFact {.upstream = id});
             record({.code = EventCode::UpstreamRemoved,
                     .request = {},
@@ -259,7 +259,7 @@
     }
     const auto listing = m_format.decodeUpstream(changed.key, *changed.value);
     if (!listing.ok()) {
-        m_relay->upstreams().remove(id);
+        m_relay->onUpstreamRemoved(id);
         m_fleet->withdraw(fleet::LeavingFact {.upstream = id});
         record({.code = EventCode::ListingRejected,
                 .request = {},
--- a/src/relay/internal/relayanswers.cpp
+++ b/src/relay/internal/relayanswers.cpp
@@ -86,6 +86,7 @@
     if (!lastEvent.empty()) {
         exchange.lastEvent = lastEvent;
     }
+    bindVersion(exchange, it->second, now);
     noteEvents(it->second, exchange, now);
 }
 
--- a/src/relay/internal/relayattempts.cpp
+++ b/src/relay/internal/relayattempts.cpp
@@ -65,8 +65,11 @@
     const UpstreamCriteria criteria = criteriaOf(exchange);
     const EnginePlace choice = m_chooser.chooseWithReasons(criteria, now);
     if (!choice.engine) {
-        refuse(id, exchange.sentAttempts > 0 ? Refusal::UpstreamsFull : Refusal::NoUpstream,
-               retryAfterOf(exchange.pool, emptyPoolRetryAfter, now));
+        const Refusal refusal = refusalWithoutUpstream(exchange);
+        refuse(id, refusal,
+               refusal == Refusal::VersionGone
+                   ? model::Duration::zero()
+                   : retryAfterOf(exchange.pool, emptyPoolRetryAfter, now));
         return;
     }
     Upstream &upstream = *m_directory.find(choice.engine->listing.id);
@@ -81,6 +84,7 @@
         = {.request = id,
            .upstream = upstream.listing.id,
            .incarnation = upstream.listing.incarnation,
+           .version = upstream.listing.version,
            .tokens = exchange.arrived.promptTokens,
            .unreadTokens = exchange.arrived.promptTokens
                            - std::min(choice.keptTokens, exchange.arrived.promptTokens),
@@ -126,7 +130,7 @@
                   != exchange.triedAddresses.end();
 }
 
-UpstreamCriteria RelaySystem::criteriaOf(const Exchange &exchange) const
+UpstreamCriteria RelaySystem::criteriaOf(const Exchange &exchange)
 {
     UpstreamCriteria criteria {
         .pool = exchange.pool,
@@ -139,6 +143,12 @@
         // that other requests share.
         criteria.affinity = parts[parts.size() - 2].id;
     }
+    if (exchange.version) {
+        criteria.requiredVersion = exchange.version;
+    } else if (exchange.route->kind == RequestKind::ResumableStream) {
+        criteria.preferredVersion
+            = placedVersion(originOf(exchange), versionsOf(exchange.pool).current());
+    }
     const PoolRule *pool = exchange.configuration->findPool(exchange.pool);
     if (m_options.placesByFirstEvent && pool && pool->engine && !parts.empty()) {
         criteria.hasEngines = true;
--- a/src/relay/internal/relaycommands.cpp
+++ b/src/relay/internal/relaycommands.cpp
@@ -26,6 +26,10 @@
         return "quarantined";
     case Refusal::StagesFailed:
         return "stages-failed";
+    case Refusal::VersionGone:
+        return "version-gone";
+    case Refusal::OriginUnknown:
+        return "origin-unknown";
     case Refusal::UpstreamFailed:
         return "upstream-failed";
     case Refusal::TimedOut:
--- a/src/relay/internal/relaynotices.cpp
+++ b/src/relay/internal/relaynotices.cpp
@@ -143,6 +143,7 @@
 ListingChange RelaySystem::onUpstreamListed(const UpstreamListing &listing, model::TimePoint now)
 {
     const ListingChange change = m_directory.apply(listing);
+    m_hasNewListings = true;
     // An entry that was only written again has a later statement.
     if (change != ListingChange::Outdated && listing.coldFor > model::Duration::zero()) {
         noteCold(listing.id, listing.coldFor, "registry", now);
@@ -150,12 +151,19 @@
     return change;
 }
 
+bool RelaySystem::onUpstreamRemoved(const model::UpstreamId &upstream)
+{
+    m_hasNewListings = true;
+    return m_directory.remove(upstream);
+}
+
 // Requests that run in the zone go on. Calls that have not been sent yet are taken back.
 void RelaySystem::onZoneEvacuated(const model::ZoneId &zone, model::TimePoint now)
 {
     if (!m_directory.setEvacuated(zone, true, now)) {
         return;
     }
+    m_hasNewListings = true;
     const std::vector<model::UpstreamId> upstreams = m_directory.inZone(zone);
     m_commands.emplace_back(
         observability::Event {.code = EventCode::ZoneEvacuated,
@@ -173,6 +181,7 @@
     if (!m_directory.setEvacuated(zone, false, now)) {
         return;
     }
+    m_hasNewListings = true;
     m_commands.emplace_back(
         observability::Event {.code = EventCode::ZoneRestored,
                               .request = {},
--- a/src/relay/internal/relaysystem.cpp
+++ b/src/relay/internal/relaysystem.cpp
@@ -151,7 +151,7 @@
     if (total == 0) {
         return pools.empty() ? model::PoolId() : pools.front().pool;
     }
-    uint64_t at = model::hash64(exchange.arrived.callerId.text()) % total;
+    uint64_t at = model::hash64(originOf(exchange).text()) % total;
     for (const PoolShare &share : pools) {
         if (at < share.weight) {
             return share.pool;
@@ -183,6 +183,10 @@
     exchange.deadline = exchange.arrived.startedAt
                         + std::min(exchange.route->timeout,
                                    exchange.arrived.timeLeft.value_or(exchange.route->timeout));
+    updateVersions(now);
+    notePatience(exchange);
+    const std::optional<Refusal> unknownOrigin
+        = isTakeUp(exchange) ? bindTakeUp(exchange, now) : std::nullopt;
     exchange.plan = StagePlan(exchange.route->stages, exchange.arrived.pieceCounts);
     if (!exchange.plan.isEmpty()) {
         chooseExpectedZone(exchange, now);
@@ -199,7 +203,12 @@
                         exchange.arrived.lastEvent.empty()
                             ? ""
                             : absl::StrCat(" resumes=", exchange.arrived.resumes.text(),
-                                           " lastEvent=", exchange.arrived.lastEvent)));
+                                           " lastEvent=", exchange.arrived.lastEvent, " version=",
+                                           exchange.version ? exchange.version->text() : "any")));
+    if (unknownOrigin) {
+        refuse(id, *unknownOrigin, model::Duration::zero());
+        return;
+    }
     if (mayOutlastShutdown(exchange)) {
         refuse(id, Refusal::Stopping, stoppingRetryAfter);
         return;
@@ -358,6 +367,7 @@
         onTimeout(*request, now);
     }
     m_directory.run(now);
+    updateVersions(now);
     runQuarantine(now);
     runScheduler(now);
     checkPeers(now);
--- a/src/relay/internal/upstreamchooser.cpp
+++ b/src/relay/internal/upstreamchooser.cpp
@@ -68,22 +68,37 @@
 std::vector<const Upstream *> UpstreamChooser::candidates(const UpstreamCriteria &criteria,
                                                           model::TimePoint now) const
 {
+    std::vector<const Upstream *> preferred;
     std::vector<const Upstream *> usable;
     std::vector<const Upstream *> avoided;
     for (const Upstream *upstream : m_directory.inPool(criteria.pool)) {
-        const bool isExcluded
-            = std::find(criteria.excluded.begin(), criteria.excluded.end(), upstream->listing.id)
-              != criteria.excluded.end();
-        if (isExcluded || !UpstreamDirectory::isAvailable(*upstream, now)) {
+        if (isExcluded(*upstream, criteria) || !UpstreamDirectory::isAvailable(*upstream, now)) {
             continue;
         }
-        (UpstreamDirectory::isUsable(*upstream, now) ? usable : avoided).push_back(upstream);
+        const bool isUsable = UpstreamDirectory::isUsable(*upstream, now);
+        (isUsable ? usable : avoided).push_back(upstream);
+        if (isUsable && upstream->listing.version == criteria.preferredVersion) {
+            preferred.push_back(upstream);
+        }
+    }
+    if (!criteria.preferredVersion.isEmpty() && !preferred.empty()) {
+        return preferred;
     }
     // If all upstreams failed recently, the cause is probably the load or this daemon's network
     // path. Refusing every request would be worse than trying them.
     return usable.empty() ? avoided : usable;
 }
 
+bool UpstreamChooser::isExcluded(const Upstream &upstream, const UpstreamCriteria &criteria)
+{
+    const std::optional<model::SoftwareVersion> &required = criteria.requiredVersion;
+    const bool isOtherVersion
+        = required && (required->isEmpty() || upstream.listing.version != *required);
+    return isOtherVersion
+           || std::find(criteria.excluded.begin(), criteria.excluded.end(), upstream.listing.id)
+                  != criteria.excluded.end();
+}
+
 // Few daemons send to a limited upstream, so each of these sends what the others would have sent as
 // well. Otherwise, in a large fleet, it would get a small part of what it takes.
 const Upstream *UpstreamChooser::limitedOne(const std::vector<const Upstream *> &candidates,
--- a/src/relay/internal/upstreamdirectory.cpp
+++ b/src/relay/internal/upstreamdirectory.cpp
@@ -233,6 +233,33 @@
     return result;
 }
 
+// Only what the registry says counts, so that all daemons find the same.
+std::map<model::PoolId, VersionCounts> UpstreamDirectory::versionCounts() const
+{
+    std::map<model::PoolId, VersionCounts> pools;
+    for (const auto &[id, upstream] : m_upstreams) {
+        if (!upstream->listing.isLeaving && !upstream->isEvacuated) {
+            ++pools[upstream->listing.pool][upstream->listing.version];
+        }
+    }
+    for (auto &[pool, counts] : pools) {
+        if (counts.size() > 1) {
+            counts.erase(model::SoftwareVersion());
+        }
+    }
+    return pools;
+}
+
+bool UpstreamDirectory::hasVersion(const model::PoolId &pool,
+                                   const model::SoftwareVersion &version) const
+{
+    const std::vector<Upstream *> &upstreams = inPool(pool);
+    return !version.isEmpty()
+           && std::any_of(upstreams.begin(), upstreams.end(), [&](const Upstream *upstream) {
+                  return !upstream->isClosed() && upstream->listing.version == version;
+              });
+}
+
 void UpstreamDirectory::noteFailure(const model::UpstreamId &id, model::TimePoint now)
 {
     Upstream *upstream = find(id);
--- a/src/relay/relaycommands.h
+++ b/src/relay/relaycommands.h
@@ -26,6 +26,8 @@
     TooLate, //!< The request could not be finished in time; it has not run.
     Quarantined, //!< Identical requests crashed several upstreams; this one has not run.
     StagesFailed, //!< A stage that the request needs failed; the request has not run.
+    VersionGone, //!< No upstream of the software version that began the stream is left.
+    OriginUnknown, //!< It is not known which software version began the stream.
     UpstreamFailed, //!< The request may have run.
     TimedOut, //!< The request may have run.
 };
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -19,9 +19,11 @@
 #include "relay/relayevents.h"
 #include "relay/retrybudget.h"
 #include "relay/stageplan.h"
+#include "relay/streamorigins.h"
 #include "relay/upstreamchooser.h"
 #include "relay/upstreamdirectory.h"
 #include "relay/upstreamnotice.h"
+#include "relay/versionhistory.h"
 
 namespace citronpick::relay
 {
@@ -103,6 +105,8 @@
 
     //! The registry lists an upstream or has changed its entry.
     ListingChange onUpstreamListed(const UpstreamListing &listing, model::TimePoint now);
+    //! The registry lists an upstream no more. Returns false if it was not listed.
+    bool onUpstreamRemoved(const model::UpstreamId &upstream);
     //! The operator orders that the upstreams of a zone get no work, or takes the order back.
     void onZoneEvacuated(const model::ZoneId &zone, model::TimePoint now);
     void onZoneRestored(const model::ZoneId &zone, model::TimePoint now);
@@ -197,11 +201,15 @@
         model::TimePoint streamStartedAt; //!< When the head of a stream was sent to the caller.
         bool mayHaveRun = false; //!< An upstream may have started to run the request.
         std::string lastEvent;
+        //! The software version that began the stream; empty if it has none. nullopt while the
+        //! stream is bound to no version.
+        std::optional<model::SoftwareVersion> version;
     };
     struct Attempt {
         model::RequestId request;
         model::UpstreamId upstream;
         uint64_t incarnation = 0; //!< Incarnation of the upstream in the platform's list.
+        model::SoftwareVersion version; //!< Of the upstream in the platform's list.
         uint64_t tokens = 0;
         uint64_t unreadTokens = 0; //!< Prompt tokens that the engine probably has to read.
         bool isOnEngine = false; //!< The upstream is a model engine.
@@ -321,7 +329,7 @@
 
     // Attempts
     void startAttempt(Exchange &exchange, model::TimePoint now);
-    UpstreamCriteria criteriaOf(const Exchange &exchange) const;
+    UpstreamCriteria criteriaOf(const Exchange &exchange);
     static bool needsFreshConnection(const Exchange &exchange, const config::Endpoint &address);
     void chooseExpectedZone(Exchange &exchange, model::TimePoint now);
     Attempt closeAttempt(model::AttemptId id);
@@ -339,6 +347,23 @@
     //! Whether another attempt is allowed; consumes one retry of the budget if so.
     bool acquireRetry(const Exchange &exchange, model::TimePoint now);
 
+    // Software versions
+    //! Whether the caller takes up a stream that another attempt of it began.
+    static bool isTakeUp(const Exchange &exchange);
+    //! The attempt of the caller that began the stream, or is to begin it.
+    static const model::CallerRequestId &originOf(const Exchange &exchange);
+    const VersionHistory &versionsOf(const model::PoolId &pool);
+    //! Finds the version that began a stream which its caller takes up. Returns why it can't go on.
+    std::optional<Refusal> bindTakeUp(Exchange &exchange, model::TimePoint now);
+    void notePatience(const Exchange &exchange);
+    //! Earliest time at which the attempt that began the stream was sent.
+    model::TimePoint earliestStartOf(const Exchange &exchange, model::TimePoint now) const;
+    //! An event of the attempt's stream was passed on.
+    void bindVersion(Exchange &exchange, const Attempt &attempt, model::TimePoint now);
+    void updateVersions(model::TimePoint now);
+    //! Why a request is refused that no upstream takes now.
+    Refusal refusalWithoutUpstream(const Exchange &exchange) const;
+
     // Notices of upstreams
     //! When to retry a request that cannot be served now; nullopt if it may be served.
     std::optional<model::Duration> unservableRetryAfter(const Exchange &exchange,
@@ -404,6 +429,11 @@
     absl::flat_hash_map<model::RouteId, model::Duration> m_firstEventTimes;
     //! Time from a stream's first event to its end, by route.
     absl::flat_hash_map<model::RouteId, StreamTime> m_streamTimes;
+    absl::flat_hash_map<model::PoolId, VersionHistory> m_versions;
+    bool m_hasNewListings = false; //!< Since m_versions were updated.
+    StreamOrigins m_origins;
+    //! Longest time that callers of a route wait, as far as this daemon has seen.
+    absl::flat_hash_map<model::RouteId, model::Duration> m_callerPatience;
     model::TimerQueue<model::RequestId> m_timeouts;
     std::vector<RelayCommand> m_commands;
     RelayCounters m_counters;
--- a/src/relay/upstreamchooser.h
+++ b/src/relay/upstreamchooser.h
@@ -21,6 +21,9 @@
     bool hasEngines = false; //!< The pool's upstreams are model engines.
     std::vector<PromptPart> sharedParts; //!< Of the prompt for a model engine, in order.
     model::ZoneId preferredZone; //!< Empty if no zone is preferred.
+    //! Only upstreams of this version, as the stream began there; none if it is empty.
+    std::optional<model::SoftwareVersion> requiredVersion;
+    model::SoftwareVersion preferredVersion; //!< Empty if no version is preferred.
 };
 
 //! Chooses an upstream for one request.
@@ -52,6 +55,7 @@
 private:
     std::vector<const Upstream *> candidates(const UpstreamCriteria &criteria,
                                              model::TimePoint now) const;
+    static bool isExcluded(const Upstream &upstream, const UpstreamCriteria &criteria);
     //! An upstream that takes little from the fleet and has a turn for this daemon, if this request
     //! is one of those that it should get.
     const Upstream *limitedOne(const std::vector<const Upstream *> &candidates,
--- a/src/relay/upstreamdirectory.h
+++ b/src/relay/upstreamdirectory.h
@@ -1,6 +1,7 @@
 #ifndef CITRONPICK_RELAY_UPSTREAMDIRECTORY_H
 #define CITRONPICK_RELAY_UPSTREAMDIRECTORY_H
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -16,6 +17,7 @@
 #include "relay/noticetable.h"
 #include "relay/ratelimit.h"
 #include "relay/senderranking.h"
+#include "relay/versionplacement.h"
 
 namespace citronpick::relay
 {
@@ -145,6 +147,11 @@
     {
         return m_upstreams.size();
     }
+    //! Upstreams that the registry lists as taking work, by the versions of each pool. Those
+    //! without a version are left out where others have one.
+    std::map<model::PoolId, VersionCounts> versionCounts() const;
+    //! Whether an upstream of a version is listed that takes work.
+    bool hasVersion(const model::PoolId &pool, const model::SoftwareVersion &version) const;
 
     //! An answer, or another daemon, states that these starts of the upstream leave; it need not
     //! be listed. Returns false if this is known.
