After a restart, the registry's history tells which versions began streams

A report from a similar system: two software versions were in service, or the old one had just left, when all daemons were killed; the streams that clients then took up were joined from both, answered 200, with nothing to show it. The same could happen here: a daemon that has just started takes what is listed first for what was there before, so that a stream of a version that has left goes on at the other. Now a daemon reads once after its start what the registry still keeps of the changes before (256 revisions, or a quarter of them, and so on, if it keeps fewer), and reconstructs the counts that were in force. Starts of upstreams, which entries state, bound the times of the changes between them. Without a history, those starts alone tell since when a version can have begun streams. Where that leaves two versions for an attempt's id in the time in which it may have begun, the stream is refused.

--- a/src/daemon/internal/relaydaemon.cpp
+++ b/src/daemon/internal/relaydaemon.cpp
@@ -25,6 +25,8 @@
 namespace
 {
 
+//! A few minutes of a calm registry, or some seconds of a busy one.
+constexpr uint64_t pastRevisions = 256;
 //! Interval of the checks for connection timeouts, which are several hundred milliseconds or
 //! longer.
 constexpr model::Duration sweepInterval = model::milliseconds(100);
@@ -141,6 +143,7 @@
         registry::FollowerOptions {.prefix = m_format.registryPrefix(),
                                    .maxSilence = m_settings.registrySilence,
                                    .allowsStaleStart = true,
+                                   .pastRevisions = pastRevisions,
                                    .source
                                    = {.daemon = m_settings.daemon, .zone = m_settings.zone}},
         seed,
--- a/src/daemon/internal/relayregistry.cpp
+++ b/src/daemon/internal/relayregistry.cpp
@@ -171,6 +171,9 @@
                 .detail = absl::StrCat("revision=", delayed->revision,
                                        " keptMs=", model::toMilliseconds(delayed->delay))});
     }
+    if (const auto *past = std::get_if<registry::PastChanges>(&update)) {
+        applyPastChanges(*past);
+    }
     const auto *changed = std::get_if<registry::KeyChanged>(&update);
     if (!changed) {
         return;
@@ -188,6 +191,31 @@
     }
 }
 
+// Entries that can't be read named no upstream then either.
+void RelayDaemon::applyPastChanges(const registry::PastChanges &past)
+{
+    std::vector<relay::PastListing> listings;
+    for (const registry::RegistryItem &item : past.items) {
+        if (m_format.kindOf(item.key) != RegistryKeyKind::Upstream) {
+            continue;
+        }
+        relay::PastListing listing {.id = m_format.upstreamOf(item.key),
+                                    .isFirst = item.createdRevision == item.revision};
+        if (item.value) {
+            auto decoded = m_format.decodeUpstream(item.key, *item.value);
+            listing.listing = decoded.ok() ? std::optional(*std::move(decoded)) : std::nullopt;
+        }
+        listings.push_back(std::move(listing));
+    }
+    const model::TimePoint now = net::EventLoop::now();
+    m_relay->onPastListings(listings, net::EventLoop::wallTime(), now);
+    record({.code = EventCode::PastListingsRead,
+            .request = {},
+            .subject = config::toText(m_settings.registry),
+            .detail = absl::StrCat("revision=", m_registry->follower().revision(), " changes=",
+                                   past.items.size(), " upstreams=", listings.size())});
+}
+
 // The order holds as long as its key exists, whatever its value says.
 void RelayDaemon::onEvacuationChanged(const registry::KeyChanged &changed)
 {
--- a/src/daemon/relaydaemon.h
+++ b/src/daemon/relaydaemon.h
@@ -88,6 +88,7 @@
     //! Returns false if \a text is not a configuration.
     bool applyConfiguration(const std::string &text, std::string_view source);
     void onUpstreamChanged(const registry::KeyChanged &changed);
+    void applyPastChanges(const registry::PastChanges &past);
     void onEvacuationChanged(const registry::KeyChanged &changed);
     void execute(relay::RelayCommand &command);
     void runFleet(model::TimePoint now);
--- a/src/observability/event.h
+++ b/src/observability/event.h
@@ -99,6 +99,7 @@
     RequestDropped = 821,
     AttemptWithdrawn = 822,
     SilentKept = 823,
+    PastListingsRead = 824,
     LinesSuppressed = 901,
 };
 
--- a/src/observability/internal/event.cpp
+++ b/src/observability/internal/event.cpp
@@ -98,6 +98,7 @@
     EventDescription {RequestDropped, Info, "request-dropped"},
     EventDescription {AttemptWithdrawn, Info, "attempt-withdrawn"},
     EventDescription {SilentKept, Info, "silent-kept"},
+    EventDescription {PastListingsRead, Info, "past-listings-read"},
     EventDescription {LinesSuppressed, Warning, "lines-suppressed"},
 };
 
--- a/src/registry/internal/registryfollower.cpp
+++ b/src/registry/internal/registryfollower.cpp
@@ -15,6 +15,8 @@
 //! Consecutive failures after which the registry counts as unreachable. A single failure may only
 //! mean that a connection was closed.
 constexpr uint32_t outageFailureCount = 2;
+//! If the registry does not keep so many revisions, this part of them is tried next.
+constexpr uint64_t pastDivisor = 4;
 
 } // namespace
 
@@ -24,6 +26,7 @@
     , m_source(m_options.source)
     , m_history(maxRemovals)
     , m_isListingStale(m_options.allowsStaleStart)
+    , m_pastRevisions(m_options.pastRevisions)
 {
 }
 
@@ -62,6 +65,13 @@
         return take(ReadPage {.afterKey = m_afterKey, .allowsStale = m_isListingStale},
                     model::Duration::zero(), m_options.readTimeout, now);
     }
+    if (m_pastRevisions > 0 && m_isSynchronized && isRegistryDue) {
+        m_isReadingPast = true;
+        return take(
+            WatchChanges {.afterRevision = m_revision - std::min(m_revision, m_pastRevisions),
+                          .timeout = shortestWatch},
+            shortestWatch, m_options.readTimeout, now);
+    }
     if (now < m_watchDueAt) {
         return std::nullopt;
     }
@@ -295,6 +305,7 @@
     recordAnswer(now);
     const EraOrder order = compareEra(changes.era);
     if (order != EraOrder::Same) {
+        m_isReadingPast = false;
         if (order == EraOrder::Later) {
             beginEra(changes.era, now);
         }
@@ -302,6 +313,11 @@
         return;
     }
     m_era = changes.era == 0 ? m_era : changes.era;
+    if (std::exchange(m_isReadingPast, false)) {
+        m_pastRevisions = 0;
+        m_notifications.emplace_back(PastChanges {.items = changes.items});
+        return;
+    }
     applyChanges(changes, now);
     m_completeAt = now;
     m_compactions = 0;
@@ -339,10 +355,23 @@
     m_source.onPeerFailed(m_reader, error, now);
 }
 
+bool RegistryFollower::handlePastError(CallError error)
+{
+    if (!std::exchange(m_isReadingPast, false)) {
+        return false;
+    }
+    const bool isCompacted = error == CallError::Compacted;
+    m_pastRevisions = isCompacted ? m_pastRevisions / pastDivisor : 0;
+    return isCompacted || error == CallError::TooManyChanges;
+}
+
 void RegistryFollower::onError(CallError error, model::TimePoint now)
 {
     endCall();
     m_source.onRegistryCallEnded();
+    if (handlePastError(error)) {
+        return;
+    }
     const bool wasPageObsolete = std::exchange(m_isPendingPageObsolete, false);
     const bool needsListing = error == CallError::Compacted || error == CallError::TooManyChanges;
     if (needsListing && !wasPageObsolete) {
--- a/src/registry/registryfollower.h
+++ b/src/registry/registryfollower.h
@@ -65,6 +65,9 @@
     //! Content from outdated copies that no reader has confirmed is listed again after this time.
     //! Daemons that start together know their readers after some ten seconds.
     model::Duration verificationDelay = model::seconds(20);
+    //! Revisions before the first listing whose changes are read as well, to learn what was listed
+    //! shortly before; zero for none. Fewer if the registry no longer keeps as many.
+    uint64_t pastRevisions = 0;
     ChangeSourceOptions source;
 };
 
@@ -138,8 +141,15 @@
     model::Duration delay {};
 };
 
-using FollowerUpdate = std::variant<KeyChanged, Synchronized, ReachabilityChanged, SourceChanged,
-                                    ContentMismatch, RegistryRestored, RemovalDelayed>;
+//! Changes from before the first listing that the registry still keeps, in order. They are not
+//! reported as KeyChanged.
+struct PastChanges {
+    std::vector<RegistryItem> items;
+};
+
+using FollowerUpdate
+    = std::variant<KeyChanged, PastChanges, Synchronized, ReachabilityChanged, SourceChanged,
+                   ContentMismatch, RegistryRestored, RemovalDelayed>;
 
 /*!
  * Mirrors the keys under one prefix of a registry with read-only access: lists them once, then
@@ -251,6 +261,8 @@
     FollowerCall watchRegistry(model::TimePoint now);
     FollowerCall probeRegistry(model::TimePoint now);
     void endCall();
+    //! Returns whether the failed call was one for past changes, which needs no other treatment.
+    bool handlePastError(CallError error);
     void scheduleRetry(CallError error, model::TimePoint now);
     model::Duration longestBackoff() const;
     void applyItem(const RegistryItem &item, model::TimePoint now);
@@ -274,6 +286,8 @@
     //! The current listing may be outdated, in which case a short watch has to complete it.
     bool m_isListingStale = false;
     bool m_isConfirming = false; //!< That watch is next or pending.
+    uint64_t m_pastRevisions = 0; //!< Still to be read; see FollowerOptions::pastRevisions.
+    bool m_isReadingPast = false; //!< The pending call reads them.
     //! The content comes from an outdated listing, and no reader has confirmed it.
     bool m_isUnverified = false;
     model::TimePoint m_verifyAt;
--- a/src/registry/registryitem.h
+++ b/src/registry/registryitem.h
@@ -17,6 +17,8 @@
     std::string key;
     std::optional<std::string> value;
     uint64_t revision = 0;
+    uint64_t createdRevision
+        = 0; //!< Of the first value since the key did not exist; zero if unknown.
 
     friend auto operator<=>(const RegistryItem &, const RegistryItem &) = default;
 };
--- a/src/relay/internal/relayversions.cpp
+++ b/src/relay/internal/relayversions.cpp
@@ -40,6 +40,19 @@
     }
 }
 
+void RelaySystem::onPastListings(const std::vector<PastListing> &past, model::WallTime wallNow,
+                                 model::TimePoint now)
+{
+    updateVersions(now);
+    std::vector<UpstreamListing> listed;
+    for (const model::UpstreamId &id : m_directory.ids()) {
+        listed.push_back(m_directory.find(id)->listing);
+    }
+    for (const auto &[pool, epochs] : pastVersions(past, listed, wallNow, now)) {
+        m_versions[pool].setPast(epochs);
+    }
+}
+
 void RelaySystem::notePatience(const Exchange &exchange)
 {
     if (exchange.arrived.timeLeft) {
--- a/src/relay/internal/versionhistory.cpp
+++ b/src/relay/internal/versionhistory.cpp
@@ -29,7 +29,12 @@
 
 void VersionHistory::setPast(const std::vector<VersionEpoch> &past)
 {
-    m_epochs.insert(m_epochs.begin(), past.begin(), past.end());
+    if (m_epochs.empty() || past.empty()) {
+        return;
+    }
+    m_epochs.front().earliest = past.back().earliest;
+    m_epochs.front().latest = past.back().latest;
+    m_epochs.insert(m_epochs.begin(), past.begin(), past.end() - 1);
 }
 
 const VersionCounts &VersionHistory::current() const
--- a/src/relay/relaysystem.h
+++ b/src/relay/relaysystem.h
@@ -13,6 +13,7 @@
 #include "model/timerqueue.h"
 #include "relay/batchscheduler.h"
 #include "relay/partquarantine.h"
+#include "relay/pastversions.h"
 #include "relay/relaycommands.h"
 #include "relay/relayconfiguration.h"
 #include "relay/relaycounters.h"
@@ -105,6 +106,10 @@
 
     //! The registry lists an upstream or has changed its entry.
     ListingChange onUpstreamListed(const UpstreamListing &listing, model::TimePoint now);
+    //! What the registry listed before this daemon began to follow it, oldest first. \a wallNow is
+    //! the time of day at \a now.
+    void onPastListings(const std::vector<PastListing> &past, model::WallTime wallNow,
+                        model::TimePoint now);
     //! The registry lists an upstream no more. Returns false if it was not listed.
     bool onUpstreamRemoved(const model::UpstreamId &upstream);
     //! The operator orders that the upstreams of a zone get no work, or takes the order back.
--- a/src/relay/versionhistory.h
+++ b/src/relay/versionhistory.h
@@ -31,7 +31,8 @@
 public:
     //! Counts that are in force from \a now on.
     void set(const VersionCounts &counts, model::TimePoint now);
-    //! What was in force before the first call of set(), oldest first; replaces what was assumed.
+    //! What was in force before the first call of set(), oldest first, the counts of that call
+    //! last. Replaces what was assumed.
     void setPast(const std::vector<VersionEpoch> &past);
 
     const VersionCounts &current() const;
