--- a/src/registry/internal/registryfollower.cpp
+++ b/src/registry/internal/registryfollower.cpp
@@ -313,12 +313,7 @@
         return;
     }
     m_era = changes.era == 0 ? m_era : changes.era;
-    if (std::exchange(m_isReadingPast, false)) {
-        m_pastRevisions = 0;
-        m_notifications.emplace_back(PastChanges {.items = changes.items});
-        return;
-    }
-    applyChanges(changes, now);
+    applyChanges(std::exchange(m_isReadingPast, false) ? withoutPast(changes) : changes, now);
     m_completeAt = now;
     m_compactions = 0;
     if (std::exchange(m_isConfirming, false)) {
@@ -355,6 +350,17 @@
     m_source.onPeerFailed(m_reader, error, now);
 }
 
+RegistryChanges RegistryFollower::withoutPast(RegistryChanges changes)
+{
+    m_pastRevisions = 0;
+    const auto firstNew
+        = std::find_if(changes.items.begin(), changes.items.end(),
+                       [this](const RegistryItem &item) { return item.revision > m_revision; });
+    m_notifications.emplace_back(PastChanges {.items = {changes.items.begin(), firstNew}});
+    changes.items.erase(changes.items.begin(), firstNew);
+    return changes;
+}
+
 bool RegistryFollower::handlePastError(CallError error)
 {
     if (!std::exchange(m_isReadingPast, false)) {
--- a/src/registry/registryfollower.h
+++ b/src/registry/registryfollower.h
@@ -261,6 +261,8 @@
     FollowerCall watchRegistry(model::TimePoint now);
     FollowerCall probeRegistry(model::TimePoint now);
     void endCall();
+    //! Reports the changes up to the current revision as past and returns the others.
+    RegistryChanges withoutPast(RegistryChanges changes);
     //! Returns whether the failed call was one for past changes, which needs no other treatment.
     bool handlePastError(CallError error);
     void scheduleRetry(CallError error, model::TimePoint now);
--- a/src/registry/tests/registryfollowertest.cpp
+++ b/src/registry/tests/registryfollowertest.cpp
@@ -323,3 +323,44 @@
     fixture.now += model::seconds(1);
     CHECK(std::holds_alternative<ReadPage>(*fixture.hearer.takeCall(fixture.now)));
 }
+
+// Guards against a past that is applied as if it were news: a removed upstream would be listed
+// again.
+TEST_CASE("Changes from before the first listing are reported as past, later ones as changes")
+{
+    Fixture fixture;
+    fixture.follower = RegistryFollower({.prefix = "u/", .pastRevisions = 64}, 1);
+    fixture.list({item("u/a", "1", 90)}, 100);
+    CHECK(std::get<WatchChanges>(fixture.call()).afterRevision == 36);
+    SECTION("in one answer")
+    {
+        fixture.follower.onChanges({.items = {item("u/b", "2", 40), item("u/a", "1", 90),
+                                              removal("u/b", 95), item("u/c", "3", 101)},
+                                    .revision = 101},
+                                   fixture.now);
+    }
+    SECTION("after the registry has forgotten a part")
+    {
+        fixture.follower.onError(CallError::Compacted, fixture.now);
+        CHECK(std::get<WatchChanges>(fixture.call()).afterRevision == 84);
+        fixture.follower.onChanges(
+            {.items = {item("u/a", "1", 90), removal("u/b", 95), item("u/c", "3", 101)},
+             .revision = 101},
+            fixture.now);
+    }
+    size_t past = 0;
+    std::vector<std::string> changed;
+    for (const FollowerUpdate &update : fixture.follower.takeUpdates(fixture.now)) {
+        if (const auto *before = std::get_if<PastChanges>(&update)) {
+            past += before->items.size();
+        }
+        if (const auto *change = std::get_if<KeyChanged>(&update)) {
+            changed.push_back(change->key);
+        }
+    }
+    CHECK(past >= 2);
+    CHECK(changed == std::vector<std::string> {"u/a", "u/c"});
+    CHECK(fixture.follower.revision() == 101);
+    fixture.now += model::seconds(1);
+    CHECK(std::get<WatchChanges>(fixture.call()).afterRevision == 101);
+}
