A registry that keeps no past is told from one whose past is calm

After a start, a registry that had dropped its history was never reported, so that what is listed was taken for what was there before, and a stream of a version that had just left could be joined. A caller that states hours as its wait no longer makes all take-ups of its route doubtful. An unused function is gone.

--- a/src/registry/internal/registryfollower.cpp
+++ b/src/registry/internal/registryfollower.cpp
@@ -368,6 +368,9 @@
     }
     const bool isCompacted = error == CallError::Compacted;
     m_pastRevisions = isCompacted ? m_pastRevisions / pastDivisor : 0;
+    if (m_pastRevisions == 0) {
+        m_notifications.emplace_back(PastChanges {});
+    }
     return isCompacted || error == CallError::TooManyChanges;
 }
 
--- a/src/registry/registryfollower.h
+++ b/src/registry/registryfollower.h
@@ -141,8 +141,8 @@
     model::Duration delay {};
 };
 
-//! Changes from before the first listing that the registry still keeps, in order. They are not
-//! reported as KeyChanged.
+//! Changes from before the first listing that the registry still keeps, in order; empty if they
+//! can't be read. They are not reported as KeyChanged.
 struct PastChanges {
     std::vector<RegistryItem> items;
 };
--- a/src/registry/tests/registryfollowertest.cpp
+++ b/src/registry/tests/registryfollowertest.cpp
@@ -364,3 +364,21 @@
     fixture.now += model::seconds(1);
     CHECK(std::get<WatchChanges>(fixture.call()).afterRevision == 101);
 }
+
+TEST_CASE("A registry that has forgotten its past is asked for less and less, then no more")
+{
+    Fixture fixture;
+    fixture.follower = RegistryFollower({.prefix = "u/", .pastRevisions = 16}, 1);
+    fixture.list({item("u/a", "1", 90)}, 100);
+    for (const uint64_t after : {84U, 96U, 99U}) {
+        CHECK(std::get<WatchChanges>(fixture.call()).afterRevision == after);
+        fixture.follower.onError(CallError::Compacted, fixture.now);
+    }
+    size_t reports = 0;
+    for (const FollowerUpdate &update : fixture.follower.takeUpdates(fixture.now)) {
+        reports += std::holds_alternative<PastChanges>(update) ? 1 : 0;
+    }
+    CHECK(reports == 1);
+    CHECK(fixture.follower.failures() == 0);
+    CHECK(std::get<WatchChanges>(fixture.call()).afterRevision == 100);
+}
--- a/src/relay/internal/relayversions.cpp
+++ b/src/relay/internal/relayversions.cpp
@@ -1,8 +1,5 @@
 #include <algorithm>
 
-#include <absl/strings/str_cat.h>
-
-#include "model/abslview.h"
 #include "relay/relaysystem.h"
 
 // Keeps each stream at the software version that began it.
@@ -10,7 +7,13 @@
 namespace citronpick::relay
 {
 
-using observability::EventCode;
+namespace
+{
+
+//! A caller that states a longer wait is not taken for the others of its route.
+constexpr model::Duration longestPatience = model::seconds(60);
+
+} // namespace
 
 bool RelaySystem::isTakeUp(const Exchange &exchange)
 {
@@ -57,7 +60,7 @@
 {
     if (exchange.arrived.timeLeft) {
         model::Duration &longest = m_callerPatience[exchange.route->id];
-        longest = std::max(longest, *exchange.arrived.timeLeft);
+        longest = std::max(longest, std::min(*exchange.arrived.timeLeft, longestPatience));
     }
 }
 
--- a/src/relay/internal/versionhistory.cpp
+++ b/src/relay/internal/versionhistory.cpp
@@ -58,17 +58,6 @@
     return result;
 }
 
-bool VersionHistory::hasSeveral(model::TimePoint from) const
-{
-    std::set<model::SoftwareVersion> versions;
-    for (const VersionEpoch *epoch : inForce(from, model::TimePoint::max() - viewLag)) {
-        for (const auto &[version, count] : epoch->counts) {
-            versions.insert(version);
-        }
-    }
-    return versions.size() > 1;
-}
-
 std::set<model::SoftwareVersion> VersionHistory::versionsOf(const model::CallerRequestId &attempt,
                                                             model::TimePoint from,
                                                             model::TimePoint until) const
--- a/src/relay/versionhistory.h
+++ b/src/relay/versionhistory.h
@@ -36,8 +36,6 @@
     void setPast(const std::vector<VersionEpoch> &past);
 
     const VersionCounts &current() const;
-    //! Whether upstreams of two versions, or of none, may have begun streams since \a from.
-    bool hasSeveral(model::TimePoint from) const;
     //! The versions that may have begun an attempt's stream between two times; an empty one among
     //! them if it may have been a version that is not known.
     std::set<model::SoftwareVersion> versionsOf(const model::CallerRequestId &attempt,
