--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -147,7 +147,7 @@
 
     SoakOptions m_options;
     platform::standin::DeploymentSpec m_spec;
-    platform::standin::DeploymentSpec m_configuredSpec; //!< With routes that nobody calls.
+    platform::standin::DeploymentSpec m_configuredSpec; //!< Also has routes without requests.
     net::EventLoop m_loop;
     platform::standin::Ledger m_ledger;
     platform::standin::RegistryStandIn m_store;
